--- /dev/null
+++ b/packages/clock/src/ManualClock.test.ts
@@ -0,0 +1,20 @@
+import * as jestGlobals from '@jest/globals';
+import * as manualClock from './ManualClock.js';
+
+const { describe, expect, test } = jestGlobals;
+
+describe('ManualClock', () => {
+  test('wakes a sleeper when its time has come', async () => {
+    const clock = new manualClock.ManualClock();
+    let woken = false;
+    const sleep = clock.sleep(10).then(() => {
+      woken = true;
+    });
+    clock.advance(9);
+    await Promise.resolve();
+    expect(woken).toBe(false);
+    clock.advance(1);
+    await sleep;
+    expect(woken).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/clock/src/ManualClock.ts
@@ -0,0 +1,43 @@
+import type { Clock, Milliseconds } from './Types.js';
+
+interface Sleeper {
+  readonly wakeAt: Milliseconds;
+  readonly wake: () => void;
+}
+
+/** A clock that moves only when a test advances it. */
+export class ManualClock implements Clock {
+  private reading: Milliseconds = 0;
+
+  private sleepers: Sleeper[] = [];
+
+  /** @inheritdoc */
+  public now(): Milliseconds {
+    return this.reading;
+  }
+
+  /** @inheritdoc */
+  public timeOfDay(): Milliseconds {
+    return this.reading;
+  }
+
+  /** @inheritdoc */
+  public sleep(span: Milliseconds, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      this.sleepers.push({ wakeAt: this.reading + span, wake: resolve });
+      signal?.addEventListener('abort', () => resolve(), { once: true });
+    });
+  }
+
+  /** Moves the clock forward by the given span and wakes the sleepers that are due. */
+  public advance(span: Milliseconds): void {
+    this.reading += span;
+    const due = this.sleepers.filter((sleeper) => sleeper.wakeAt <= this.reading);
+    this.sleepers = this.sleepers.filter((sleeper) => sleeper.wakeAt > this.reading);
+    due.forEach((sleeper) => sleeper.wake());
+  }
+}
--- /dev/null
+++ b/packages/clock/src/Types.ts
@@ -0,0 +1,14 @@
+/** A span of time in milliseconds. */
+export type Milliseconds = number;
+
+/** The one source of time of a process. Readings of two processes are never compared. */
+export interface Clock {
+  /** Returns a monotonic reading in milliseconds. It never goes back. */
+  now(): Milliseconds;
+
+  /** Returns the time of day in milliseconds since the epoch, for people to read only. */
+  timeOfDay(): Milliseconds;
+
+  /** Resolves after the given span, or at once when the signal aborts. It never rejects. */
+  sleep(span: Milliseconds, signal?: AbortSignal): Promise<void>;
+}
--- /dev/null
+++ b/packages/clock/src/index.ts
@@ -0,0 +1,4 @@
+/** A monotonic clock in milliseconds. */
+export * from './Types.js';
+export * from './SystemClock.js';
+export * from './ManualClock.js';
--- /dev/null
+++ b/packages/configuration/src/schemas.ts
@@ -0,0 +1,156 @@
+import * as zod from 'zod';
+
+const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
+const HEXADECIMAL_DIGEST_PATTERN = /^[0-9a-f]{64}$/;
+
+/** A name in a table. */
+export const NAME = zod.string().regex(NAME_PATTERN, 'use a-z, 0-9 and -, at most 63 characters');
+
+/** What kinds of call a route or pool takes. */
+export const CALL_KINDS = { MODEL: 'model', SERVICE: 'service' } as const;
+
+const CALL_KIND = zod.enum([CALL_KINDS.MODEL, CALL_KINDS.SERVICE]);
+
+/** One target of a pool. */
+export const TARGET = zod.strictObject({
+  name: NAME,
+  url: zod.url({ protocol: /^https?$/ }),
+  failureDomain: NAME,
+  /** How many calls the target runs at once. */
+  slots: zod.int().min(1).max(4_096).default(16),
+  /** Whether the target refuses orders and calls with an old fencing number. */
+  checksFencing: zod.boolean().default(false),
+});
+
+/** Time limits of calls to a pool, in milliseconds. */
+export const TIME_LIMITS = zod.strictObject({
+  connectMs: zod.int().min(1).default(1_000),
+  firstTokenMs: zod.int().min(1).default(15_000),
+  betweenTokensMs: zod.int().min(1).default(5_000),
+  totalMs: zod.int().min(1).default(120_000),
+});
+
+/** A row of the table of pools. */
+export const POOL = zod.strictObject({
+  name: NAME,
+  kind: CALL_KIND,
+  /** The model that the targets serve; for model pools. */
+  model: zod.string().min(1).max(200).optional(),
+  adapter: zod.string().min(1).max(200).optional(),
+  version: zod.string().min(1).max(200).optional(),
+  targets: zod.array(TARGET).max(4_096),
+  /** Path that answers by idempotency key whether a call ran; `{key}` stands for the key. */
+  outcomeQuery: zod.string().startsWith('/').optional(),
+  /** Name of the credential in the settings that is sent to the targets. */
+  credential: NAME.optional(),
+  timeLimits: TIME_LIMITS.prefault({}),
+});
+
+/** What a program may use when it does not say itself. */
+export const BUDGET = zod.strictObject({
+  /** Generated tokens. */
+  tokens: zod.int().min(0),
+  calls: zod.int().min(0),
+  wallTimeMs: zod.int().min(1),
+});
+
+/** A row of the table of routes. */
+export const ROUTE = zod.strictObject({
+  name: NAME,
+  kind: CALL_KIND,
+  /** Name of the pool that serves the route. */
+  pool: NAME,
+  /** Open to callers without a key. */
+  open: zod.boolean().default(false),
+  /** The workspaces that may reach the route; all when left out. */
+  workspaces: zod.array(NAME).optional(),
+  /** Whether a call may be run again after a failure. Model routes are repeatable. */
+  repeatable: zod.boolean().default(true),
+  /** The largest budget of a program on this route, and its default. */
+  budget: BUDGET.prefault({ tokens: 1_000_000, calls: 1_000, wallTimeMs: 86_400_000 }),
+  /** Generated tokens of one call when the caller does not say. */
+  defaultMaximumTokens: zod.int().min(1).default(512),
+  /** Time that a call may take, waiting included, in milliseconds. */
+  deadlineMs: zod.int().min(1).default(60_000),
+  /** What operators are told about a call whose outcome is not known. */
+  note: zod.string().max(500).default(''),
+});
+
+/** A workspace with its limits. */
+export const WORKSPACE = zod.strictObject({
+  name: NAME,
+  ratePerSecond: zod.number().positive(),
+  burst: zod.number().min(1),
+});
+
+/** A key that has been given. */
+export const GIVEN_KEY = zod.strictObject({
+  /** SHA-256 of the key, in hexadecimal. */
+  digest: zod.string().regex(HEXADECIMAL_DIGEST_PATTERN),
+  workspace: NAME,
+  label: zod.string().max(100).default(''),
+});
+
+/** Kinds of change. */
+export const CHANGE_KINDS = {
+  PUT_ROUTE: 'putRoute',
+  REMOVE_ROUTE: 'removeRoute',
+  PUT_POOL: 'putPool',
+  REMOVE_POOL: 'removePool',
+  PUT_WORKSPACE: 'putWorkspace',
+  REMOVE_WORKSPACE: 'removeWorkspace',
+  GIVE_KEY: 'giveKey',
+  WITHDRAW_KEY: 'withdrawKey',
+  REPLACE_TABLES: 'replaceTables',
+} as const;
+
+/** The tables as operators write them in a file. */
+export const TABLES = zod.strictObject({
+  routes: zod.array(ROUTE),
+  pools: zod.array(POOL),
+  workspaces: zod.array(WORKSPACE),
+});
+
+/** One operator's change. */
+export const CONFIGURATION_CHANGE = zod.discriminatedUnion('kind', [
+  zod.strictObject({ kind: zod.literal(CHANGE_KINDS.PUT_ROUTE), route: ROUTE }),
+  zod.strictObject({ kind: zod.literal(CHANGE_KINDS.REMOVE_ROUTE), name: NAME }),
+  zod.strictObject({ kind: zod.literal(CHANGE_KINDS.PUT_POOL), pool: POOL }),
+  zod.strictObject({ kind: zod.literal(CHANGE_KINDS.REMOVE_POOL), name: NAME }),
+  zod.strictObject({ kind: zod.literal(CHANGE_KINDS.PUT_WORKSPACE), workspace: WORKSPACE }),
+  zod.strictObject({ kind: zod.literal(CHANGE_KINDS.REMOVE_WORKSPACE), name: NAME }),
+  zod.strictObject({ kind: zod.literal(CHANGE_KINDS.GIVE_KEY), key: GIVEN_KEY }),
+  zod.strictObject({
+    kind: zod.literal(CHANGE_KINDS.WITHDRAW_KEY),
+    digest: GIVEN_KEY.shape.digest,
+  }),
+  zod.strictObject({ kind: zod.literal(CHANGE_KINDS.REPLACE_TABLES), tables: TABLES }),
+]);
+
+/** Kinds of record of the configuration stream. */
+export const RECORD_KINDS = {
+  EDIT: 'configurationEdit',
+  SNAPSHOT: 'configurationSnapshot',
+} as const;
+
+/** A record of the configuration stream. */
+export const CONFIGURATION_RECORD = zod.discriminatedUnion('kind', [
+  zod.strictObject({
+    kind: zod.literal(RECORD_KINDS.EDIT),
+    /** Unique; a repeated record of the same id takes effect once. */
+    id: zod.string().min(1).max(64),
+    /** The version that the operator saw. */
+    basedOn: zod.int().min(0),
+    author: zod.string().max(100),
+    change: CONFIGURATION_CHANGE,
+  }),
+  zod.strictObject({
+    kind: zod.literal(RECORD_KINDS.SNAPSHOT),
+    version: zod.int().min(0),
+    tables: TABLES,
+    keys: zod.array(GIVEN_KEY),
+    withdrawn: zod.array(GIVEN_KEY.shape.digest),
+    /** Ids of the latest edits, so that a repeated one is still known after the snapshot. */
+    editIds: zod.array(zod.string()),
+  }),
+]);
--- /dev/null
+++ b/packages/journal/src/index.ts
@@ -0,0 +1,3 @@
+/** Fenced shards on the platform's log. */
+export * from './Types.js';
+export * from './Durabilities.js';
--- /dev/null
+++ b/packages/limits/src/index.ts
@@ -0,0 +1,2 @@
+/** Each workspace's rate and burst over all VMs together. */
+export * from './Types.js';
--- /dev/null
+++ b/packages/logging/src/Types.ts
@@ -0,0 +1,24 @@
+/** The typed fields that a log line may carry. Keys of callers are never among them. */
+export interface LogFields {
+  readonly request?: string;
+  readonly program?: string;
+  readonly workspace?: string;
+  readonly target?: string;
+  readonly peer?: string;
+  readonly shard?: number;
+  readonly epoch?: number;
+  readonly version?: number;
+  readonly offset?: number;
+  readonly kind?: string;
+  readonly reason?: string;
+  readonly count?: number;
+  readonly spanMs?: number;
+}
+
+/** Writes the log lines of one part. Each message is a short sentence. */
+export interface Logger {
+  debug(message: string, fields?: LogFields): void;
+  info(message: string, fields?: LogFields): void;
+  warn(message: string, fields?: LogFields): void;
+  error(message: string, fields?: LogFields): void;
+}
--- /dev/null
+++ b/packages/logging/src/index.ts
@@ -0,0 +1,3 @@
+/** Structured logs with a fixed prefix for each part. */
+export * from './Types.js';
+export * from './PartLogger.js';
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,3 @@
+/** Which VMs are alive, by probing and by the platform's list. */
+export * from './Types.js';
+export * from './MemberStates.js';
--- /dev/null
+++ b/packages/platform-client/src/index.ts
@@ -0,0 +1,3 @@
+/** Clients of the platform's log and VM list. */
+export * from './Types.js';
+export * from './PlatformFailures.js';
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,2 @@
+/** The order of waiting calls and the choice of a target for each. */
+export * from './Types.js';
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,3 @@
+/** Messages and streams between VM processes, over one WebSocket link a pair. */
+export * from './Types.js';
+export * from './PeerFailures.js';
