Carry requests and streams between VM processes over one authenticated link a pair

Cause: entries forward calls to homes, and every other part speaks to its peers. A first version read messages before the link was registered, so a link closed by its first request stayed open; the test for a lost peer showed it (timed-out in place of lost). Reading now starts after the registration.

--- /dev/null
+++ b/packages/wire/src/FleetNetwork.test.ts
@@ -0,0 +1,135 @@
+import * as clockPackage from '@limpettack/clock';
+import * as errors from '@limpettack/errors';
+import * as lifetime from '@limpettack/lifetime';
+import * as logging from '@limpettack/logging';
+import * as jestGlobals from '@jest/globals';
+import * as trueMyth from 'true-myth';
+import * as zod from 'zod';
+import * as fleetNetwork from './FleetNetwork.js';
+import * as peerFailures from './PeerFailures.js';
+import * as peerLink from './PeerLink.js';
+import type { PeerMethod, PeerStreamKind } from './Types.js';
+
+const { afterEach, describe, expect, test } = jestGlobals;
+
+const DOUBLE: PeerMethod<{ value: number }, { value: number }> = {
+  name: 'test.double',
+  request: zod.object({ value: zod.number() }),
+  response: zod.object({ value: zod.number() }),
+};
+const COUNT: PeerStreamKind<{ upTo: number }, { value: number }> = {
+  name: 'test.count',
+  open: zod.object({ upTo: zod.number() }),
+  item: zod.object({ value: zod.number() }),
+};
+const TIMEOUT_MS = 2_000;
+
+const store: lifetime.DisposableStore[] = [];
+
+afterEach(async () => {
+  await Promise.all(store.splice(0).map((owner) => owner.dispose()));
+});
+
+async function startNetwork(name: string, secret = 'secret') {
+  const owner = new lifetime.DisposableStore();
+  store.push(owner);
+  const self = { name, incarnation: '1', address: `${name}.invalid`, failureDomain: 'cumbaya' };
+  const network = owner.add(
+    new fleetNetwork.FleetNetwork({
+      self,
+      secret,
+      host: '127.0.0.1',
+      port: 0,
+      clock: new clockPackage.SystemClock(),
+      logger: new logging.PartLogger('test'),
+    }),
+  );
+  const port = await network.listen();
+  return { network, address: `127.0.0.1:${port}` };
+}
+
+function serveCount(network: fleetNetwork.FleetNetwork) {
+  const sent = { count: 0 };
+  network.serveStream(COUNT, async (open, sink) => {
+    for (let value = 0; value < open.upTo; value += 1) {
+      const alive = await sink.send({ value });
+      sent.count = value + 1;
+      if (!alive) return;
+    }
+  });
+  return sent;
+}
+
+describe('FleetNetwork', () => {
+  test('carries requests both ways and passes faults on', async () => {
+    const first = await startNetwork('a');
+    const second = await startNetwork('b');
+    second.network.serve(DOUBLE, async ({ value }) =>
+      value < 0
+        ? trueMyth.Result.err(errors.createFault('bad-request', 'negative'))
+        : trueMyth.Result.ok({ value: value * 2 }),
+    );
+    const good = await first.network.request(
+      second.address,
+      DOUBLE,
+      { value: 4 },
+      { timeoutMs: TIMEOUT_MS },
+    );
+    expect(good.unwrapOr({ value: 0 })).toEqual({ value: 8 });
+    const bad = await first.network.request(
+      second.address,
+      DOUBLE,
+      { value: -4 },
+      { timeoutMs: TIMEOUT_MS },
+    );
+    expect(bad.isErr && bad.error.fault?.message).toBe('negative');
+  });
+
+  test('refuses a peer that does not hold the secret, and says that nothing was sent', async () => {
+    const first = await startNetwork('a', 'other secret');
+    const second = await startNetwork('b');
+    const result = await first.network.request(
+      second.address,
+      DOUBLE,
+      { value: 1 },
+      { timeoutMs: TIMEOUT_MS },
+    );
+    expect(result.isErr && result.error.kind).toBe(peerFailures.PEER_FAILURES.NOT_SENT);
+  });
+
+  test('sends no more items than a slow receiver has room for', async () => {
+    const first = await startNetwork('a');
+    const second = await startNetwork('b');
+    const sent = serveCount(second.network);
+    const opened = await first.network.openStream(second.address, COUNT, { upTo: 1_000 });
+    if (opened.isErr) throw new Error(opened.error.message);
+    const stream = opened.value;
+    await stream.next();
+    expect(sent.count).toBeLessThanOrEqual(peerLink.STREAM_WINDOW_ITEMS);
+    const values: number[] = [];
+    for (;;) {
+      const item = await stream.next();
+      if (item.isErr) throw new Error(item.error.message);
+      if (item.value === undefined) break;
+      values.push(item.value.value);
+    }
+    expect(values).toHaveLength(999);
+    expect(values.at(-1)).toBe(999);
+  });
+
+  test('tells that a message was lost when the peer goes while it works', async () => {
+    const first = await startNetwork('a');
+    const second = await startNetwork('b');
+    second.network.serve(DOUBLE, () => {
+      second.network.dispose();
+      return new Promise(() => {});
+    });
+    const result = await first.network.request(
+      second.address,
+      DOUBLE,
+      { value: 1 },
+      { timeoutMs: TIMEOUT_MS },
+    );
+    expect(result.isErr && result.error.kind).toBe(peerFailures.PEER_FAILURES.LOST);
+  });
+});
--- /dev/null
+++ b/packages/wire/src/FleetNetwork.ts
@@ -0,0 +1,280 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as clockTypes from '@limpettack/clock';
+import * as lifetime from '@limpettack/lifetime';
+import type * as logging from '@limpettack/logging';
+import * as trueMyth from 'true-myth';
+import * as ws from 'ws';
+import * as creditSink from './CreditSink.js';
+import * as handlerRegistry from './HandlerRegistry.js';
+import * as handshakes from './handshakes.js';
+import * as itemQueue from './ItemQueue.js';
+import * as peerFailures from './PeerFailures.js';
+import * as peerLink from './PeerLink.js';
+import type {
+  PeerFailureKind,
+  PeerIdentity,
+  PeerMethod,
+  PeerNetwork,
+  PeerResult,
+  PeerStream,
+  PeerStreamKind,
+  RequestHandler,
+  RequestOptions,
+  StreamHandler,
+} from './Types.js';
+
+/** A link that has been idle for so long is checked before it is used again. */
+const IDLE_CHECK_MS = 1_000;
+
+/** Connections that have not passed the handshake yet, at most. */
+const MAXIMUM_PENDING_HANDSHAKES = 256;
+
+const { PEER_FAILURES } = peerFailures;
+
+/** What the network needs. */
+export interface FleetNetworkOptions {
+  readonly self: PeerIdentity;
+  /** The secret that all processes of the fleet hold. */
+  readonly secret: string;
+  /** Where to listen for peers. */
+  readonly host: string;
+  readonly port: number;
+  readonly clock: clockTypes.Clock;
+  readonly logger: logging.Logger;
+}
+
+/** The links of this process: dials on demand and accepts the links of peers. */
+export class FleetNetwork implements PeerNetwork {
+  private readonly registry: handlerRegistry.HandlerRegistry;
+
+  private readonly server = http.createServer((_request, response) => {
+    response.writeHead(404).end();
+  });
+
+  private readonly socketServer = new ws.WebSocketServer({
+    noServer: true,
+    maxPayload: handshakes.MAXIMUM_MESSAGE_BYTES,
+    perMessageDeflate: false,
+  });
+
+  /** The link that is used towards each address. */
+  private readonly links = new Map<string, peerLink.PeerLink>();
+
+  private readonly dialling = new Map<string, Promise<peerLink.PeerLink | undefined>>();
+
+  private readonly allLinks = new Set<peerLink.PeerLink>();
+
+  private pendingHandshakes = 0;
+
+  private disposed = false;
+
+  public constructor(private readonly options: FleetNetworkOptions) {
+    this.registry = new handlerRegistry.HandlerRegistry(options.logger);
+    this.server.on('upgrade', (request, socket, head) => {
+      this.accept(request, socket as net.Socket, head);
+    });
+  }
+
+  /** @inheritdoc */
+  public get self(): PeerIdentity {
+    return this.options.self;
+  }
+
+  /** How many links are open. */
+  public get linkCount(): number {
+    return this.allLinks.size;
+  }
+
+  /** Listens for peers. Resolves with the port. */
+  public listen(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.options.port, this.options.host, () => {
+        resolve((this.server.address() as net.AddressInfo).port);
+      });
+    });
+  }
+
+  /** @inheritdoc */
+  public async request<Request, Response>(
+    address: string,
+    method: PeerMethod<Request, Response>,
+    request: Request,
+    options: RequestOptions,
+  ): Promise<PeerResult<Response>> {
+    if (address === this.self.address) return this.requestOwn(method, request);
+    const startedAt = this.options.clock.now();
+    const link = await this.usableLink(address);
+    if (link === undefined) return failed(PEER_FAILURES.NOT_SENT, `No link to ${address}.`);
+    const remaining = options.timeoutMs - (this.options.clock.now() - startedAt);
+    if (remaining <= 0) return failed(PEER_FAILURES.NOT_SENT, `No link to ${address} in time.`);
+    const result = await link.request(method.name, request, remaining);
+    if (result.isErr) return trueMyth.Result.err(result.error);
+    const checked = method.response.safeParse(result.value);
+    if (checked.success) return trueMyth.Result.ok(checked.data);
+    return failed(PEER_FAILURES.LOST, `The answer to ${method.name} is malformed.`);
+  }
+
+  /** @inheritdoc */
+  public async openStream<Open, Item>(
+    address: string,
+    kind: PeerStreamKind<Open, Item>,
+    open: Open,
+  ): Promise<PeerResult<PeerStream<Item>>> {
+    if (address === this.self.address) return trueMyth.Result.ok(this.openOwnStream(kind, open));
+    const link = await this.usableLink(address);
+    if (link === undefined) return failed(PEER_FAILURES.NOT_SENT, `No link to ${address}.`);
+    const stream = link.openStream(kind.name, open);
+    return trueMyth.Result.ok({
+      next: async () => checkItem(kind, await stream.next()),
+      dispose: () => stream.dispose(),
+    });
+  }
+
+  /** @inheritdoc */
+  public serve<Request, Response>(
+    method: PeerMethod<Request, Response>,
+    handler: RequestHandler<Request, Response>,
+  ): lifetime.Disposable {
+    return this.registry.serve(method, handler);
+  }
+
+  /** @inheritdoc */
+  public serveStream<Open, Item>(
+    kind: PeerStreamKind<Open, Item>,
+    handler: StreamHandler<Open, Item>,
+  ): lifetime.Disposable {
+    return this.registry.serveStream(kind, handler);
+  }
+
+  /** @inheritdoc */
+  public async dispose(): Promise<void> {
+    if (this.disposed) return;
+    this.disposed = true;
+    this.allLinks.forEach((link) => link.dispose());
+    this.socketServer.close();
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  private async requestOwn<Request, Response>(
+    method: PeerMethod<Request, Response>,
+    request: Request,
+  ): Promise<PeerResult<Response>> {
+    const result = await this.registry.answer(method.name, request, this.self);
+    if (result.isOk) return trueMyth.Result.ok(result.value as Response);
+    const { error } = result;
+    return trueMyth.Result.err({
+      kind: PEER_FAILURES.REFUSED,
+      message: error.message,
+      fault: error,
+    });
+  }
+
+  private openOwnStream<Open, Item>(
+    kind: PeerStreamKind<Open, Item>,
+    open: Open,
+  ): PeerStream<Item> {
+    const ends: { sink?: creditSink.CreditSink<unknown> } = {};
+    const queue = new itemQueue.ItemQueue<Item>({
+      onTaken: () => ends.sink?.addCredit(1),
+      onCancelled: () => ends.sink?.close(),
+    });
+    const sink = new creditSink.CreditSink<unknown>(
+      (item) => queue.push(item as Item),
+      peerLink.STREAM_WINDOW_ITEMS,
+    );
+    ends.sink = sink;
+    this.registry.run(kind.name, open, sink, this.self).then(() => queue.end());
+    return queue;
+  }
+
+  private async usableLink(address: string): Promise<peerLink.PeerLink | undefined> {
+    const link = this.links.get(address);
+    if (link === undefined || link.isClosed) return this.dial(address);
+    if (link.silenceMs < IDLE_CHECK_MS) return link;
+    return (await link.check()) ? link : this.dial(address);
+  }
+
+  private dial(address: string): Promise<peerLink.PeerLink | undefined> {
+    if (this.disposed) return Promise.resolve(undefined);
+    const running = this.dialling.get(address);
+    if (running !== undefined) return running;
+    const dialled = this.dialNow(address).finally(() => this.dialling.delete(address));
+    this.dialling.set(address, dialled);
+    return dialled;
+  }
+
+  private async dialNow(address: string): Promise<peerLink.PeerLink | undefined> {
+    const opened = await handshakes.openHandshake(address, this.self, this.options.secret);
+    if (opened === undefined) return undefined;
+    return this.adopt(opened, address);
+  }
+
+  private adopt(
+    connection: handshakes.ProvenConnection,
+    address: string,
+  ): peerLink.PeerLink | undefined {
+    if (this.disposed || connection.socket.readyState !== ws.WebSocket.OPEN) {
+      connection.socket.terminate();
+      return undefined;
+    }
+    const link = new peerLink.PeerLink(connection, this.registry, this.options.clock);
+    this.allLinks.add(link);
+    this.links.set(address, link);
+    link.onClose(() => {
+      this.allLinks.delete(link);
+      if (this.links.get(address) === link) this.links.delete(address);
+    });
+    link.start();
+    return link;
+  }
+
+  private accept(request: http.IncomingMessage, socket: net.Socket, head: Buffer): void {
+    if (this.pendingHandshakes >= MAXIMUM_PENDING_HANDSHAKES) {
+      socket.destroy();
+      return;
+    }
+    this.socketServer.handleUpgrade(request, socket, head, (accepted) => {
+      this.acceptSocket(accepted);
+    });
+  }
+
+  private async acceptSocket(socket: ws.WebSocket): Promise<void> {
+    this.pendingHandshakes += 1;
+    const connection = await handshakes.acceptHandshake(socket, this.self, this.options.secret);
+    this.pendingHandshakes -= 1;
+    if (connection === undefined) {
+      this.options.logger.warn('A connection did not prove that it is a peer.');
+      return;
+    }
+    this.adoptAccepted(connection);
+  }
+
+  /** An accepted link also carries this side's requests, unless there is a link already. */
+  private adoptAccepted(connection: handshakes.ProvenConnection): void {
+    const { address } = connection.peer;
+    const existing = this.links.get(address);
+    const link = this.adopt(connection, address);
+    if (link === undefined || existing === undefined || existing.isClosed) return;
+    this.links.set(address, existing);
+  }
+}
+
+function checkItem<Open, Item>(
+  kind: PeerStreamKind<Open, Item>,
+  result: PeerResult<unknown>,
+): PeerResult<Item | undefined> {
+  if (result.isErr) return trueMyth.Result.err(result.error);
+  if (result.value === undefined) return trueMyth.Result.ok(undefined);
+  const checked = kind.item.safeParse(result.value);
+  if (checked.success) return trueMyth.Result.ok(checked.data);
+  return failed(PEER_FAILURES.LOST, `An item of ${kind.name} is malformed.`);
+}
+
+function failed<Value>(kind: PeerFailureKind, message: string): PeerResult<Value> {
+  return trueMyth.Result.err({ kind, message });
+}
--- /dev/null
+++ b/packages/wire/src/MessageInbox.ts
@@ -0,0 +1,48 @@
+import type * as clockTypes from '@limpettack/clock';
+import type * as ws from 'ws';
+
+/** Receives the messages of a socket from its opening on, so that none is lost between readers. */
+export class MessageInbox {
+  private readonly messages: Buffer[] = [];
+
+  private listener: ((message: Buffer) => void) | undefined;
+
+  public constructor(private readonly socket: ws.WebSocket) {
+    socket.on('message', (data) => this.receive(data as Buffer));
+    // Without a listener an error event would end the process; the close event tells all.
+    socket.on('error', () => undefined);
+  }
+
+  /** Waits for one message; nothing when it is late or the socket closes. */
+  public next(timeoutMs: clockTypes.Milliseconds): Promise<Buffer | undefined> {
+    const message = this.messages.shift();
+    if (message !== undefined) return Promise.resolve(message);
+    return new Promise((resolve) => {
+      const controller = new AbortController();
+      const finish = (received: Buffer | undefined): void => {
+        controller.abort();
+        this.listener = undefined;
+        resolve(received);
+      };
+      const timer = setTimeout(finish, timeoutMs, undefined);
+      const onClose = (): void => finish(undefined);
+      controller.signal.addEventListener('abort', () => {
+        clearTimeout(timer);
+        this.socket.off('close', onClose);
+      });
+      this.socket.on('close', onClose);
+      this.listener = finish;
+    });
+  }
+
+  /** Gives all further messages, those that wait included, to a listener. */
+  public handOver(listener: (message: Buffer) => void): void {
+    this.listener = listener;
+    this.messages.splice(0).forEach(listener);
+  }
+
+  private receive(message: Buffer): void {
+    if (this.listener === undefined) this.messages.push(message);
+    else this.listener(message);
+  }
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,3 +1,5 @@
 /** Messages and streams between VM processes, over one WebSocket link a pair. */
 export * from './Types.js';
 export * from './PeerFailures.js';
+export * from './FleetNetwork.js';
+export { STREAM_WINDOW_ITEMS } from './PeerLink.js';
