--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -33,6 +33,8 @@
       // A connection's task is one loop written straight down, so it waits within the loop.
       'no-await-in-loop': 'off',
       'no-continue': 'off',
+      // A fold and an attempt change the state that they are given in place.
+      'no-param-reassign': ['error', { props: false }],
       // A class that implements an interface need not use its state in each method.
       'class-methods-use-this': 'off',
       // Public functions stand above the private ones that they call.
--- /dev/null
+++ b/packages/entry/src/EntryServer.ts
@@ -0,0 +1,277 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as clockTypes from '@limpettack/clock';
+import type * as configuration from '@limpettack/configuration';
+import * as errors from '@limpettack/errors';
+import * as lifetime from '@limpettack/lifetime';
+import type * as logging from '@limpettack/logging';
+import type * as metrics from '@limpettack/metrics';
+import * as programs from '@limpettack/programs';
+import * as ulid from 'ulid';
+import * as callerFields from './callerFields.js';
+import type * as chatHandler from './ChatHandler.js';
+import type * as programsHandler from './ProgramsHandler.js';
+import * as respond from './respond.js';
+import type * as serviceHandler from './ServiceHandler.js';
+import type { CallerExchange, EntryLimits } from './Types.js';
+
+const PROGRAM_PATH_PATTERN = /^\/v1\/programs\/([^/]{1,100})(?:\/turns\/([^/]{1,20}))?$/;
+const WITHDRAWN = 'withdrawn';
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+
+/** Time for idle keep-alive connections, in milliseconds. */
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+
+/** How often a shutdown looks whether all answers have been given, in milliseconds. */
+const DRAIN_CHECK_MS = 20;
+
+/** What the server needs. */
+export interface EntryServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly limits: EntryLimits;
+  readonly configuration: configuration.ConfigurationView;
+  readonly chat: chatHandler.ChatHandler;
+  readonly services: serviceHandler.ServiceHandler;
+  readonly programs: programsHandler.ProgramsHandler;
+  readonly isReady: () => boolean;
+  readonly metrics: metrics.Metrics;
+  readonly clock: clockTypes.Clock;
+  readonly logger: logging.Logger;
+}
+
+/** The callers' HTTP interface. */
+export class EntryServer implements lifetime.Disposable {
+  private readonly store = new lifetime.DisposableStore();
+
+  private readonly server: http.Server;
+
+  /** Ends the exchanges of each key, by the key's digest. */
+  private readonly openByKey = new Map<string, Set<AbortController>>();
+
+  private openExchanges = 0;
+
+  private draining = false;
+
+  public constructor(private readonly options: EntryServerOptions) {
+    const { limits } = options;
+    this.server = http.createServer(
+      {
+        headersTimeout: limits.headersTimeoutMs,
+        requestTimeout: limits.requestTimeoutMs,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+        connectionsCheckingInterval: Math.min(1_000, limits.headersTimeoutMs),
+        requireHostHeader: true,
+      },
+      (request, response) => {
+        this.serve(request, response);
+      },
+    );
+    this.server.maxConnections = limits.maximumConnections;
+    this.server.on('clientError', (error, socket) => answerBroken(error, socket as net.Socket));
+    this.store.add(options.configuration.onKeyWithdrawn((digest) => this.endKey(digest)));
+  }
+
+  /** How many requests are being answered. */
+  public get openCount(): number {
+    return this.openExchanges;
+  }
+
+  /** Listens for callers. Resolves with the port. */
+  public listen(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.options.port, this.options.host, () => {
+        resolve((this.server.address() as net.AddressInfo).port);
+      });
+    });
+  }
+
+  /** Takes no new connections and resolves when every request has its whole answer. */
+  public async drain(): Promise<void> {
+    this.draining = true;
+    this.server.close();
+    this.server.closeIdleConnections();
+    while (this.openExchanges > 0) {
+      await this.options.clock.sleep(DRAIN_CHECK_MS);
+      this.server.closeIdleConnections();
+    }
+  }
+
+  /** @inheritdoc */
+  public async dispose(): Promise<void> {
+    await this.store.dispose();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const requestId = ulid.ulid();
+    this.openExchanges += 1;
+    response.once('close', () => {
+      this.openExchanges -= 1;
+    });
+    response.on('error', () => undefined);
+    response.setHeader('limpettack-request', requestId);
+    if (this.draining) response.setHeader('connection', 'close');
+    try {
+      const fault = await this.answer(request, response, requestId);
+      if (fault !== undefined) this.refuse(request, response, fault, requestId);
+    } catch (error) {
+      this.options.logger.error('A request failed.', { request: requestId, reason: String(error) });
+      respond.respondFault(response, errors.createFault('internal'), requestId);
+    }
+  }
+
+  private refuse(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    fault: errors.Fault,
+    requestId: string,
+  ): void {
+    this.options.metrics.countRefusal(fault.kind);
+    // What is left of a body that was not read must not be taken for the next request.
+    if (!request.complete) response.setHeader('connection', 'close');
+    respond.respondFault(response, fault, requestId);
+  }
+
+  private async answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    requestId: string,
+  ): Promise<errors.Fault | undefined> {
+    const url = parseUrl(request);
+    if (url === undefined) return errors.createFault('bad-request', 'The path is malformed.');
+    if (url.pathname === '/healthz') return respondHealth(response, true);
+    if (url.pathname === '/readyz') {
+      return respondHealth(response, this.options.isReady() && !this.draining);
+    }
+    if (!this.options.isReady()) return errors.createFault('not-ready');
+    const key = callerFields.readKey(request);
+    if (key.isErr) return key.error;
+    const caller = this.options.configuration.identify(key.value);
+    if (caller.isErr) return caller.error;
+    const { keyDigest } = caller.value;
+    const controller = this.track(response, keyDigest);
+    const fault = await this.route({
+      request,
+      response,
+      url,
+      requestId,
+      caller: caller.value,
+      key: key.value,
+      gone: controller.signal,
+    });
+    // The caller is told that its key is no longer good when it can still be told.
+    if (controller.signal.reason === WITHDRAWN) return errors.createFault('key-withdrawn');
+    return fault;
+  }
+
+  private async route(exchange: CallerExchange): Promise<errors.Fault | undefined> {
+    const { method } = exchange.request;
+    const { pathname } = exchange.url;
+    if (pathname === '/v1/chat/completions') {
+      return method === 'POST' ? this.options.chat.handle(exchange) : wrongMethod();
+    }
+    if (pathname === '/v1/models') {
+      return method === 'GET' ? this.listRoutes(exchange) : wrongMethod();
+    }
+    if (pathname.startsWith('/v1/services/')) return this.options.services.handle(exchange);
+    if (pathname === '/v1/programs') {
+      return method === 'POST' ? this.options.programs.open(exchange) : wrongMethod();
+    }
+    return this.routeProgram(exchange, method, pathname);
+  }
+
+  private async routeProgram(
+    exchange: CallerExchange,
+    method: string | undefined,
+    pathname: string,
+  ): Promise<errors.Fault | undefined> {
+    const match = PROGRAM_PATH_PATTERN.exec(pathname);
+    if (match === null) return errors.createFault('not-found');
+    const [, id = '', turn] = match;
+    if (!programs.isProgramId(id)) {
+      return errors.createFault('bad-request', 'The program id is malformed.');
+    }
+    const handler = this.options.programs;
+    if (turn !== undefined) {
+      return method === 'GET' ? handler.showTurn(exchange, id, turn) : wrongMethod();
+    }
+    if (method === 'GET') return handler.show(exchange, id);
+    return method === 'DELETE' ? handler.end(exchange, id) : wrongMethod();
+  }
+
+  /** Lists the model routes that the caller may reach, in the conventional form. */
+  private listRoutes(exchange: CallerExchange): undefined {
+    const view = this.options.configuration;
+    const reachable = [...view.current().routes.values()]
+      .filter((route) => route.kind === 'model')
+      .filter((route) => view.routeFor(exchange.caller, route.name).isOk);
+    respond.respondJson(exchange.response, STATUS_OK, {
+      object: 'list',
+      data: reachable.map((route) => ({ id: route.name, object: 'model', owned_by: 'limpettack' })),
+    });
+    return undefined;
+  }
+
+  /** Watches an exchange until its response closes: it ends with its caller or its key. */
+  private track(response: http.ServerResponse, keyDigest: string | undefined): AbortController {
+    const controller = new AbortController();
+    const open = keyDigest === undefined ? undefined : this.openOf(keyDigest);
+    open?.add(controller);
+    response.once('close', () => {
+      controller.abort();
+      open?.delete(controller);
+      if (open?.size === 0 && keyDigest !== undefined) this.openByKey.delete(keyDigest);
+    });
+    return controller;
+  }
+
+  private openOf(keyDigest: string): Set<AbortController> {
+    const open = this.openByKey.get(keyDigest) ?? new Set();
+    this.openByKey.set(keyDigest, open);
+    return open;
+  }
+
+  private endKey(keyDigest: string): void {
+    this.openByKey.get(keyDigest)?.forEach((controller) => controller.abort(WITHDRAWN));
+  }
+}
+
+function parseUrl(request: http.IncomingMessage): URL | undefined {
+  const raw = request.url ?? '';
+  // A leading double slash would be read as a host.
+  if (!raw.startsWith('/') || raw.startsWith('//')) return undefined;
+  try {
+    return new URL(raw, 'http://entry.invalid');
+  } catch {
+    return undefined;
+  }
+}
+
+function wrongMethod(): errors.Fault {
+  return errors.createFault('method-not-allowed');
+}
+
+function respondHealth(response: http.ServerResponse, isGood: boolean): undefined {
+  respond.respondJson(response, isGood ? STATUS_OK : STATUS_UNAVAILABLE, { ok: isGood });
+  return undefined;
+}
+
+/** Answers what is not even HTTP, or came too slowly, and closes the connection. */
+function answerBroken(error: Error & { code?: string }, socket: net.Socket): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const kind = error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 'request-timeout' : 'bad-request';
+  const fault = errors.createFault(kind);
+  const body = JSON.stringify(respond.faultBody(fault, ''));
+  const { status } = errors.ERROR_KINDS[kind];
+  socket.end(
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\ncontent-type: application/json\r\n` +
+      `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+  );
+}
--- /dev/null
+++ b/packages/entry/src/ProgramsHandler.ts
@@ -0,0 +1,158 @@
+import type * as clockTypes from '@limpettack/clock';
+import type * as configuration from '@limpettack/configuration';
+import * as errors from '@limpettack/errors';
+import type * as metrics from '@limpettack/metrics';
+import * as programs from '@limpettack/programs';
+import * as zod from 'zod';
+import * as callerFields from './callerFields.js';
+import type * as callGate from './CallGate.js';
+import * as readBody from './readBody.js';
+import * as respond from './respond.js';
+import type { CallerExchange, EntryLimits, Homes, Outcome } from './Types.js';
+
+const EVENT_ID_PATTERN = /^[0-9]{1,6}:([0-9]{1,7})$/;
+const MAXIMUM_SMALL_BODY_BYTES = 16_384;
+const STATUS_CREATED = 201;
+const STATUS_OK = 200;
+
+const OPEN_BODY = zod.strictObject({
+  route: zod.string().min(1).max(63),
+  parent: zod.string().max(100).optional(),
+  budget: zod
+    .strictObject({
+      tokens: zod.int().min(0).optional(),
+      calls: zod.int().min(0).optional(),
+      wallTimeMs: zod.int().min(1).optional(),
+    })
+    .optional(),
+});
+
+/** What the handler needs. */
+export interface ProgramsHandlerOptions {
+  readonly gate: callGate.CallGate;
+  readonly configuration: configuration.ConfigurationView;
+  readonly homes: Homes;
+  readonly limits: EntryLimits;
+  readonly metrics: metrics.Metrics;
+  readonly clock: clockTypes.Clock;
+}
+
+/** Opens, shows and ends programs, and fetches the answers of their turns again. */
+export class ProgramsHandler {
+  public constructor(private readonly options: ProgramsHandlerOptions) {}
+
+  /** Answers `POST /v1/programs`. */
+  public async open(exchange: CallerExchange): Promise<errors.Fault | undefined> {
+    const body = await readBody.readBody(exchange.request, MAXIMUM_SMALL_BODY_BYTES);
+    if (body.isErr) return body.error;
+    const parsed = readBody.parseJson(body.value, OPEN_BODY);
+    if (parsed.isErr) return parsed.error;
+    const { route: routeName, parent, budget } = parsed.value;
+    if (parent !== undefined && !programs.isProgramId(parent)) {
+      return errors.createFault('bad-request', 'The parent is malformed.');
+    }
+    const route = this.options.configuration.routeFor(exchange.caller, routeName);
+    if (route.isErr) return route.error;
+    const refused = await this.options.gate.admit(exchange);
+    if (refused !== undefined) return refused;
+    const opened = await this.options.homes.open({
+      ...(exchange.caller.workspace === undefined ? {} : { workspace: exchange.caller.workspace }),
+      program: programs.createProgramId(parent),
+      route: routeName,
+      ...(parent === undefined ? {} : { parent }),
+      budget: boundBudget(route.value, budget),
+    });
+    return answer(exchange, opened, STATUS_CREATED);
+  }
+
+  /** Answers `GET /v1/programs/ID`. */
+  public async show(exchange: CallerExchange, id: string): Promise<errors.Fault | undefined> {
+    return answer(
+      exchange,
+      await this.options.homes.show(exchange.caller.workspace, id),
+      STATUS_OK,
+    );
+  }
+
+  /** Answers `DELETE /v1/programs/ID`. */
+  public async end(exchange: CallerExchange, id: string): Promise<errors.Fault | undefined> {
+    const { workspace } = exchange.caller;
+    const ended = await this.options.homes.end(workspace, id, false);
+    return answer(exchange, ended, STATUS_OK);
+  }
+
+  /** Answers `GET /v1/programs/ID/turns/N`, whole or as a stream that goes on after an event. */
+  public async showTurn(
+    exchange: CallerExchange,
+    id: string,
+    turnText: string,
+  ): Promise<errors.Fault | undefined> {
+    const turn = callerFields.parseTurn(turnText);
+    if (turn === undefined) return errors.createFault('bad-request', 'The turn is malformed.');
+    const found = await this.options.homes.showTurn(exchange.caller.workspace, id, turn);
+    if (found.isErr) return found.error;
+    const recorded = found.value;
+    exchange.response.setHeader('limpettack-turn', recorded.turn);
+    if (recorded.answer.chunks.length === 0) {
+      writeService(exchange, recorded);
+    } else if (wantsStream(exchange)) {
+      await writeStream(exchange, recorded);
+    } else {
+      const completion = programs.assembleCompletion(recorded.answer.chunks);
+      respond.respondJson(exchange.response, STATUS_OK, completion);
+    }
+    return undefined;
+  }
+}
+
+function answer<Value>(
+  exchange: CallerExchange,
+  result: Outcome<Value>,
+  status: number,
+): errors.Fault | undefined {
+  if (result.isErr) return result.error;
+  respond.respondJson(exchange.response, status, result.value);
+  return undefined;
+}
+
+/** The wanted budget, as far as the route allows it. */
+function boundBudget(
+  route: configuration.Route,
+  wanted: zod.infer<typeof OPEN_BODY>['budget'],
+): programs.Budget {
+  const largest = route.budget;
+  return {
+    tokens: Math.min(wanted?.tokens ?? largest.tokens, largest.tokens),
+    calls: Math.min(wanted?.calls ?? largest.calls, largest.calls),
+    wallTimeMs: Math.min(wanted?.wallTimeMs ?? largest.wallTimeMs, largest.wallTimeMs),
+  };
+}
+
+function wantsStream(exchange: CallerExchange): boolean {
+  return (exchange.request.headers.accept ?? '').includes('text/event-stream');
+}
+
+function writeService(exchange: CallerExchange, recorded: programs.RecordedTurn): void {
+  const body = Buffer.from(recorded.answer.body, 'base64');
+  const type = recorded.answer.headers['content-type'] ?? 'application/octet-stream';
+  exchange.response.writeHead(recorded.answer.status, {
+    'content-type': type,
+    'content-length': body.length,
+  });
+  exchange.response.end(body);
+}
+
+async function writeStream(
+  exchange: CallerExchange,
+  recorded: programs.RecordedTurn,
+): Promise<void> {
+  const { response, request, gone } = exchange;
+  const last = EVENT_ID_PATTERN.exec([request.headers['last-event-id'] ?? ''].flat()[0] ?? '');
+  const first = last === null ? 0 : Number(last[1]) + 1;
+  response.writeHead(STATUS_OK, { 'content-type': 'text/event-stream' });
+  for (let index = first; index < recorded.answer.chunks.length; index += 1) {
+    const event = `id: ${recorded.turn}:${index}\ndata: ${recorded.answer.chunks[index]}\n\n`;
+    if (!(await respond.writeSlowly(response, event, gone))) return;
+  }
+  response.end('data: [DONE]\n\n');
+}
--- /dev/null
+++ b/packages/entry/src/callerFields.ts
@@ -0,0 +1,66 @@
+import type * as http from 'node:http';
+import * as errors from '@limpettack/errors';
+import * as programs from '@limpettack/programs';
+import * as trueMyth from 'true-myth';
+import type { Outcome } from './Types.js';
+
+const LARGEST_TURN = 100_000;
+const LARGEST_DEADLINE_MS = 86_400_000;
+const WHOLE_NUMBER_PATTERN = /^[1-9][0-9]{0,8}$/;
+const KEY_PATTERN = /^[A-Za-z0-9._~+/=-]{1,512}$/;
+const BEARER_PREFIX = 'bearer ';
+
+/** Where a call stands in a program, and its deadline, as the caller's header fields say. */
+export interface CallPlacement {
+  readonly program: string | undefined;
+  readonly turn: number | undefined;
+  readonly deadlineMs: number | undefined;
+}
+
+/** The key that a request shows; nothing without one. Fault: `bad-request`. */
+export function readKey(request: http.IncomingMessage): Outcome<string | undefined> {
+  const field = request.headers.authorization;
+  if (field === undefined) return trueMyth.Result.ok(undefined);
+  const key = field.slice(BEARER_PREFIX.length).trim();
+  if (!field.toLowerCase().startsWith(BEARER_PREFIX) || !KEY_PATTERN.test(key)) {
+    return trueMyth.Result.err(
+      errors.createFault('bad-request', 'The Authorization field is not "Bearer KEY".'),
+    );
+  }
+  return trueMyth.Result.ok(key);
+}
+
+/** Reads the fields that place a call. Fault: `bad-request`. */
+export function readPlacement(request: http.IncomingMessage): Outcome<CallPlacement> {
+  const program = single(request.headers['limpettack-program']);
+  const turn = readNumber(request, 'limpettack-turn', LARGEST_TURN);
+  const deadlineMs = readNumber(request, 'limpettack-deadline-ms', LARGEST_DEADLINE_MS);
+  if (turn.isErr) return trueMyth.Result.err(turn.error);
+  if (deadlineMs.isErr) return trueMyth.Result.err(deadlineMs.error);
+  if (program !== undefined && !programs.isProgramId(program)) {
+    return trueMyth.Result.err(errors.createFault('bad-request', 'The program id is malformed.'));
+  }
+  return trueMyth.Result.ok({ program, turn: turn.value, deadlineMs: deadlineMs.value });
+}
+
+/** Tells whether a text is a turn's number. */
+export function parseTurn(text: string): number | undefined {
+  return WHOLE_NUMBER_PATTERN.test(text) && Number(text) <= LARGEST_TURN ? Number(text) : undefined;
+}
+
+function readNumber(
+  request: http.IncomingMessage,
+  field: string,
+  largest: number,
+): Outcome<number | undefined> {
+  const text = single(request.headers[field]);
+  if (text === undefined) return trueMyth.Result.ok(undefined);
+  if (!WHOLE_NUMBER_PATTERN.test(text) || Number(text) > largest) {
+    return trueMyth.Result.err(errors.createFault('bad-request', `${field} is malformed.`));
+  }
+  return trueMyth.Result.ok(Number(text));
+}
+
+function single(field: string | string[] | undefined): string | undefined {
+  return Array.isArray(field) ? field[0] : field;
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,8 @@
-export {};
+/** The callers' HTTP interface. */
+export * from './Types.js';
+export * from './CallGate.js';
+export * from './ChatHandler.js';
+export * from './EntryServer.js';
+export * from './HomeClient.js';
+export * from './ProgramsHandler.js';
+export * from './ServiceHandler.js';
--- /dev/null
+++ b/packages/entry/src/readBody.ts
@@ -0,0 +1,41 @@
+import type * as http from 'node:http';
+import * as errors from '@limpettack/errors';
+import * as trueMyth from 'true-myth';
+import type * as zod from 'zod';
+import type { Outcome } from './Types.js';
+
+/** Reads a request's body up to a limit. Faults: `body-too-large`, `bad-request`. */
+export async function readBody(
+  request: http.IncomingMessage,
+  maximumBytes: number,
+): Promise<Outcome<Buffer>> {
+  const parts: Buffer[] = [];
+  let length = 0;
+  try {
+    for await (const part of request) {
+      length += (part as Buffer).length;
+      if (length > maximumBytes) {
+        return trueMyth.Result.err(errors.createFault('body-too-large'));
+      }
+      parts.push(part as Buffer);
+    }
+  } catch {
+    return trueMyth.Result.err(errors.createFault('bad-request', 'The body broke off.'));
+  }
+  return trueMyth.Result.ok(Buffer.concat(parts));
+}
+
+/** Parses and checks a JSON body. Fault: `bad-request` with the place of the first error. */
+export function parseJson<Value>(body: Buffer, schema: zod.ZodType<Value>): Outcome<Value> {
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(body.toString('utf8'));
+  } catch {
+    return trueMyth.Result.err(errors.createFault('bad-request', 'The body is not JSON.'));
+  }
+  const checked = schema.safeParse(parsed);
+  if (checked.success) return trueMyth.Result.ok(checked.data);
+  const issue = checked.error.issues[0];
+  const place = issue === undefined ? '' : `${issue.path.join('.')}: ${issue.message}`;
+  return trueMyth.Result.err(errors.createFault('bad-request', `The body is malformed: ${place}`));
+}
--- /dev/null
+++ b/packages/metrics/src/VmMetrics.ts
@@ -0,0 +1,150 @@
+import * as promClient from 'prom-client';
+import type { CallOutcome, Metrics } from './Types.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Upper bounds in seconds; they hold the objectives of the first token (0.48) and between (0.065). */
+const FIRST_TOKEN_BUCKETS_SECONDS = [0.05, 0.1, 0.2, 0.3, 0.48, 0.75, 1, 2, 5, 15];
+const BETWEEN_TOKENS_BUCKETS_SECONDS = [0.005, 0.01, 0.02, 0.04, 0.065, 0.1, 0.2, 0.5, 1, 5];
+const LONG_BUCKETS_SECONDS = [0.1, 0.5, 1, 2, 5, 10, 30, 60, 120, 600, 3_600, 86_400];
+
+/** So many workspaces have a label of their own; the rest share one. */
+const MAXIMUM_WORKSPACE_LABELS = 64;
+
+const OTHER_LABEL = 'other';
+
+/** The metrics of a VM process, kept by prom-client. */
+export class VmMetrics implements Metrics {
+  private readonly registry = new promClient.Registry();
+
+  private readonly workspaceLabels = new Set<string>();
+
+  private readonly firstTokenSeconds = this.histogram(
+    'limpettack_first_token_seconds',
+    'Time from the request to the first token.',
+    ['route'],
+    FIRST_TOKEN_BUCKETS_SECONDS,
+  );
+
+  private readonly betweenTokensSeconds = this.histogram(
+    'limpettack_between_tokens_seconds',
+    'Time between two tokens of an answer.',
+    ['route'],
+    BETWEEN_TOKENS_BUCKETS_SECONDS,
+  );
+
+  private readonly callSeconds = this.histogram(
+    'limpettack_call_seconds',
+    'Time from the request to the end of the answer.',
+    ['route', 'workspace_class'],
+    LONG_BUCKETS_SECONDS,
+  );
+
+  private readonly programSeconds = this.histogram(
+    'limpettack_program_seconds',
+    'Time from the opening of a program to its end.',
+    ['route'],
+    LONG_BUCKETS_SECONDS,
+  );
+
+  private readonly callsTotal = this.counter('limpettack_calls_total', 'Calls by outcome.', [
+    'route',
+    'outcome',
+  ]);
+
+  private readonly refusalsTotal = this.counter('limpettack_refusals_total', 'Refusals by kind.', [
+    'kind',
+  ]);
+
+  private readonly admissionsTotal = this.counter(
+    'limpettack_admissions_total',
+    'Answers of the limits by workspace.',
+    ['workspace', 'answer'],
+  );
+
+  public constructor() {
+    promClient.collectDefaultMetrics({ register: this.registry });
+  }
+
+  /** @inheritdoc */
+  public observeFirstToken(route: string, spanMs: number): void {
+    this.firstTokenSeconds.observe({ route }, spanMs / MILLISECONDS_PER_SECOND);
+  }
+
+  /** @inheritdoc */
+  public observeBetweenTokens(route: string, spanMs: number): void {
+    this.betweenTokensSeconds.observe({ route }, spanMs / MILLISECONDS_PER_SECOND);
+  }
+
+  /** @inheritdoc */
+  public observeCall(route: string, workspace: string, outcome: CallOutcome, spanMs: number): void {
+    this.callsTotal.inc({ route, outcome });
+    this.callSeconds.observe(
+      { route, workspace_class: this.workspaceLabel(workspace) },
+      spanMs / MILLISECONDS_PER_SECOND,
+    );
+  }
+
+  /** @inheritdoc */
+  public observeProgram(route: string, spanMs: number): void {
+    this.programSeconds.observe({ route }, spanMs / MILLISECONDS_PER_SECOND);
+  }
+
+  /** @inheritdoc */
+  public countRefusal(kind: string): void {
+    this.refusalsTotal.inc({ kind });
+  }
+
+  /** @inheritdoc */
+  public countAdmission(workspace: string, answer: 'admitted' | 'refused'): void {
+    this.admissionsTotal.inc({ workspace: this.workspaceLabel(workspace), answer });
+  }
+
+  /** @inheritdoc */
+  public gauge(name: string, help: string, read: () => number): void {
+    const gauge: promClient.Gauge = new promClient.Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect: () => {
+        gauge.set(read());
+      },
+    });
+  }
+
+  /** @inheritdoc */
+  public text(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  /** Keeps the number of label values bounded, whatever workspaces there are. */
+  private workspaceLabel(workspace: string): string {
+    if (this.workspaceLabels.has(workspace)) return workspace;
+    if (this.workspaceLabels.size >= MAXIMUM_WORKSPACE_LABELS) return OTHER_LABEL;
+    this.workspaceLabels.add(workspace);
+    return workspace;
+  }
+
+  private histogram<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: Label[],
+    buckets: number[],
+  ): promClient.Histogram<Label> {
+    return new promClient.Histogram({
+      name,
+      help,
+      labelNames,
+      buckets,
+      registers: [this.registry],
+    });
+  }
+
+  private counter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: Label[],
+  ): promClient.Counter<Label> {
+    return new promClient.Counter({ name, help, labelNames, registers: [this.registry] });
+  }
+}
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The metrics of a VM process. */
+export * from './Types.js';
+export * from './VmMetrics.js';
--- /dev/null
+++ b/packages/programs/src/KeyedCaller.ts
@@ -0,0 +1,205 @@
+import type * as clockTypes from '@limpettack/clock';
+import * as errors from '@limpettack/errors';
+import type * as journal from '@limpettack/journal';
+import type * as logging from '@limpettack/logging';
+import * as targets from '@limpettack/targets';
+import * as trueMyth from 'true-myth';
+import * as answers from './answers.js';
+import * as faults from './faults.js';
+import * as records from './records.js';
+import type * as serviceCaller from './ServiceCaller.js';
+import type { JournalBody, KeyedCall, Outcome, RecordedAnswer, ShardState } from './Types.js';
+
+/** A call that was not sent is tried on so many targets at most. */
+const MAXIMUM_ATTEMPTS = 3;
+
+/** How often, and how far apart, a target is asked for the outcome of a call. */
+const OUTCOME_QUERIES = 4;
+const OUTCOME_QUERY_INTERVAL_MS = 500;
+
+const { TARGET_FAILURES } = targets;
+
+/** A call that runs at most once. */
+export interface PreparedKeyedCall {
+  readonly prepared: serviceCaller.PreparedServiceCall;
+  readonly callKey: string;
+  readonly requestDigest: string;
+  readonly idempotencyKey: string;
+}
+
+/** What the caller needs. */
+export interface KeyedCallerOptions {
+  readonly shards: journal.Journal<ShardState, JournalBody>;
+  readonly services: serviceCaller.ServiceCaller;
+  readonly client: targets.TargetClient;
+  readonly clock: clockTypes.Clock;
+  readonly logger: logging.Logger;
+}
+
+/**
+ * Runs calls at most once: the first valid intent for a key in the journal allows one dispatch
+ * in the life of that claim, and nothing else ever does.
+ */
+export class KeyedCaller {
+  public constructor(private readonly options: KeyedCallerOptions) {}
+
+  /** Runs the call, or answers what is known of it. Faults: see the at-most-once page. */
+  public async run(keyed: PreparedKeyedCall): Promise<Outcome<RecordedAnswer>> {
+    const { shard } = keyed.prepared.call;
+    const owned = this.options.shards.owned(shard);
+    if (owned === undefined) return trueMyth.Result.err(notOwner());
+    const known = owned.state.keyedCalls.get(keyed.callKey);
+    return known === undefined ? this.start(keyed) : this.answerKnown(keyed, known);
+  }
+
+  /** Tells how an intent of an earlier attempt ended; it is never dispatched again. */
+  private async answerKnown(
+    keyed: PreparedKeyedCall,
+    known: KeyedCall,
+  ): Promise<Outcome<RecordedAnswer>> {
+    if (known.requestDigest !== keyed.requestDigest) {
+      return trueMyth.Result.err(errors.createFault('idempotency-key-reused'));
+    }
+    if (known.answer !== undefined) return trueMyth.Result.ok(known.answer);
+    if (known.outcome === records.RESOLUTIONS.RAN) return trueMyth.Result.err(resolvedAsRan());
+    return this.resolveByQuery(keyed, known.target);
+  }
+
+  private async start(keyed: PreparedKeyedCall): Promise<Outcome<RecordedAnswer>> {
+    const excluded = new Set<string>();
+    for (let count = 0; count < MAXIMUM_ATTEMPTS; count += 1) {
+      const ended = await this.attempt(keyed, excluded);
+      if (ended !== undefined) return ended;
+    }
+    return trueMyth.Result.err(errors.createFault('target-unavailable'));
+  }
+
+  /** One intent and one dispatch; nothing when nothing was sent and another target may be tried. */
+  private async attempt(
+    keyed: PreparedKeyedCall,
+    excluded: Set<string>,
+  ): Promise<Outcome<RecordedAnswer> | undefined> {
+    if (!this.options.shards.isLogAvailable()) {
+      return trueMyth.Result.err(errors.createFault('log-unavailable'));
+    }
+    const { services } = this.options;
+    const acquired = await services.acquire(keyed.prepared, excluded);
+    if (acquired.isErr) return trueMyth.Result.err(acquired.error);
+    const place = acquired.value;
+    try {
+      const intended = await this.intend(keyed, place.target);
+      if (intended !== undefined) return trueMyth.Result.err(intended);
+      const sent = await services.dispatch(keyed.prepared, place);
+      if (sent.isErr) return await this.withdraw(keyed, sent.error);
+      return await this.conclude(keyed, place.target, sent.value, excluded);
+    } finally {
+      place.dispose();
+    }
+  }
+
+  private async intend(
+    keyed: PreparedKeyedCall,
+    target: string,
+  ): Promise<errors.Fault | undefined> {
+    const { call } = keyed.prepared;
+    const result = await this.options.shards.append(
+      call.shard,
+      {
+        kind: records.RECORD_KINDS.CALL_INTENDED,
+        callKey: keyed.callKey,
+        requestDigest: keyed.requestDigest,
+        workspace: call.request.workspace,
+        route: call.route.name,
+        program: call.request.program,
+        turn: call.turn > 0 ? call.turn : undefined,
+        target,
+        idempotencyKey: keyed.idempotencyKey,
+      },
+      { replicateInOutage: false },
+    );
+    return result.isErr ? faults.withSent(result.error, false) : undefined;
+  }
+
+  private async conclude(
+    keyed: PreparedKeyedCall,
+    target: string,
+    answer: targets.TargetResult<targets.ServiceAnswer>,
+    excluded: Set<string>,
+  ): Promise<Outcome<RecordedAnswer> | undefined> {
+    if (answer.isOk) return this.complete(keyed, answers.recordService(answer.value));
+    const { kind } = answer.error;
+    if (kind === TARGET_FAILURES.NOT_SENT) {
+      excluded.add(target);
+      const fault = errors.createFault('target-unavailable');
+      const withdrawn = await this.withdraw(keyed, fault);
+      return this.isKeyFree(keyed) ? undefined : withdrawn;
+    }
+    if (kind === TARGET_FAILURES.FENCED) return this.withdraw(keyed, notOwner());
+    return this.resolveByQuery(keyed, target);
+  }
+
+  /** Frees the key of an intent for which nothing was sent. */
+  private async withdraw(
+    keyed: PreparedKeyedCall,
+    fault: errors.Fault,
+  ): Promise<Outcome<RecordedAnswer>> {
+    await this.options.shards.append(
+      keyed.prepared.call.shard,
+      { kind: records.RECORD_KINDS.CALL_WITHDRAWN, callKey: keyed.callKey },
+      { replicateInOutage: true },
+    );
+    return trueMyth.Result.err(faults.withSent(fault, false));
+  }
+
+  private isKeyFree(keyed: PreparedKeyedCall): boolean {
+    const owned = this.options.shards.owned(keyed.prepared.call.shard);
+    return owned !== undefined && !owned.state.keyedCalls.has(keyed.callKey);
+  }
+
+  private async complete(
+    keyed: PreparedKeyedCall,
+    answer: RecordedAnswer,
+  ): Promise<Outcome<RecordedAnswer>> {
+    const result = await this.options.shards.append(
+      keyed.prepared.call.shard,
+      { kind: records.RECORD_KINDS.CALL_COMPLETED, callKey: keyed.callKey, answer },
+      { replicateInOutage: true },
+    );
+    // The caller gets the answer even when its record is not safe: the call has run.
+    if (result.isErr) {
+      this.options.logger.warn('The outcome of a call could not be recorded.', {
+        shard: keyed.prepared.call.shard,
+        kind: result.error.kind,
+      });
+    }
+    return trueMyth.Result.ok(answer);
+  }
+
+  /** Asks the target by key when its pool names a query; the call is never sent again. */
+  private async resolveByQuery(
+    keyed: PreparedKeyedCall,
+    target: string,
+  ): Promise<Outcome<RecordedAnswer>> {
+    const { call } = keyed.prepared;
+    const queries = call.pool.outcomeQuery === undefined ? 0 : OUTCOME_QUERIES;
+    for (let count = 0; count < queries && !call.signal.aborted; count += 1) {
+      const { client } = this.options;
+      const outcome = await client.queryOutcome(call.pool.name, target, keyed.idempotencyKey);
+      if (outcome.isOk && outcome.value !== undefined) {
+        return this.complete(keyed, answers.recordService(outcome.value));
+      }
+      await this.options.clock.sleep(OUTCOME_QUERY_INTERVAL_MS, call.signal);
+    }
+    return trueMyth.Result.err(errors.createFault('outcome-unknown'));
+  }
+}
+
+function notOwner(): errors.Fault {
+  return errors.createFault('not-owner');
+}
+
+function resolvedAsRan(): errors.Fault {
+  return errors.createFault('outcome-unknown', 'An operator has noted that the call ran.', {
+    run: errors.RUN_STATES.RAN,
+  });
+}
--- /dev/null
+++ b/packages/programs/src/ProgramsFold.ts
@@ -0,0 +1,294 @@
+import type * as clockTypes from '@limpettack/clock';
+import type * as journal from '@limpettack/journal';
+import * as amounts from './amounts.js';
+import * as digests from './digests.js';
+import * as records from './records.js';
+import type { JournalBody, KeyedCall, ProgramState, RecordedTurn, ShardState } from './Types.js';
+
+type BodyOf<Kind extends JournalBody['kind']> = Extract<JournalBody, { kind: Kind }>;
+
+/** The rule by which every reader of a shard's records reaches the same programs and calls. */
+export class ProgramsFold implements journal.ShardFold<ShardState, JournalBody> {
+  public readonly body = records.JOURNAL_BODY;
+
+  public constructor(private readonly clock: clockTypes.Clock) {}
+
+  /** @inheritdoc */
+  public createState(): ShardState {
+    return { programs: new Map(), keyedCalls: new Map(), quarantined: new Set() };
+  }
+
+  /** @inheritdoc */
+  public apply(state: ShardState, body: JournalBody, position: journal.RecordPosition): void {
+    switch (body.kind) {
+      case records.RECORD_KINDS.PROGRAM_OPENED:
+        this.open(state, body, position);
+        break;
+      case records.RECORD_KINDS.RESERVED:
+        reserve(programOf(state, body.program, position), body);
+        break;
+      case records.RECORD_KINDS.TURN_COMPLETED:
+        completeTurn(state, body, position);
+        break;
+      case records.RECORD_KINDS.PROGRAM_ENDED:
+        end(state, body, position);
+        break;
+      case records.RECORD_KINDS.MEMORY_RELEASED:
+        state.programs.get(body.program)?.holdings.delete(body.target);
+        break;
+      case records.RECORD_KINDS.REQUEST_QUARANTINED:
+        state.quarantined.add(body.fingerprint);
+        break;
+      case records.RECORD_KINDS.PROGRAM_SNAPSHOT:
+        this.restore(state, body, position);
+        break;
+      default:
+        applyKeyedCall(state, body, position);
+    }
+  }
+
+  /** What an earlier owner had reserved and not settled may have been spent, so it counts as it. */
+  public applyClaim(state: ShardState, _ownership: journal.Ownership, handedOver: boolean): void {
+    if (handedOver) return;
+    state.programs.forEach((program) => {
+      program.spent = amounts.add(program.spent, program.reserved);
+      program.reserved = amounts.NO_AMOUNT;
+    });
+  }
+
+  /** @inheritdoc */
+  public renew(state: ShardState, expiringBelow: number): readonly JournalBody[] {
+    const bodies: JournalBody[] = [];
+    [...state.programs.values()]
+      .filter((program) => program.oldestOffset >= 0 && program.oldestOffset < expiringBelow)
+      .forEach((program) => {
+        if (isForgettable(program)) state.programs.delete(program.program);
+        else bodies.push(this.snapshotProgram(program));
+      });
+    [...state.keyedCalls.values()]
+      .filter((call) => call.oldestOffset >= 0 && call.oldestOffset < expiringBelow)
+      .forEach((call) => {
+        if (call.outcome === undefined) bodies.push(snapshotCall(call));
+        else state.keyedCalls.delete(call.callKey);
+      });
+    state.quarantined.forEach((fingerprint) => {
+      bodies.push({ kind: records.RECORD_KINDS.REQUEST_QUARANTINED, fingerprint });
+    });
+    return bodies;
+  }
+
+  private open(
+    state: ShardState,
+    body: BodyOf<'programOpened'>,
+    position: journal.RecordPosition,
+  ): void {
+    if (state.programs.has(body.program)) return;
+    const parent = body.parent === undefined ? undefined : state.programs.get(body.parent);
+    const share = parent === undefined ? body.budget : amounts.available(parent);
+    const budget = { ...body.budget, ...amounts.smaller(body.budget, share) };
+    state.programs.set(body.program, {
+      program: body.program,
+      workspace: body.workspace,
+      route: body.route,
+      parent: body.parent,
+      budget,
+      openedAt: this.clock.now() - position.ageMs,
+      spent: amounts.NO_AMOUNT,
+      reserved: amounts.smaller(body.reserved, budget),
+      turns: [],
+      holdings: new Set(),
+      ended: undefined,
+      complete: true,
+      oldestOffset: position.offset,
+    });
+    if (parent !== undefined) parent.spent = amounts.add(parent.spent, budget);
+  }
+
+  private snapshotProgram(program: ProgramState): JournalBody {
+    return {
+      kind: records.RECORD_KINDS.PROGRAM_SNAPSHOT,
+      program: program.program,
+      workspace: program.workspace,
+      route: program.route,
+      parent: program.parent,
+      budget: program.budget,
+      ageMs: this.clock.now() - program.openedAt,
+      spent: program.spent,
+      reserved: program.reserved,
+      turns: program.turns,
+      holdings: [...program.holdings],
+      ended: program.ended,
+    };
+  }
+
+  private restore(
+    state: ShardState,
+    body: BodyOf<'programSnapshot'>,
+    position: journal.RecordPosition,
+  ): void {
+    state.programs.set(body.program, {
+      program: body.program,
+      workspace: body.workspace,
+      route: body.route,
+      parent: body.parent,
+      budget: body.budget,
+      openedAt: this.clock.now() - position.ageMs - body.ageMs,
+      spent: body.spent,
+      reserved: body.reserved,
+      turns: [...body.turns],
+      holdings: new Set(body.holdings),
+      ended: body.ended,
+      complete: isChain(body.turns),
+      oldestOffset: position.offset,
+    });
+  }
+}
+
+/** The program of a record; one whose earlier records were lost is kept as incomplete. */
+function programOf(state: ShardState, id: string, position: journal.RecordPosition): ProgramState {
+  const known = state.programs.get(id);
+  if (known !== undefined) return known;
+  const program: ProgramState = {
+    program: id,
+    workspace: undefined,
+    route: '',
+    parent: undefined,
+    budget: { tokens: 0, calls: 0, wallTimeMs: 1 },
+    openedAt: 0,
+    spent: amounts.NO_AMOUNT,
+    reserved: amounts.NO_AMOUNT,
+    turns: [],
+    holdings: new Set(),
+    ended: undefined,
+    complete: false,
+    oldestOffset: position.offset,
+  };
+  state.programs.set(id, program);
+  return program;
+}
+
+/** What is reserved can never be more than what is left, whatever the record says. */
+function reserve(program: ProgramState, body: BodyOf<'reserved'>): void {
+  program.spent = amounts.add(program.spent, body.used);
+  program.reserved = amounts.smaller(body.reserved, amounts.unspent(program));
+}
+
+function completeTurn(
+  state: ShardState,
+  body: BodyOf<'turnCompleted'>,
+  position: journal.RecordPosition,
+): void {
+  const program = programOf(state, body.program, position);
+  const before = program.turns.at(-1);
+  const follows =
+    body.completed.turn === program.turns.length + 1 &&
+    body.completed.chainDigest === digests.chainTurn(before, body.completed);
+  if (!follows) program.complete = false;
+  if (program.complete) program.turns.push(body.completed);
+  if (body.completed.target !== undefined) program.holdings.add(body.completed.target);
+  program.spent = amounts.add(program.spent, body.used);
+  // What is only replicated may not be spent before the log has the record.
+  program.reserved =
+    position.offset < 0
+      ? amounts.subtract(program.reserved, body.used)
+      : amounts.smaller(body.reserved, amounts.unspent(program));
+}
+
+function end(
+  state: ShardState,
+  body: BodyOf<'programEnded'>,
+  position: journal.RecordPosition,
+): void {
+  const program = programOf(state, body.program, position);
+  if (program.ended !== undefined) return;
+  program.ended = body.reason;
+  program.reserved = amounts.NO_AMOUNT;
+  const parent = program.parent === undefined ? undefined : state.programs.get(program.parent);
+  if (parent !== undefined) parent.spent = amounts.subtract(parent.spent, body.returned);
+}
+
+function applyKeyedCall(
+  state: ShardState,
+  body: BodyOf<
+    'callIntended' | 'callCompleted' | 'callWithdrawn' | 'callResolved' | 'callSnapshot'
+  >,
+  position: journal.RecordPosition,
+): void {
+  const known = state.keyedCalls.get(body.callKey);
+  switch (body.kind) {
+    case records.RECORD_KINDS.CALL_INTENDED:
+      // The first valid intent for a key is the one that counts.
+      if (known === undefined) state.keyedCalls.set(body.callKey, newCall(body, position.offset));
+      break;
+    case records.RECORD_KINDS.CALL_SNAPSHOT:
+      state.keyedCalls.set(body.callKey, {
+        ...newCall(body, position.offset),
+        outcome: body.outcome === 'unknown' ? undefined : body.outcome,
+        answer: body.answer,
+      });
+      break;
+    case records.RECORD_KINDS.CALL_WITHDRAWN:
+      if (known?.outcome === undefined) state.keyedCalls.delete(body.callKey);
+      break;
+    case records.RECORD_KINDS.CALL_RESOLVED:
+      resolve(state, known, body.outcome);
+      break;
+    default:
+      if (known === undefined) return;
+      known.outcome = records.RESOLUTIONS.RAN;
+      known.answer = body.answer;
+  }
+}
+
+/** An operator's word that a call did not run frees its key; that it ran keeps the key used. */
+function resolve(
+  state: ShardState,
+  known: KeyedCall | undefined,
+  outcome: KeyedCall['outcome'],
+): void {
+  if (known === undefined || known.outcome !== undefined) return;
+  if (outcome === records.RESOLUTIONS.NOT_RUN) state.keyedCalls.delete(known.callKey);
+  else known.outcome = outcome;
+}
+
+function newCall(body: BodyOf<'callIntended'> | BodyOf<'callSnapshot'>, offset: number): KeyedCall {
+  return {
+    callKey: body.callKey,
+    requestDigest: body.requestDigest,
+    workspace: body.workspace,
+    route: body.route,
+    program: body.program,
+    turn: body.turn,
+    target: body.target,
+    idempotencyKey: body.idempotencyKey,
+    outcome: undefined,
+    answer: undefined,
+    oldestOffset: offset,
+  };
+}
+
+function snapshotCall(call: KeyedCall): JournalBody {
+  return {
+    kind: records.RECORD_KINDS.CALL_SNAPSHOT,
+    callKey: call.callKey,
+    requestDigest: call.requestDigest,
+    workspace: call.workspace,
+    route: call.route,
+    program: call.program,
+    turn: call.turn,
+    target: call.target,
+    idempotencyKey: call.idempotencyKey,
+    outcome: 'unknown',
+  };
+}
+
+function isForgettable(program: ProgramState): boolean {
+  return program.ended !== undefined && program.holdings.size === 0;
+}
+
+function isChain(turns: readonly RecordedTurn[]): boolean {
+  return turns.every(
+    (turn, index) =>
+      turn.turn === index + 1 && turn.chainDigest === digests.chainTurn(turns[index - 1], turn),
+  );
+}
--- /dev/null
+++ b/packages/programs/src/Reservations.ts
@@ -0,0 +1,96 @@
+import * as errors from '@limpettack/errors';
+import type * as journal from '@limpettack/journal';
+import * as trueMyth from 'true-myth';
+import * as amounts from './amounts.js';
+import * as records from './records.js';
+import type { Amount, JournalBody, Outcome, ProgramState, ShardState } from './Types.js';
+
+/** A record reserves tokens for so many calls ahead, so that a short outage stops no program. */
+const CALLS_AHEAD = 4;
+
+/** Keeps what programs spend within what the journal has reserved for them. */
+export class Reservations {
+  /** Spent by failed turns whose record the log has not taken yet, by program. */
+  private readonly unsettled = new Map<string, Amount>();
+
+  public constructor(private readonly shards: journal.Journal<ShardState, JournalBody>) {}
+
+  /**
+   * Makes sure that a call is reserved and tells how many tokens it may generate, at most as many
+   * as wanted. Faults: `budget-exhausted`, `budget-not-reserved`, `not-owner`.
+   */
+  public async reserve(
+    shard: number,
+    program: ProgramState,
+    wantedTokens: number,
+  ): Promise<Outcome<number>> {
+    const left = amounts.subtract(amounts.unspent(program), this.unsettledOf(program));
+    if (left.calls < 1 || left.tokens < Math.min(1, wantedTokens)) {
+      return trueMyth.Result.err(errors.createFault('budget-exhausted'));
+    }
+    const needed = { tokens: Math.min(wantedTokens, left.tokens), calls: 1 };
+    if (!covers(this.spendable(program), needed)) {
+      const appended = await this.append(shard, program, wantedTokens);
+      if (appended?.kind === 'not-owner') return trueMyth.Result.err(appended);
+    }
+    const spendable = this.spendable(program);
+    if (spendable.calls < 1 || spendable.tokens < Math.min(1, wantedTokens)) {
+      return trueMyth.Result.err(errors.createFault('budget-not-reserved'));
+    }
+    return trueMyth.Result.ok(Math.min(wantedTokens, spendable.tokens));
+  }
+
+  /** What the record of a completed turn reserves for the next ones. */
+  public next(program: ProgramState, used: Amount, wantedTokens: number): Amount {
+    const spent = amounts.add(used, this.unsettledOf(program));
+    return amounts.smaller(amounts.subtract(amounts.unspent(program), spent), ahead(wantedTokens));
+  }
+
+  /** Notes what a failed turn may have spent, in the journal when it can. */
+  public async settle(shard: number, program: ProgramState, used: Amount): Promise<void> {
+    this.unsettled.set(program.program, amounts.add(this.unsettledOf(program), used));
+    await this.append(shard, program, 0);
+  }
+
+  /** Forgets a program. */
+  public forget(program: string): void {
+    this.unsettled.delete(program);
+  }
+
+  private spendable(program: ProgramState): Amount {
+    return amounts.subtract(program.reserved, this.unsettledOf(program));
+  }
+
+  private unsettledOf(program: ProgramState): Amount {
+    return this.unsettled.get(program.program) ?? amounts.NO_AMOUNT;
+  }
+
+  private async append(
+    shard: number,
+    program: ProgramState,
+    wantedTokens: number,
+  ): Promise<errors.Fault | undefined> {
+    const used = this.unsettledOf(program);
+    const result = await this.shards.append(
+      shard,
+      {
+        kind: records.RECORD_KINDS.RESERVED,
+        program: program.program,
+        used,
+        reserved: this.next(program, amounts.NO_AMOUNT, wantedTokens),
+      },
+      { replicateInOutage: false },
+    );
+    if (result.isErr) return result.error;
+    this.unsettled.set(program.program, amounts.subtract(this.unsettledOf(program), used));
+    return undefined;
+  }
+}
+
+function ahead(wantedTokens: number): Amount {
+  return { tokens: wantedTokens * CALLS_AHEAD, calls: CALLS_AHEAD };
+}
+
+function covers(held: Amount, needed: Amount): boolean {
+  return held.tokens >= needed.tokens && held.calls >= needed.calls;
+}
--- /dev/null
+++ b/packages/programs/src/amounts.ts
@@ -0,0 +1,35 @@
+import type { Amount, ProgramState } from './Types.js';
+
+/** Nothing. */
+export const NO_AMOUNT: Amount = { tokens: 0, calls: 0 };
+
+/** Adds two amounts. */
+export function add(left: Amount, right: Amount): Amount {
+  return { tokens: left.tokens + right.tokens, calls: left.calls + right.calls };
+}
+
+/** Takes one amount from another; no part goes below zero. */
+export function subtract(left: Amount, right: Amount): Amount {
+  return {
+    tokens: Math.max(0, left.tokens - right.tokens),
+    calls: Math.max(0, left.calls - right.calls),
+  };
+}
+
+/** The smaller of two amounts, part by part. */
+export function smaller(left: Amount, right: Amount): Amount {
+  return {
+    tokens: Math.min(left.tokens, right.tokens),
+    calls: Math.min(left.calls, right.calls),
+  };
+}
+
+/** What a program has not spent yet, its reservation included. */
+export function unspent(program: ProgramState): Amount {
+  return subtract(program.budget, program.spent);
+}
+
+/** What a program has neither spent nor reserved. */
+export function available(program: ProgramState): Amount {
+  return subtract(unspent(program), program.reserved);
+}
--- /dev/null
+++ b/packages/programs/src/faults.ts
@@ -0,0 +1,35 @@
+import * as errors from '@limpettack/errors';
+import * as messages from './messages.js';
+import type { CallItem } from './Types.js';
+
+/** The reasons for which a running call is aborted. */
+export const ABORT_REASONS = {
+  DEADLINE: 'deadline',
+  CALLER_GONE: 'caller-gone',
+  PROGRAM_ENDED: 'program-ended',
+  SHARD_LOST: 'shard-lost',
+} as const;
+
+const KIND_OF_REASON: Readonly<Record<string, errors.ErrorKind>> = {
+  [ABORT_REASONS.DEADLINE]: 'deadline-exceeded',
+  [ABORT_REASONS.CALLER_GONE]: 'stream-interrupted',
+  [ABORT_REASONS.PROGRAM_ENDED]: 'program-ended',
+  [ABORT_REASONS.SHARD_LOST]: 'not-owner',
+};
+
+/** The fault of a call that was aborted. */
+export function faultOfAbort(signal: AbortSignal, wasSent: boolean): errors.Fault {
+  const kind = KIND_OF_REASON[String(signal.reason)] ?? 'internal';
+  return withSent(errors.createFault(kind), wasSent);
+}
+
+/** Says of a fault whether anything may have run. */
+export function withSent(fault: errors.Fault, wasSent: boolean): errors.Fault {
+  const run = wasSent ? errors.RUN_STATES.UNKNOWN : errors.RUN_STATES.NOT_RUN;
+  return { ...fault, run };
+}
+
+/** A fault as the last item of an answer. */
+export function faultItem(fault: errors.Fault): Extract<CallItem, { kind: 'fault' }> {
+  return { kind: messages.ITEM_KINDS.FAULT, fault };
+}
--- /dev/null
+++ b/packages/programs/src/programIds.ts
@@ -0,0 +1,43 @@
+import * as ulid from 'ulid';
+
+const ULID = '[0-9a-hjkmnp-tv-z]{26}';
+const PROGRAM_PATTERN = new RegExp(`^p-(${ULID})(?:-(${ULID}))?$`);
+
+/** Makes the id of a program, or of a sub-agent's program below its parent. */
+export function createProgramId(parent?: string): string {
+  const own = ulid.ulid().toLowerCase();
+  return parent === undefined ? `p-${own}` : `p-${rootOf(parent)}-${own}`;
+}
+
+/** Tells whether a text has the form of a program's id. */
+export function isProgramId(text: string): boolean {
+  return PROGRAM_PATTERN.test(text);
+}
+
+/** The part of a program's id that decides its shard: a parent and its children share it. */
+export function rootOf(program: string): string {
+  return PROGRAM_PATTERN.exec(program)?.[1] ?? program;
+}
+
+/** The id under which a keyed call is journaled. A key within a program belongs to that program. */
+export function createCallKey(
+  workspace: string | undefined,
+  route: string,
+  program: string | undefined,
+  idempotencyKey: string,
+): string {
+  const scope =
+    program === undefined ? ['workspace', workspace ?? '', route] : ['program', program];
+  return JSON.stringify([...scope, idempotencyKey]);
+}
+
+/** The text whose hash decides the shard of a call. */
+export function shardKeyOf(program: string | undefined, callKey: string): string {
+  return program === undefined ? callKey : rootOf(program);
+}
+
+/** The shard key of a call key as `createCallKey` makes it. */
+export function shardKeyOfCallKey(callKey: string): string {
+  const [scope, program] = JSON.parse(callKey) as string[];
+  return scope === 'program' && program !== undefined ? rootOf(program) : callKey;
+}
--- /dev/null
+++ b/packages/programs/src/records.ts
@@ -0,0 +1,145 @@
+import * as configuration from '@limpettack/configuration';
+import * as zod from 'zod';
+
+/** Kinds of record in a journal shard. */
+export const RECORD_KINDS = {
+  PROGRAM_OPENED: 'programOpened',
+  RESERVED: 'reserved',
+  TURN_COMPLETED: 'turnCompleted',
+  PROGRAM_ENDED: 'programEnded',
+  MEMORY_RELEASED: 'memoryReleased',
+  CALL_INTENDED: 'callIntended',
+  CALL_COMPLETED: 'callCompleted',
+  CALL_WITHDRAWN: 'callWithdrawn',
+  CALL_RESOLVED: 'callResolved',
+  REQUEST_QUARANTINED: 'requestQuarantined',
+  PROGRAM_SNAPSHOT: 'programSnapshot',
+  CALL_SNAPSHOT: 'callSnapshot',
+} as const;
+
+/** Why a program ended. */
+export const END_REASONS = {
+  CALLER: 'caller',
+  OPERATOR: 'operator',
+  PARENT: 'parent',
+  EXPIRED: 'expired',
+} as const;
+
+/** How an operator resolves a call whose outcome is not known. */
+export const RESOLUTIONS = { RAN: 'ran', NOT_RUN: 'not-run' } as const;
+
+/** Generated tokens and calls. */
+export const AMOUNT = zod.object({ tokens: zod.number(), calls: zod.number() });
+
+/** One message of a chat. */
+export const CHAT_MESSAGE = zod.looseObject({ role: zod.string(), content: zod.string() });
+
+/** What a model call or a service call brought. */
+export const RECORDED_ANSWER = zod.object({
+  status: zod.number(),
+  headers: zod.record(zod.string(), zod.string()),
+  /** The body of a service's answer, in base64; empty for a model call. */
+  body: zod.string(),
+  /** The chunks of a model call, as JSON text; empty for a service call. */
+  chunks: zod.array(zod.string()),
+});
+
+/** A turn as the journal holds it. */
+export const RECORDED_TURN = zod.object({
+  turn: zod.int().min(1),
+  requestId: zod.string(),
+  requestDigest: zod.string(),
+  /** The messages that the turn added to the history, the model's answer included. */
+  messages: zod.array(CHAT_MESSAGE),
+  answer: RECORDED_ANSWER,
+  /** SHA-256 over the digest of the turn before and this turn. */
+  chainDigest: zod.string(),
+  /** The target that ran the turn; absent for an answer that no engine holds memory for. */
+  target: zod.string().optional(),
+});
+
+const PROGRAM_FACTS = zod.object({
+  program: zod.string(),
+  /** Absent for callers without a key, on open routes. */
+  workspace: zod.string().optional(),
+  route: zod.string(),
+  parent: zod.string().optional(),
+  budget: configuration.BUDGET,
+});
+
+const CALL_FACTS = zod.object({
+  /** Scope and idempotency key; unique in the installation. */
+  callKey: zod.string(),
+  requestDigest: zod.string(),
+  workspace: zod.string().optional(),
+  route: zod.string(),
+  program: zod.string().optional(),
+  turn: zod.int().min(1).optional(),
+  target: zod.string(),
+  idempotencyKey: zod.string(),
+});
+
+/** A record in a journal shard. */
+export const JOURNAL_BODY = zod.discriminatedUnion('kind', [
+  PROGRAM_FACTS.extend({ kind: zod.literal(RECORD_KINDS.PROGRAM_OPENED), reserved: AMOUNT }),
+  zod.object({
+    kind: zod.literal(RECORD_KINDS.RESERVED),
+    program: zod.string(),
+    /** Spent by a turn that did not complete. */
+    used: AMOUNT,
+    /** All that is reserved after this record. */
+    reserved: AMOUNT,
+  }),
+  zod.object({
+    kind: zod.literal(RECORD_KINDS.TURN_COMPLETED),
+    program: zod.string(),
+    completed: RECORDED_TURN,
+    used: AMOUNT,
+    /** All that is reserved after this record. */
+    reserved: AMOUNT,
+  }),
+  zod.object({
+    kind: zod.literal(RECORD_KINDS.PROGRAM_ENDED),
+    program: zod.string(),
+    reason: zod.enum(Object.values(END_REASONS) as [string, ...string[]]),
+    /** What goes back to the parent. */
+    returned: AMOUNT,
+  }),
+  zod.object({
+    kind: zod.literal(RECORD_KINDS.MEMORY_RELEASED),
+    program: zod.string(),
+    target: zod.string(),
+  }),
+  CALL_FACTS.extend({ kind: zod.literal(RECORD_KINDS.CALL_INTENDED) }),
+  zod.object({
+    kind: zod.literal(RECORD_KINDS.CALL_COMPLETED),
+    callKey: zod.string(),
+    answer: RECORDED_ANSWER,
+  }),
+  /** Nothing was sent for the intent, so the key is free again. */
+  zod.object({ kind: zod.literal(RECORD_KINDS.CALL_WITHDRAWN), callKey: zod.string() }),
+  zod.object({
+    kind: zod.literal(RECORD_KINDS.CALL_RESOLVED),
+    callKey: zod.string(),
+    outcome: zod.enum([RESOLUTIONS.RAN, RESOLUTIONS.NOT_RUN]),
+    note: zod.string(),
+  }),
+  zod.object({
+    kind: zod.literal(RECORD_KINDS.REQUEST_QUARANTINED),
+    fingerprint: zod.string(),
+  }),
+  PROGRAM_FACTS.extend({
+    kind: zod.literal(RECORD_KINDS.PROGRAM_SNAPSHOT),
+    ageMs: zod.number(),
+    spent: AMOUNT,
+    reserved: AMOUNT,
+    turns: zod.array(RECORDED_TURN),
+    holdings: zod.array(zod.string()),
+    ended: zod.string().optional(),
+  }),
+  CALL_FACTS.extend({
+    kind: zod.literal(RECORD_KINDS.CALL_SNAPSHOT),
+    outcome: zod.enum(['unknown', RESOLUTIONS.RAN]),
+    answer: RECORDED_ANSWER.optional(),
+  }),
+]);
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -2,4 +2,5 @@
 export * from './Types.js';
 export * from './PeerFailures.js';
 export * from './FleetNetwork.js';
+export { FAULT } from './frames.js';
 export { STREAM_WINDOW_ITEMS } from './PeerLink.js';
