--- a/packages/platform-client/src/Types.ts
+++ b/packages/platform-client/src/Types.ts
@@ -74,3 +74,44 @@
 export interface VmListClient {
   list(): Promise<PlatformResult<readonly ListedVm[]>>;
 }
+
+/** Settings of a client of the platform. */
+export interface HttpClientOptions {
+  /** Origin of the platform, such as `http://127.0.0.1:7000`. */
+  readonly baseUrl: string;
+  /** How long a request may take; a read adds its own wait to it, in milliseconds. */
+  readonly requestTimeoutMs: clock.Milliseconds;
+  /** How long the opening of a connection may take, in milliseconds. */
+  readonly connectTimeoutMs?: clock.Milliseconds;
+}
+
+/** Records that a follower could not read because they are no longer kept. */
+export interface StreamGap {
+  readonly stream: string;
+  /** The first offset that is missing. */
+  readonly from: number;
+  /** The first offset that is still kept. */
+  readonly to: number;
+}
+
+/** What a follower does with a stream. Each function finishes before the next is called. */
+export interface StreamHandler {
+  /** Takes the next record. A rejection ends the process, since no record may be skipped. */
+  onRecord(record: LogRecord): void | Promise<void>;
+  /** Called in the place of records that are lost. */
+  onGap(gap: StreamGap): void | Promise<void>;
+}
+
+/** Settings of a follower. */
+export interface StreamFollowerOptions {
+  readonly stream: string;
+  /** The first offset to read. */
+  readonly from: number;
+  /** How long one read may wait at the tail, in milliseconds. */
+  readonly waitMs?: clock.Milliseconds;
+  /** The largest number of records of one read. */
+  readonly limit?: number;
+  /** Time to wait after the first failure in a row, in milliseconds; doubled for each further. */
+  readonly minimumBackoffMs?: clock.Milliseconds;
+  readonly maximumBackoffMs?: clock.Milliseconds;
+}
