Add stand-ins for model engines and plain services

Integration tests need targets whose answers can be judged: the text of an answer begins with a digest of its messages and goes on with words that follow from it, so a mixed or cut history shows. A streamed call goes on for a window after its connection drops, and can be resumed by chunk count. A second listener takes the admin requests, since a refusing target cannot be reached on its own port.

--- /dev/null
+++ b/packages/stand-ins/src/EngineServer.test.ts
@@ -0,0 +1,173 @@
+import * as jestGlobals from '@jest/globals';
+import * as clock from '@limpettack/clock';
+import * as undici from 'undici';
+
+import * as engineServer from './EngineServer.js';
+import * as generateText from './generateText.js';
+
+const { afterEach, describe, expect, test } = jestGlobals;
+
+const TIME = new clock.SystemClock();
+const MESSAGES = [{ role: 'user', content: 'one two three' }];
+
+describe('EngineServer', () => {
+  const engines: engineServer.EngineServer[] = [];
+
+  async function startEngine(
+    options: engineServer.EngineOptions = {},
+  ): Promise<engineServer.EngineServer> {
+    const engine = new engineServer.EngineServer(TIME, { decodeMsPerToken: 1, ...options });
+    engines.push(engine);
+    await engine.start();
+    return engine;
+  }
+
+  afterEach(async () => {
+    await Promise.all(engines.splice(0).map((engine) => engine.dispose()));
+  });
+
+  test('answers whole and streamed with the text that the messages determine', async () => {
+    const engine = await startEngine();
+    const whole = await chat(engine, { max_tokens: 4 });
+    const answer = (await whole.body.json()) as { choices: [{ message: { content: string } }] };
+    expect(answer.choices[0].message.content).toBe(generateText.expectedText(MESSAGES, 4));
+    const streamed = await chat(engine, {
+      max_tokens: 4,
+      stream: true,
+      stream_options: { include_usage: true },
+    });
+    const events = eventsOf(await streamed.body.text());
+    expect(textOf(events)).toBe(generateText.expectedText(MESSAGES, 4));
+    expect(events.at(-1)).toBe('[DONE]');
+    expect(JSON.parse(events.at(-2) ?? '')).toMatchObject({
+      usage: { prompt_tokens: 3, completion_tokens: 4 },
+    });
+  });
+
+  test('goes on generating after the connection drops and resumes from a count', async () => {
+    const engine = await startEngine();
+    await engine.host.setFaults({ dropAfterChunks: 2 });
+    const broken = await chat(engine, { max_tokens: 30, stream: true }, { 'limpettack-call': 'a' });
+    await expect(broken.body.text()).rejects.toThrow();
+    await engine.host.setFaults({ dropAfterChunks: null });
+    const resumed = await undici.request(`${engine.url}/v1/calls/a/stream?after=2`);
+    const rest = textOf(eventsOf(await resumed.body.text()));
+    const whole = generateText.expectedText(MESSAGES, 30);
+    expect(rest).toBe(whole.slice(generateText.expectedText(MESSAGES, 2).length));
+    expect(engine.host.journal(0, '/v1/chat')).toMatchObject([{ outcome: 'finished' }]);
+  });
+
+  test('runs the smaller priority first and stops a cancelled call', async () => {
+    const engine = await startEngine({ slots: 1, decodeMsPerToken: 20 });
+    const order: string[] = [];
+    const start = (callId: string, priority: string): Promise<void> =>
+      chat(
+        engine,
+        { max_tokens: 5 },
+        { 'limpettack-call': callId, 'limpettack-priority': priority },
+      ).then(
+        async (answer) => {
+          await answer.body.dump();
+          order.push(callId);
+        },
+        () => {
+          order.push(`${callId} stopped`);
+        },
+      );
+    const first = start('first', '0');
+    await untilRunning(engine, 1);
+    const later = [start('later', '9'), start('sooner', '1'), start('cancelled', '5')];
+    await untilRunning(engine, 4);
+    await undici.request(`${engine.url}/v1/calls/cancelled`, { method: 'DELETE' });
+    await Promise.all([first, ...later]);
+    expect(order).toEqual(['cancelled stopped', 'first', 'sooner', 'later']);
+  });
+
+  test('caches the prefix of a program until it is released', async () => {
+    const engine = await startEngine({ cacheEventDelayMs: 0 });
+    const headers = { 'limpettack-program': 'p' };
+    await (await chat(engine, { max_tokens: 2 }, headers)).body.dump();
+    const longer = [
+      ...MESSAGES,
+      { role: 'assistant', content: generateText.expectedText(MESSAGES, 2) },
+      { role: 'user', content: 'four' },
+    ];
+    const second = await chat(engine, { messages: longer, max_tokens: 2 }, headers);
+    expect(await second.body.json()).toMatchObject({
+      usage: { prompt_tokens: 6, prompt_tokens_details: { cached_tokens: 5 } },
+    });
+    expect(await get(engine, '/v1/sessions')).toEqual({ sessions: [{ program: 'p', tokens: 8 }] });
+    await undici.request(`${engine.url}/v1/sessions/p`, { method: 'DELETE' });
+    expect(await get(engine, '/v1/sessions')).toEqual({ sessions: [] });
+    expect(await get(engine, '/v1/cache/events?after=4')).toEqual({
+      events: [{ sequence: 5, kind: 'evicted', program: 'p', tokens: 8 }],
+      nextSequence: 6,
+    });
+  });
+
+  test('refuses an old fencing number only when it checks', async () => {
+    const fenced = (number: string): Record<string, string> => ({
+      'limpettack-fencing-scope': 'shard-1',
+      'limpettack-fencing-number': number,
+    });
+    const statuses = async (checksFencing: boolean): Promise<number[]> => {
+      const engine = await startEngine({ checksFencing });
+      const newer = await chat(engine, { max_tokens: 1 }, fenced('2'));
+      const older = await chat(engine, { max_tokens: 1 }, fenced('1'));
+      return [newer.statusCode, older.statusCode];
+    };
+    expect(await statuses(true)).toEqual([200, 409]);
+    expect(await statuses(false)).toEqual([200, 200]);
+  });
+
+  test('a call that crashes the engine loses all calls and sessions', async () => {
+    const engine = await startEngine();
+    const bystander = chat(engine, { max_tokens: 1_000 }, { 'limpettack-program': 'p' });
+    await untilRunning(engine, 1);
+    await engine.host.setFaults({ crashOnText: 'three' });
+    await expect(chat(engine, {})).rejects.toThrow();
+    await expect(bystander).rejects.toThrow();
+    expect(await get(engine, '/v1/sessions')).toEqual({ sessions: [] });
+    expect(engine.host.journal(0, '/v1/chat').map((entry) => entry.outcome)).toEqual([
+      'crashed',
+      'crashed',
+    ]);
+  });
+});
+
+function chat(
+  engine: engineServer.EngineServer,
+  body: Record<string, unknown>,
+  headers: Record<string, string> = {},
+): Promise<undici.Dispatcher.ResponseData> {
+  return undici.request(`${engine.url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json', ...headers },
+    body: JSON.stringify({ messages: MESSAGES, ...body }),
+  });
+}
+
+async function get(engine: engineServer.EngineServer, path: string): Promise<unknown> {
+  const answer = await undici.request(engine.url + path);
+  return answer.body.json();
+}
+
+async function untilRunning(engine: engineServer.EngineServer, count: number): Promise<void> {
+  for (;;) {
+    const answer = (await get(engine, '/v1/calls')) as { calls: unknown[] };
+    if (answer.calls.length >= count) return;
+    await TIME.sleep(1);
+  }
+}
+
+function eventsOf(text: string): string[] {
+  return text.split('\n').flatMap((line) => (line.startsWith('data: ') ? [line.slice(6)] : []));
+}
+
+function textOf(events: readonly string[]): string {
+  return events
+    .filter((event) => event !== '[DONE]')
+    .map((event) => JSON.parse(event) as { choices: { delta: { content?: string } }[] })
+    .map((chunk) => chunk.choices[0]?.delta.content ?? '')
+    .join('');
+}
--- /dev/null
+++ b/packages/stand-ins/src/EngineServer.ts
@@ -0,0 +1,294 @@
+import * as crypto from 'node:crypto';
+
+import type * as clock from '@limpettack/clock';
+import * as lifetime from '@limpettack/lifetime';
+
+import * as cacheEventFeed from './CacheEventFeed.js';
+import * as seededRandom from './createSeededRandom.js';
+import * as engineBatch from './EngineBatch.js';
+import * as engineCall from './EngineCall.js';
+import * as engineOrders from './EngineOrders.js';
+import * as fencingGuard from './FencingGuard.js';
+import * as messages from './httpMessages.js';
+import * as loadHistory from './LoadHistory.js';
+import * as outcomes from './Outcomes.js';
+import * as prefixCache from './PrefixCache.js';
+import * as schemas from './schemas.js';
+import * as targetHost from './TargetHost.js';
+import type { EngineSettings, Outcome } from './Types.js';
+import * as untilAborted from './untilAborted.js';
+import * as streams from './writeStream.js';
+
+const { OUTCOMES } = outcomes;
+
+const CHAT_PATH = '/v1/chat/completions';
+const CALL_PATH = /^\/v1\/calls\/([^/]+)$/;
+const STREAM_PATH = /^\/v1\/calls\/([^/]+)\/stream$/;
+const SESSION_PATH = /^\/v1\/sessions\/([^/]+)$/;
+
+const FENCED_BODY = { error: { type: 'fenced' } };
+const INVALID_BODY = { error: { type: 'invalid' } };
+const NOT_FOUND_BODY = { error: { type: 'not-found' } };
+
+/** Settings that a caller may leave out. */
+export type EngineOptions = Partial<EngineSettings>;
+
+/** Stands in for a model engine. */
+export class EngineServer implements targetHost.TargetBehaviour, lifetime.Disposable {
+  /** The listeners, the journal and the faults. */
+  public readonly host: targetHost.TargetHost;
+
+  private readonly settings: EngineSettings;
+
+  private readonly cache: prefixCache.PrefixCache;
+
+  private readonly cacheEvents: cacheEventFeed.CacheEventFeed;
+
+  private readonly load: loadHistory.LoadHistory;
+
+  private readonly batch: engineBatch.EngineBatch;
+
+  private readonly orders: engineOrders.EngineOrders;
+
+  private readonly calls = new Map<string, engineCall.EngineCall>();
+
+  private readonly fencing: fencingGuard.FencingGuard;
+
+  private readonly disposal = new AbortController();
+
+  public constructor(
+    private readonly time: clock.Clock,
+    options: EngineOptions = {},
+    onCrash?: () => void,
+  ) {
+    const settings = schemas.ENGINE_SETTINGS.parse(options);
+    this.settings = settings;
+    this.host = new targetHost.TargetHost(time, settings, this, onCrash);
+    this.cacheEvents = new cacheEventFeed.CacheEventFeed(
+      time,
+      seededRandom.createSeededRandom(settings.seed),
+      settings.cacheEventDelayMs,
+      settings.cacheEventLoss,
+    );
+    this.cache = new prefixCache.PrefixCache(settings.cacheTokens, this.cacheEvents);
+    this.load = new loadHistory.LoadHistory(time, settings.loadLagMs);
+    this.batch = new engineBatch.EngineBatch(time, settings, this.cache, this.load);
+    this.orders = new engineOrders.EngineOrders(time, settings.model, settings.loadingMs);
+    this.fencing = new fencingGuard.FencingGuard(settings.checksFencing);
+  }
+
+  /** Where the engine listens, as `host:port`. */
+  public get address(): string {
+    return this.host.address;
+  }
+
+  /** The engine's URL. */
+  public get url(): string {
+    return `http://${this.address}`;
+  }
+
+  /** Starts to listen. */
+  public start(): Promise<void> {
+    return this.host.start();
+  }
+
+  /** @inheritdoc */
+  public async dispose(): Promise<void> {
+    this.disposal.abort();
+    this.calls.forEach((call) => call.cancel());
+    await this.host.dispose();
+  }
+
+  /** @inheritdoc */
+  public isCall(exchange: targetHost.TargetExchange): boolean {
+    return exchange.url.pathname === CHAT_PATH;
+  }
+
+  /** @inheritdoc */
+  public reset(): void {
+    this.calls.forEach((call) => call.cancel(OUTCOMES.CRASHED));
+    this.calls.clear();
+    this.cache.clear();
+  }
+
+  /** @inheritdoc */
+  public describe(path: string): unknown {
+    return path === '/admin/state' ? this.orders.state : undefined;
+  }
+
+  /** @inheritdoc */
+  public async handle(exchange: targetHost.TargetExchange): Promise<Outcome> {
+    const { url, request } = exchange;
+    const path = url.pathname;
+    if (path === CHAT_PATH) return this.handleChat(exchange);
+    const streamed = STREAM_PATH.exec(path)?.[1];
+    if (streamed !== undefined) return this.handleResume(exchange, decodeURIComponent(streamed));
+    if (path === '/v1/calls') return reply(exchange, 200, { calls: this.listCalls(exchange) });
+    if (path === '/v1/load') return reply(exchange, 200, this.describeLoad());
+    if (path === '/v1/cache/events') {
+      const after = Number(url.searchParams.get('after') ?? 0);
+      return reply(exchange, 200, this.cacheEvents.read(after));
+    }
+    if (path === '/v1/sessions') return reply(exchange, 200, { sessions: this.cache.list() });
+    if (path === '/v1/orders') return this.handleOrder(exchange);
+    if (path.startsWith('/v1/kv/')) return this.handleTransfer(exchange);
+    if (request.method === 'DELETE') return this.handleDelete(exchange);
+    return reply(exchange, 404, NOT_FOUND_BODY);
+  }
+
+  private async handleChat(exchange: targetHost.TargetExchange): Promise<Outcome> {
+    const body = messages.parseJson(schemas.CHAT_BODY, exchange.body);
+    if (body === undefined) return reply(exchange, 400, INVALID_BODY);
+    const { request } = exchange;
+    const scope = messages.headerOf(request, 'limpettack-fencing-scope');
+    const fencingNumber = numberOf(messages.headerOf(request, 'limpettack-fencing-number'));
+    if (!this.fencing.admit(scope, fencingNumber)) return reply(exchange, 409, FENCED_BODY);
+    const call = new engineCall.EngineCall(this.time, {
+      callId: messages.headerOf(request, 'limpettack-call') ?? crypto.randomUUID(),
+      program: messages.headerOf(request, 'limpettack-program'),
+      scope,
+      fencingNumber,
+      priority: numberOf(messages.headerOf(request, 'limpettack-priority')) ?? 0,
+      model: this.orders.state.model,
+      messages: body.messages,
+      maximumTokens: body.max_completion_tokens ?? body.max_tokens,
+      defaultTokens: this.settings.defaultTokens,
+      includesUsage: body.stream_options?.include_usage ?? false,
+    });
+    this.keep(call);
+    const run = this.batch.run(call);
+    if (body.stream) await this.stream(call, 0, exchange);
+    else await this.answerWhole(call, exchange);
+    await run;
+    this.forgetLater(call);
+    return call.outcome ?? OUTCOMES.CANCELLED;
+  }
+
+  /** A call that comes again under the same id takes the place of the earlier one. */
+  private keep(call: engineCall.EngineCall): void {
+    const { callId } = call.request;
+    this.calls.get(callId)?.cancel();
+    this.calls.set(callId, call);
+  }
+
+  private forgetLater(call: engineCall.EngineCall): void {
+    const { callId } = call.request;
+    this.time
+      .sleep(this.settings.resumeWindowMs, this.disposal.signal)
+      .then(() => {
+        if (this.calls.get(callId) === call) this.calls.delete(callId);
+      })
+      .catch(() => undefined);
+  }
+
+  private async stream(
+    call: engineCall.EngineCall,
+    after: number,
+    exchange: targetHost.TargetExchange,
+  ): Promise<void> {
+    call.attach();
+    await streams.writeStream(call, after, exchange, {
+      dropAfterChunks: () => this.host.faults.dropAfterChunks,
+      untilUnstalled: (signal) => this.untilUnstalled(signal),
+    });
+    call.detach(this.settings.resumeWindowMs);
+  }
+
+  private async untilUnstalled(signal: AbortSignal): Promise<void> {
+    while (this.host.faults.stallStreams && !signal.aborted) {
+      const changed = new AbortController();
+      const subscription = this.host.onFaultsChange(() => changed.abort());
+      await untilAborted.untilAborted(AbortSignal.any([changed.signal, signal]));
+      await subscription.dispose();
+    }
+  }
+
+  private async answerWhole(
+    call: engineCall.EngineCall,
+    exchange: targetHost.TargetExchange,
+  ): Promise<void> {
+    while (call.outcome === undefined) {
+      await call.nextProgress(exchange.closed);
+      // Nobody can fetch the rest of an answer that is not a stream.
+      if (exchange.closed.aborted) call.cancel();
+    }
+    if (call.outcome === OUTCOMES.FINISHED) {
+      messages.sendJson(exchange.response, 200, call.completion);
+    } else {
+      exchange.response.socket?.destroy();
+    }
+  }
+
+  private async handleResume(
+    exchange: targetHost.TargetExchange,
+    callId: string,
+  ): Promise<Outcome> {
+    const call = this.calls.get(callId);
+    const after = Number(exchange.url.searchParams.get('after') ?? 0);
+    if (call === undefined || Number.isNaN(after)) return reply(exchange, 404, NOT_FOUND_BODY);
+    await this.stream(call, after, exchange);
+    return exchange.closed.aborted ? OUTCOMES.DROPPED : OUTCOMES.FINISHED;
+  }
+
+  private listCalls(exchange: targetHost.TargetExchange): readonly unknown[] {
+    const scope = exchange.url.searchParams.get('scope');
+    return [...this.calls.values()]
+      .filter((call) => call.outcome === undefined)
+      .filter((call) => scope === null || call.request.scope === scope)
+      .map(({ request }) => ({
+        callId: request.callId,
+        program: request.program,
+        scope: request.scope,
+        fencingNumber: request.fencingNumber,
+      }));
+  }
+
+  private describeLoad(): unknown {
+    const status = this.host.faults.leaving ? engineOrders.STATUSES.LEAVING : this.orders.status;
+    const { slots, loadLagMs } = this.settings;
+    return { ...this.load.shown(), slots, status, ageMs: loadLagMs };
+  }
+
+  private handleOrder(exchange: targetHost.TargetExchange): Outcome {
+    const order = messages.parseJson(schemas.ORDER_BODY, exchange.body);
+    if (order === undefined) return reply(exchange, 400, INVALID_BODY);
+    const isAdmitted = this.fencing.admit(order.scope, order.fencingNumber);
+    if (!isAdmitted) return reply(exchange, 409, FENCED_BODY);
+    this.orders.take(order);
+    return reply(exchange, 204);
+  }
+
+  private async handleTransfer(exchange: targetHost.TargetExchange): Promise<Outcome> {
+    if (exchange.url.pathname === '/v1/kv/export') {
+      const body = messages.parseJson(schemas.EXPORT_BODY, exchange.body);
+      const exported = body && this.cache.export(body.program);
+      if (exported === undefined) return reply(exchange, 404, NOT_FOUND_BODY);
+      await this.time.sleep(exported.tokens * this.settings.transferMsPerToken);
+      return reply(exchange, 200, exported);
+    }
+    const body = messages.parseJson(schemas.IMPORT_BODY, exchange.body);
+    if (body === undefined) return reply(exchange, 400, INVALID_BODY);
+    await this.time.sleep(body.tokens * this.settings.transferMsPerToken);
+    this.cache.import(body.program, body.blob);
+    return reply(exchange, 204);
+  }
+
+  private handleDelete(exchange: targetHost.TargetExchange): Outcome {
+    const callId = CALL_PATH.exec(exchange.url.pathname)?.[1];
+    const program = SESSION_PATH.exec(exchange.url.pathname)?.[1];
+    if (callId !== undefined) this.calls.get(decodeURIComponent(callId))?.cancel();
+    else if (program !== undefined) this.cache.release(decodeURIComponent(program));
+    else return reply(exchange, 404, NOT_FOUND_BODY);
+    return reply(exchange, 204);
+  }
+}
+
+function reply(exchange: targetHost.TargetExchange, status: number, body?: unknown): Outcome {
+  messages.sendJson(exchange.response, status, body);
+  return status < 400 ? OUTCOMES.FINISHED : OUTCOMES.REFUSED;
+}
+
+function numberOf(text: string | undefined): number | undefined {
+  const value = text === undefined ? Number.NaN : Number(text);
+  return Number.isNaN(value) ? undefined : value;
+}
--- a/packages/stand-ins/src/PlatformServer.ts
+++ b/packages/stand-ins/src/PlatformServer.ts
@@ -6,6 +6,7 @@
 import * as seededRandom from './createSeededRandom.js';
 import * as httpListener from './HttpListener.js';
 import * as messages from './httpMessages.js';
+import type { StreamCounts } from './LogStream.js';
 import * as laggingVmList from './LaggingVmList.js';
 import * as noFaults from './noFaults.js';
 import * as rateLimiter from './RateLimiter.js';
@@ -91,7 +92,7 @@
   }
 
   /** Appends and bytes of each stream. */
-  public counts(): Readonly<Record<string, streamLog.StreamCounts>> {
+  public counts(): Readonly<Record<string, StreamCounts>> {
     return this.log.counts();
   }
 
--- /dev/null
+++ b/packages/stand-ins/src/ServiceServer.ts
@@ -0,0 +1,161 @@
+import type * as clock from '@limpettack/clock';
+import type * as lifetime from '@limpettack/lifetime';
+
+import * as engineOrders from './EngineOrders.js';
+import * as fencingGuard from './FencingGuard.js';
+import * as messages from './httpMessages.js';
+import * as outcomes from './Outcomes.js';
+import * as schemas from './schemas.js';
+import * as targetHost from './TargetHost.js';
+import type { Outcome, ServiceSettings } from './Types.js';
+
+const { OUTCOMES } = outcomes;
+
+const OUTCOME_PATH = /^\/outcomes\/([^/]+)$/;
+const STATUS_PATH = '/limpettack/status';
+
+const FENCED_BODY = { error: { type: 'fenced' } };
+const NOT_FOUND_BODY = { error: { type: 'not-found' } };
+
+/** The answer of an execution. */
+export interface ExecutionAnswer {
+  /** Counts the executions of the service from 1. */
+  readonly executionNumber: number;
+  readonly method: string;
+  readonly path: string;
+  /** The request's body as it came. */
+  readonly body: string;
+}
+
+/** Stands in for a plain service. Each call that arrives is executed, also a repeated one. */
+export class ServiceServer implements targetHost.TargetBehaviour, lifetime.Disposable {
+  /** The listeners, the journal and the faults. */
+  public readonly host: targetHost.TargetHost;
+
+  private readonly settings: ServiceSettings;
+
+  private readonly fencing: fencingGuard.FencingGuard;
+
+  private readonly executionsByKey = new Map<string, number>();
+
+  private readonly answersByKey = new Map<string, ExecutionAnswer>();
+
+  private executionCount = 0;
+
+  public constructor(
+    private readonly time: clock.Clock,
+    options: Partial<ServiceSettings> = {},
+    onCrash?: () => void,
+  ) {
+    this.settings = schemas.SERVICE_SETTINGS.parse(options);
+    this.host = new targetHost.TargetHost(time, this.settings, this, onCrash);
+    this.fencing = new fencingGuard.FencingGuard(this.settings.checksFencing);
+  }
+
+  /** Where the service listens, as `host:port`. */
+  public get address(): string {
+    return this.host.address;
+  }
+
+  /** The service's URL. */
+  public get url(): string {
+    return `http://${this.address}`;
+  }
+
+  /** How often calls with each idempotency key were executed. */
+  public get executions(): ReadonlyMap<string, number> {
+    return this.executionsByKey;
+  }
+
+  /** Starts to listen. */
+  public start(): Promise<void> {
+    return this.host.start();
+  }
+
+  /** @inheritdoc */
+  public dispose(): Promise<void> {
+    return this.host.dispose();
+  }
+
+  /** @inheritdoc */
+  public isCall(exchange: targetHost.TargetExchange): boolean {
+    const path = exchange.url.pathname;
+    return path !== STATUS_PATH && !OUTCOME_PATH.test(path);
+  }
+
+  /** What was executed stays executed, since a service keeps it elsewhere. */
+  public reset(): void {
+    // Nothing of a plain service is lost by a crash.
+  }
+
+  /** @inheritdoc */
+  public describe(path: string): unknown {
+    if (path !== '/admin/executions') return undefined;
+    return { total: this.executionCount, byKey: Object.fromEntries(this.executionsByKey) };
+  }
+
+  /** @inheritdoc */
+  public async handle(exchange: targetHost.TargetExchange): Promise<Outcome> {
+    const path = exchange.url.pathname;
+    if (path === STATUS_PATH) return reply(exchange, 200, { status: this.status() });
+    const key = OUTCOME_PATH.exec(path)?.[1];
+    if (key !== undefined) return this.handleOutcome(exchange, decodeURIComponent(key));
+    return this.handleExecution(exchange);
+  }
+
+  private status(): string {
+    const { LEAVING, READY } = engineOrders.STATUSES;
+    return this.host.faults.leaving ? LEAVING : READY;
+  }
+
+  private handleOutcome(exchange: targetHost.TargetExchange, key: string): Outcome {
+    const answer = this.answersByKey.get(key);
+    return answer === undefined
+      ? reply(exchange, 404, NOT_FOUND_BODY)
+      : reply(exchange, 200, answer);
+  }
+
+  private async handleExecution(exchange: targetHost.TargetExchange): Promise<Outcome> {
+    const { request, response, body } = exchange;
+    const scope = messages.headerOf(request, 'limpettack-fencing-scope');
+    const fencingNumber = messages.headerOf(request, 'limpettack-fencing-number');
+    const isAdmitted = this.fencing.admit(
+      scope,
+      fencingNumber === undefined ? undefined : Number(fencingNumber),
+    );
+    if (!isAdmitted) return reply(exchange, 409, FENCED_BODY);
+    const key = messages.headerOf(request, 'idempotency-key');
+    this.countExecution(key);
+    const answer = {
+      executionNumber: this.executionCount,
+      method: request.method ?? '',
+      path: request.url ?? '',
+      body,
+    };
+    await this.time.sleep(this.settings.serviceTimeMs);
+    if (key !== undefined) this.answersByKey.set(key, answer);
+    if (await this.losesAnswer()) {
+      response.socket?.resetAndDestroy();
+      return OUTCOMES.DROPPED;
+    }
+    return reply(exchange, 200, answer);
+  }
+
+  private countExecution(key: string | undefined): void {
+    this.executionCount += 1;
+    if (key === undefined) return;
+    this.executionsByKey.set(key, (this.executionsByKey.get(key) ?? 0) + 1);
+  }
+
+  private async losesAnswer(): Promise<boolean> {
+    const { loseAnswers } = this.host.faults;
+    if (loseAnswers === 0) return false;
+    await this.host.setFaults({ loseAnswers: loseAnswers - 1 });
+    return true;
+  }
+}
+
+function reply(exchange: targetHost.TargetExchange, status: number, body?: unknown): Outcome {
+  messages.sendJson(exchange.response, status, body);
+  return status < 400 ? OUTCOMES.FINISHED : OUTCOMES.REFUSED;
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,4 +3,7 @@
 export * from './Outcomes.js';
 export * from './schemas.js';
 export * from './noFaults.js';
+export * from './generateText.js';
 export * from './PlatformServer.js';
+export * from './EngineServer.js';
+export * from './ServiceServer.js';
--- a/packages/stand-ins/src/schemas.ts
+++ b/packages/stand-ins/src/schemas.ts
@@ -138,3 +138,39 @@
 
 /** A change of some faults of a target. */
 export const TARGET_FAULT_CHANGES = TARGET_FAULTS.partial();
+
+/** Query of the journal. */
+export const JOURNAL_QUERY = zod.object({
+  after: zod.coerce.number().int().min(0).default(0),
+  pathPrefix: zod.string().default(''),
+});
+
+/** The body of a model call. */
+export const CHAT_BODY = zod.looseObject({
+  messages: zod.array(zod.looseObject({ role: zod.string(), content: zod.unknown() })).min(1),
+  stream: zod.boolean().default(false),
+  stream_options: zod.looseObject({ include_usage: zod.boolean().default(false) }).optional(),
+  max_tokens: zod.int().min(1).optional(),
+  max_completion_tokens: zod.int().min(1).optional(),
+});
+
+/** The body of a KV export. */
+export const EXPORT_BODY = zod.object({ program: zod.string().min(1) });
+
+/** The body of a KV import. */
+export const IMPORT_BODY = zod.object({
+  program: zod.string().min(1),
+  blob: zod.string(),
+  tokens: zod.int().min(0),
+});
+
+/** The body of an order. */
+export const ORDER_BODY = zod.object({
+  order: zod.string().min(1),
+  model: zod.string().optional(),
+  adapter: zod.string().optional(),
+  version: zod.string().optional(),
+  role: zod.string().optional(),
+  scope: zod.string().optional(),
+  fencingNumber: zod.number().optional(),
+});
