--- a/packages/test-kit/src/index.ts
+++ b/packages/test-kit/src/index.ts
@@ -2,4 +2,6 @@
 export * from './Types.js';
 export * from './Directions.js';
 export * from './FaultProxy.js';
+export * from './RunningProcess.js';
+export * from './startProcess.js';
 export * from './waitFor.js';
