--- a/packages/platform-client/src/JsonExchange.ts
+++ b/packages/platform-client/src/JsonExchange.ts
@@ -16,6 +16,9 @@
 export class JsonExchange implements lifetime.Disposable {
   private pool: undici.Pool;
 
+  /** Pools that have been replaced and still finish requests. */
+  private readonly retiredPools = new Set<undici.Pool>();
+
   public constructor(
     private readonly time: clock.Clock,
     private readonly baseUrl: string,
@@ -49,7 +52,8 @@
 
   /** @inheritdoc */
   public async dispose(): Promise<void> {
-    await this.pool.destroy();
+    const pools = [this.pool, ...this.retiredPools];
+    await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
   private openPool(): undici.Pool {
@@ -66,6 +70,10 @@
   private replace(pool: undici.Pool): void {
     if (this.pool !== pool || pool.destroyed || pool.closed) return;
     this.pool = this.openPool();
-    pool.close().catch(() => undefined);
+    this.retiredPools.add(pool);
+    pool
+      .close()
+      .catch(() => undefined)
+      .finally(() => this.retiredPools.delete(pool));
   }
 }
--- a/packages/test-kit/src/index.ts
+++ b/packages/test-kit/src/index.ts
@@ -4,4 +4,6 @@
 export * from './FaultProxy.js';
 export * from './RunningProcess.js';
 export * from './startProcess.js';
+export * from './PlatformProcess.js';
+export * from './TargetProcess.js';
 export * from './waitFor.js';
--- a/packages/test-kit/src/startProcess.test.ts
+++ b/packages/test-kit/src/startProcess.test.ts
@@ -1,44 +1,47 @@
 import * as jestGlobals from '@jest/globals';
+import * as clock from '@limpettack/clock';
 import * as undici from 'undici';
 
+import * as platformProcess from './PlatformProcess.js';
 import * as startProcess from './startProcess.js';
+import * as targetProcess from './TargetProcess.js';
 
 const { describe, expect, test } = jestGlobals;
 
+const TIME = new clock.SystemClock();
+const PAUSE_MS = 100;
+
 describe('startProcess', () => {
   test('starts a target, pauses and resumes it, and sees it crash', async () => {
-    const target = await startProcess.startProcess({
-      packageName: 'stand-ins',
-      main: 'targetMain.js',
-      arguments: ['engine', '--decode-ms-per-token', '0', '--checks-fencing'],
+    const target = await targetProcess.startTarget('engine', {
+      'decode-ms-per-token': 0,
+      'checks-fencing': true,
     });
     try {
-      target.pause();
-      const answer = undici.request(`${target.url}/v1/load`);
-      const early = await Promise.race([answer, Promise.resolve('nothing')]);
+      target.process.pause();
+      const answer = undici.request(`http://${target.address}/v1/load`);
+      const early = await Promise.race([answer, TIME.sleep(PAUSE_MS).then(() => 'nothing')]);
       expect(early).toBe('nothing');
-      target.resume();
+      target.process.resume();
       expect((await answer).statusCode).toBe(200);
-      await undici.request(`http://${target.field('admin')}/admin/faults`, {
+      await target.setFaults({ crashOnText: 'poison' });
+      const body = JSON.stringify({ messages: [{ role: 'user', content: 'poison' }] });
+      const call = undici.request(`http://${target.address}/v1/chat/completions`, {
         method: 'POST',
-        body: JSON.stringify({ crashOnText: 'poison' }),
+        body,
       });
-      const body = JSON.stringify({ messages: [{ role: 'user', content: 'poison' }] });
-      const call = undici.request(`${target.url}/v1/chat/completions`, { method: 'POST', body });
       await expect(call).rejects.toThrow();
-      expect(await target.exited).toEqual({ code: 70, signal: null });
+      expect(await target.process.exited).toEqual({ code: 70, signal: null });
     } finally {
       await target.dispose();
     }
   });
 
   test('ends on SIGTERM and tells a wrong command line from a listening process', async () => {
-    const platform = await startProcess.startProcess({
-      packageName: 'stand-ins',
-      main: 'platformMain.js',
-    });
-    platform.kill('SIGTERM');
-    expect(await platform.exited).toEqual({ code: 0, signal: null });
+    const platform = await platformProcess.startPlatform({ 'appends-per-second': 100 });
+    expect(await platform.counts()).toEqual({});
+    platform.process.kill('SIGTERM');
+    expect(await platform.process.exited).toEqual({ code: 0, signal: null });
     const wrong = startProcess.startProcess({
       packageName: 'stand-ins',
       main: 'platformMain.js',
--- a/packages/test-kit/src/startProcess.ts
+++ b/packages/test-kit/src/startProcess.ts
@@ -60,3 +60,14 @@
   delete environment.JEST_WORKER_ID;
   return environment;
 }
+
+/** Options of a command line, without the leading dashes; a true value is a flag. */
+export type CommandLineOptions = Readonly<Record<string, string | number | boolean>>;
+
+/** Writes options as arguments. */
+export function commandLine(options: CommandLineOptions): readonly string[] {
+  return Object.entries(options).flatMap(([name, value]) => {
+    if (value === false) return [];
+    return value === true ? [`--${name}`] : [`--${name}`, String(value)];
+  });
+}
