Add the clients of targets and the scheduler, first version

The home needs to run calls on targets and to queue them. Each call has a connection of its own, so that 'not sent' can be told exactly and no idle connection that went silent is met; the pool of connections of undici was ruled out for that.

--- a/packages/scheduling/src/Types.ts
+++ b/packages/scheduling/src/Types.ts
@@ -44,6 +44,8 @@
   readonly prefillMsPerToken: number;
   /** Smoothed time to generate one token, in milliseconds. */
   readonly decodeMsPerToken: number;
+  /** Smoothed time of a call that its tokens do not account for, such as that of a service. */
+  readonly callMs?: clock.Milliseconds;
 }
 
 /** Service that workspaces have had lately over the whole fleet, decayed, in slot seconds. */
@@ -58,11 +60,12 @@
   now: clock.Milliseconds,
 ) => WaitingCall | undefined;
 
-/** Picks a target for a call; nothing when the call should wait. Passed in. */
+/** Picks a target with room for a call; nothing when the call should wait. Passed in. */
 export type TargetChoice = (
   call: WaitingCall,
   candidates: readonly TargetCandidate[],
   ownFailureDomain: string,
+  now: clock.Milliseconds,
 ) => TargetCandidate | undefined;
 
 /** Decides before queueing whether a call is refused: `overloaded` or `deadline-unreachable`. */
--- /dev/null
+++ b/packages/scheduling/src/orders.ts
@@ -0,0 +1,53 @@
+import type * as clock from '@limpettack/clock';
+import type { QueueOrder, WaitingCall, WorkspaceUsage } from './Types.js';
+
+/** Attained seconds that one second of waiting makes up for. */
+const AGEING_PER_SECOND = 0.5;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** First come, first served over all workspaces. */
+export const firstComeFirstServed: QueueOrder = (waiting) =>
+  least(waiting, (call) => call.waitingSince);
+
+/** The workspace with the least attained service first; in it the program with the least. */
+export const fairOrder: QueueOrder = (waiting, usage, now) =>
+  leastAttained(ofLeastServedWorkspace(waiting, usage), now);
+
+/** The program with the least attained service first, whatever its workspace. */
+export const leastAttainedOrder: QueueOrder = (waiting, _usage, now) => leastAttained(waiting, now);
+
+/** The workspace with the least attained service first; in it first come, first served. */
+export const fairFirstComeOrder: QueueOrder = (waiting, usage) =>
+  least(ofLeastServedWorkspace(waiting, usage), (call) => call.waitingSince);
+
+function ofLeastServedWorkspace(
+  waiting: readonly WaitingCall[],
+  usage: WorkspaceUsage,
+): readonly WaitingCall[] {
+  const workspaces = [...new Set(waiting.map((call) => call.workspace))];
+  const first = least(workspaces, (workspace) => usage.attainedSeconds(workspace));
+  return waiting.filter((call) => call.workspace === first);
+}
+
+function leastAttained(
+  waiting: readonly WaitingCall[],
+  now: clock.Milliseconds,
+): WaitingCall | undefined {
+  return least(waiting, (call) => {
+    const waitedSeconds = (now - call.waitingSince) / MILLISECONDS_PER_SECOND;
+    return call.attainedSeconds - waitedSeconds * AGEING_PER_SECOND;
+  });
+}
+
+function least<Item>(items: readonly Item[], score: (item: Item) => number): Item | undefined {
+  let best: Item | undefined;
+  let bestScore = Infinity;
+  items.forEach((item) => {
+    const itemScore = score(item);
+    if (best !== undefined && itemScore >= bestScore) return;
+    best = item;
+    bestScore = itemScore;
+  });
+  return best;
+}
--- /dev/null
+++ b/packages/targets/src/EventStream.ts
@@ -0,0 +1,136 @@
+import type * as clock from '@limpettack/clock';
+import * as eventParsers from './ServerSentEventParser.js';
+import * as connections from './TargetConnection.js';
+import * as limits from './within.js';
+
+/** How a step of a stream went. */
+export const STREAM_STEPS = {
+  /** The head of the answer came. */
+  ANSWERED: 'answered',
+  EVENT: 'event',
+  /** Nothing came within the time limit. */
+  STALLED: 'stalled',
+  /** The connection failed or ended. */
+  BROKEN: 'broken',
+  CANCELLED: 'cancelled',
+} as const;
+
+const { ANSWERED, BROKEN, CANCELLED, EVENT, STALLED } = STREAM_STEPS;
+
+/** The largest event, in characters. */
+const MAXIMUM_EVENT_LENGTH = 8 * 1_024 * 1_024;
+
+/** The largest body of an error answer that is read, in bytes. */
+const MAXIMUM_ERROR_BYTES = 64 * 1_024;
+
+/** A step that brought nothing. */
+export interface LostStep {
+  readonly kind: typeof STALLED | typeof BROKEN | typeof CANCELLED;
+}
+
+/** The head of an answer. */
+export interface AnsweredStep {
+  readonly kind: typeof ANSWERED;
+  readonly status: number;
+}
+
+/** One event. */
+export interface EventStep {
+  readonly kind: typeof EVENT;
+  readonly event: eventParsers.ServerSentEvent;
+}
+
+/** A request on a connection of its own whose answer is a stream of server-sent events. */
+export class EventStream {
+  private readonly connection: connections.TargetConnection;
+
+  private readonly parser = new eventParsers.ServerSentEventParser();
+
+  private readonly decoder = new TextDecoder();
+
+  private readonly ready: eventParsers.ServerSentEvent[] = [];
+
+  private pieces: AsyncIterator<Buffer> | undefined;
+
+  private readonly cancelled: Promise<LostStep>;
+
+  public constructor(
+    url: string,
+    connectMs: clock.Milliseconds,
+    private readonly time: clock.Clock,
+    signal: AbortSignal,
+  ) {
+    this.connection = new connections.TargetConnection(url, connectMs);
+    this.cancelled = new Promise((resolve) => {
+      const cancel = (): void => resolve({ kind: CANCELLED });
+      if (signal.aborted) cancel();
+      signal.addEventListener('abort', cancel, { once: true });
+    });
+  }
+
+  /** False as long as no byte of the request can have been written. */
+  public get mayHaveSent(): boolean {
+    return this.connection.mayHaveSent;
+  }
+
+  /** Sends the request and waits for the head of the answer. */
+  public open(
+    request: connections.TargetRequest,
+    limitMs: clock.Milliseconds,
+  ): Promise<AnsweredStep | LostStep> {
+    return this.race(limitMs, this.receiveHead(request));
+  }
+
+  /** Waits for the next event. */
+  public next(limitMs: clock.Milliseconds): Promise<EventStep | LostStep> {
+    return this.race(limitMs, this.receiveEvent());
+  }
+
+  /** The text of an error answer, shortened; empty when it does not come in time. */
+  public async errorText(limitMs: clock.Milliseconds): Promise<string> {
+    const text = this.readErrorText().catch(() => '');
+    const answer = await limits.within(this.time, limitMs, text);
+    return answer === limits.LIMIT_PASSED ? '' : answer;
+  }
+
+  /** Closes the connection. */
+  public close(): void {
+    this.connection.close();
+  }
+
+  private async race<Step>(
+    limitMs: clock.Milliseconds,
+    work: Promise<Step>,
+  ): Promise<Step | LostStep> {
+    const broken: LostStep = { kind: BROKEN };
+    const settled = work.catch(() => broken);
+    const step = await limits.within(this.time, limitMs, Promise.race([this.cancelled, settled]));
+    return step === limits.LIMIT_PASSED ? { kind: STALLED } : step;
+  }
+
+  private async receiveHead(request: connections.TargetRequest): Promise<AnsweredStep> {
+    const response = await this.connection.send(request);
+    this.pieces = (response.body as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
+    return { kind: ANSWERED, status: response.statusCode };
+  }
+
+  private async receiveEvent(): Promise<EventStep | LostStep> {
+    for (;;) {
+      const event = this.ready.shift();
+      if (event) return { kind: EVENT, event };
+      const piece = await this.pieces?.next();
+      if (!piece || piece.done) return { kind: BROKEN };
+      this.ready.push(...this.parser.push(this.decoder.decode(piece.value, { stream: true })));
+      if (this.parser.heldLength > MAXIMUM_EVENT_LENGTH) return { kind: BROKEN };
+    }
+  }
+
+  private async readErrorText(): Promise<string> {
+    let text = '';
+    for (;;) {
+      const piece = await this.pieces?.next();
+      if (!piece || piece.done || text.length > MAXIMUM_ERROR_BYTES) return text;
+      text += this.decoder.decode(piece.value, { stream: true });
+    }
+  }
+}
--- /dev/null
+++ b/packages/targets/src/HttpTargetClient.ts
@@ -0,0 +1,287 @@
+import type * as clock from '@limpettack/clock';
+import type * as configuration from '@limpettack/configuration';
+import * as lifetime from '@limpettack/lifetime';
+import type * as logging from '@limpettack/logging';
+import * as trueMyth from 'true-myth';
+import * as zod from 'zod';
+import type {
+  EngineHolding,
+  ModelCall,
+  ModelChunk,
+  RunningCall,
+  ServiceAnswer,
+  ServiceCall,
+  TargetClient,
+  TargetReader,
+  TargetResult,
+} from './Types.js';
+import * as chunks from './chunks.js';
+import * as exchanges from './exchange.js';
+import * as failures from './failures.js';
+import * as headers from './headers.js';
+import * as modelRuns from './ModelRun.js';
+import * as probes from './probe.js';
+import type * as connections from './TargetConnection.js';
+import * as targetFailures from './TargetFailures.js';
+import type { TargetLookup } from './TargetLookup.js';
+
+const { BROKEN, DIED, FENCED, NOT_SENT } = targetFailures.TARGET_FAILURES;
+
+const NOT_FOUND_STATUS = 404;
+const CONFLICT_STATUS = 409;
+const FIRST_ERROR_STATUS = 400;
+
+/** Time for a request that only asks or orders something. */
+const CONTROL_MS = 2_000;
+
+/** Attempts to cancel a call that was given up on, and the time between them. */
+const CANCEL_ATTEMPTS = 3;
+const CANCEL_INTERVAL_MS = 1_000;
+
+const RUNNING = zod.object({
+  calls: zod.array(
+    zod.object({
+      callId: zod.string(),
+      program: zod.string().nullish(),
+      scope: zod.string().nullish(),
+      fencingNumber: zod.number().nullish(),
+    }),
+  ),
+});
+
+const SESSIONS = zod.object({
+  sessions: zod.array(zod.object({ program: zod.string(), tokens: zod.number() })),
+});
+
+/** What the client needs. */
+export interface HttpTargetClientOptions {
+  readonly lookup: TargetLookup;
+  /** Credentials of the settings, by name. */
+  readonly credentials: ReadonlyMap<string, string>;
+  readonly clock: clock.Clock;
+  readonly logger: logging.Logger;
+  /** Asked just before each call is sent; a target that may not take work fails as not sent. */
+  readonly mayTakeWork?: (target: string) => boolean;
+}
+
+interface Place {
+  readonly target: configuration.Target;
+  readonly pool: configuration.Pool;
+}
+
+/** Speaks to targets over HTTP/1.1, with a connection of its own for each call. */
+export class HttpTargetClient implements TargetClient, TargetReader {
+  private readonly owned = new lifetime.DisposableStore();
+
+  private readonly stop = new AbortController();
+
+  public constructor(private readonly options: HttpTargetClientOptions) {
+    this.owned.addCallback(() => this.stop.abort());
+  }
+
+  /** @inheritdoc */
+  public async *runModel(
+    call: ModelCall,
+    signal: AbortSignal,
+  ): AsyncGenerator<TargetResult<ModelChunk>> {
+    const isNew = call.resumeAfter === undefined;
+    const place = this.find(call.target, call.pool);
+    if (!place || (isNew && !this.mayTakeWork(call.target))) {
+      yield failures.failed(NOT_SENT, 'The target takes no work.');
+      return;
+    }
+    const run = new modelRuns.ModelRun(call, {
+      url: place.target.url,
+      pool: place.pool,
+      credentials: this.options.credentials,
+      clock: this.options.clock,
+    });
+    const cancelOnce = once(() => this.cancelUntilDone(call.target, call.callId));
+    const onAbort = (): void => {
+      if (run.mayBeRunning) cancelOnce();
+    };
+    signal.addEventListener('abort', onAbort, { once: true });
+    try {
+      yield* run.run(AbortSignal.any([signal, this.stop.signal]));
+    } finally {
+      signal.removeEventListener('abort', onAbort);
+      if (run.mayBeRunning) cancelOnce();
+    }
+  }
+
+  /** @inheritdoc */
+  public async callService(
+    call: ServiceCall,
+    signal: AbortSignal,
+  ): Promise<TargetResult<ServiceAnswer>> {
+    const place = this.find(call.target, call.pool);
+    if (!place || !this.mayTakeWork(call.target)) {
+      return failures.failed(NOT_SENT, 'The target takes no work.');
+    }
+    const request = {
+      method: call.method,
+      path: call.path,
+      headers: { ...headers.serviceHeaders(call), ...this.credential(place.pool) },
+      body: call.body,
+    };
+    const answer = await exchanges.exchange(request, {
+      url: place.target.url,
+      clock: this.options.clock,
+      connectMs: place.pool.timeLimits.connectMs,
+      totalMs: place.pool.timeLimits.totalMs,
+      signal: AbortSignal.any([signal, this.stop.signal]),
+    });
+    if (answer.isErr && answer.error.kind === BROKEN) return this.diedOrBroken(place);
+    if (answer.isOk && isFenced(answer.value)) {
+      return failures.failed(FENCED, 'The target refused the fencing number.');
+    }
+    return answer;
+  }
+
+  /** @inheritdoc */
+  public async queryOutcome(
+    pool: string,
+    target: string,
+    idempotencyKey: string,
+  ): Promise<TargetResult<ServiceAnswer | undefined>> {
+    const query = this.options.lookup.pool(pool)?.outcomeQuery;
+    if (!query) return failures.invalid('The pool names no outcome query.');
+    const path = query.replaceAll('{key}', encodeURIComponent(idempotencyKey));
+    const answer = await this.ask(target, 'GET', path);
+    if (answer.isOk && answer.value.status === NOT_FOUND_STATUS) {
+      return trueMyth.Result.ok(undefined);
+    }
+    return answer.andThen(refuseErrorStatus);
+  }
+
+  /** @inheritdoc */
+  public cancel(target: string, callId: string): Promise<TargetResult<void>> {
+    return this.order(target, `/v1/calls/${encodeURIComponent(callId)}`);
+  }
+
+  /** @inheritdoc */
+  public async running(
+    target: string,
+    scope: string,
+  ): Promise<TargetResult<readonly RunningCall[]>> {
+    const path = `/v1/calls?scope=${encodeURIComponent(scope)}`;
+    const answer = await this.read(target, path, RUNNING);
+    return answer.map(({ calls }) =>
+      calls.map((call) => ({
+        callId: call.callId,
+        program: call.program ?? '',
+        fencing: { scope: call.scope ?? scope, number: call.fencingNumber ?? 0 },
+      })),
+    );
+  }
+
+  /** @inheritdoc */
+  public release(target: string, program: string): Promise<TargetResult<void>> {
+    return this.order(target, `/v1/sessions/${encodeURIComponent(program)}`);
+  }
+
+  /** @inheritdoc */
+  public async holdings(target: string): Promise<TargetResult<readonly EngineHolding[]>> {
+    const answer = await this.read(target, '/v1/sessions', SESSIONS);
+    return answer.map(({ sessions }) => sessions);
+  }
+
+  /** @inheritdoc */
+  public async read<Document>(
+    target: string,
+    path: string,
+    schema: zod.ZodType<Document>,
+    limitMs: clock.Milliseconds = CONTROL_MS,
+  ): Promise<TargetResult<Document>> {
+    const answer = (await this.ask(target, 'GET', path, limitMs)).andThen(refuseErrorStatus);
+    return answer.andThen((value): TargetResult<Document> => {
+      const text = Buffer.from(value.body).toString('utf8');
+      const document = schema.safeParse(chunks.parseJson(text));
+      if (!document.success) return failures.invalid('The answer is malformed.');
+      return trueMyth.Result.ok(document.data);
+    });
+  }
+
+  /** @inheritdoc */
+  public dispose(): Promise<void> {
+    return this.owned.dispose();
+  }
+
+  private async order(target: string, path: string): Promise<TargetResult<void>> {
+    const answer = (await this.ask(target, 'DELETE', path)).andThen(refuseErrorStatus);
+    return answer.map(() => undefined);
+  }
+
+  private async ask(
+    target: string,
+    method: string,
+    path: string,
+    totalMs: clock.Milliseconds = CONTROL_MS,
+  ): Promise<TargetResult<ServiceAnswer>> {
+    const found = this.options.lookup.target(target);
+    if (!found) return failures.failed(NOT_SENT, 'The target is not known.');
+    const pool = this.options.lookup.lastPoolOf(target);
+    const request: connections.TargetRequest = { method, path, headers: this.credential(pool) };
+    return exchanges.exchange(request, {
+      url: found.url,
+      clock: this.options.clock,
+      connectMs: pool?.timeLimits.connectMs ?? CONTROL_MS,
+      totalMs,
+      signal: this.stop.signal,
+    });
+  }
+
+  private async diedOrBroken(place: Place): Promise<TargetResult<ServiceAnswer>> {
+    const alive = await probes.isAlive(place.target, place.pool, this.options.clock);
+    return alive
+      ? failures.failed(BROKEN, 'The connection broke, but the target answers on a new one.')
+      : failures.failed(DIED, 'The connection broke and the target cannot be reached.');
+  }
+
+  /** Cancels a call that was given up on, so that the engine does not go on with it. */
+  private cancelUntilDone(target: string, callId: string): void {
+    const attempt = async (): Promise<void> => {
+      for (let count = 0; count < CANCEL_ATTEMPTS && !this.stop.signal.aborted; count += 1) {
+        const done = await this.cancel(target, callId);
+        if (done.isOk) return;
+        await this.options.clock.sleep(CANCEL_INTERVAL_MS, this.stop.signal);
+      }
+      this.options.logger.warn('A call could not be cancelled.', { target });
+    };
+    attempt().catch(() => undefined);
+  }
+
+  private find(targetName: string, poolName: string): Place | undefined {
+    const pool = this.options.lookup.pool(poolName);
+    const target = this.options.lookup.target(targetName);
+    return pool && target ? { pool, target } : undefined;
+  }
+
+  private mayTakeWork(target: string): boolean {
+    const isInPool = this.options.lookup.poolOf(target) !== undefined;
+    return isInPool && (this.options.mayTakeWork?.(target) ?? true);
+  }
+
+  private credential(pool: configuration.Pool | undefined): Record<string, string> {
+    return headers.credentialHeaders(pool, this.options.credentials);
+  }
+}
+
+function refuseErrorStatus(answer: ServiceAnswer): TargetResult<ServiceAnswer> {
+  if (answer.status >= FIRST_ERROR_STATUS) return failures.refused(answer.status);
+  return trueMyth.Result.ok(answer);
+}
+
+function isFenced(answer: ServiceAnswer): boolean {
+  if (answer.status !== CONFLICT_STATUS) return false;
+  return Buffer.from(answer.body).toString('utf8').includes('"fenced"');
+}
+
+function once(action: () => void): () => void {
+  let isDone = false;
+  return () => {
+    if (isDone) return;
+    isDone = true;
+    action();
+  };
+}
--- a/packages/targets/src/Types.ts
+++ b/packages/targets/src/Types.ts
@@ -3,6 +3,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as scheduling from '@limpettack/scheduling';
 import type * as trueMyth from 'true-myth';
+import type * as zod from 'zod';
 import type * as targetFailures from './TargetFailures.js';
 
 /** The name of a way in which a call of a target fails. */
@@ -125,6 +126,17 @@
   holdings(target: string): Promise<TargetResult<readonly EngineHolding[]>>;
 }
 
+/** Reads what targets tell of themselves. A failure never throws. */
+export interface TargetReader {
+  /** Asks a target for a JSON document and checks it, within a time limit. */
+  read<Document>(
+    target: string,
+    path: string,
+    schema: zod.ZodType<Document>,
+    limitMs?: clock.Milliseconds,
+  ): Promise<TargetResult<Document>>;
+}
+
 /** How a call on a target ended, for health and adaptive concurrency. */
 export interface CallReport {
   readonly target: string;
@@ -137,6 +149,8 @@
 /** The targets of the pools in force: health, load, cache hints. */
 export interface TargetDirectory extends scheduling.TargetView, lifetime.Disposable {
   find(target: string): configuration.Target | undefined;
+  /** Whether a target is in a pool, ready as of a moment ago and not ejected. */
+  mayTakeWork(target: string): boolean;
   /** All targets of a pool, healthy or not. */
   ofPool(pool: string): readonly configuration.Target[];
   /** Notes that a call starts; dispose of the result when it ends. */
--- /dev/null
+++ b/packages/targets/src/exchange.ts
@@ -0,0 +1,104 @@
+import type * as clock from '@limpettack/clock';
+import * as trueMyth from 'true-myth';
+import type * as undici from 'undici';
+import type { ServiceAnswer, TargetResult } from './Types.js';
+import * as failures from './failures.js';
+import * as headers from './headers.js';
+import * as connections from './TargetConnection.js';
+import * as targetFailures from './TargetFailures.js';
+import * as limits from './within.js';
+
+const { BROKEN, CANCELLED, NOT_SENT, TIMED_OUT } = targetFailures.TARGET_FAILURES;
+
+/** The largest answer that is taken, in bytes. */
+const MAXIMUM_ANSWER_BYTES = 64 * 1_024 * 1_024;
+
+/** Statuses whose answers have no body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** What an exchange needs. */
+export interface ExchangeOptions {
+  readonly url: string;
+  readonly clock: clock.Clock;
+  readonly connectMs: clock.Milliseconds;
+  /** Time for the whole exchange. */
+  readonly totalMs: clock.Milliseconds;
+  readonly signal?: AbortSignal;
+}
+
+/**
+ * Sends one request on a connection of its own and reads the whole answer, whatever its status.
+ * Fails with `not-sent`, `broken`, `timed-out`, `cancelled` or `invalid`.
+ */
+export async function exchange(
+  request: connections.TargetRequest,
+  options: ExchangeOptions,
+): Promise<TargetResult<ServiceAnswer>> {
+  if (options.signal?.aborted) return failures.failed(NOT_SENT, 'The caller gave up.');
+  const connection = new connections.TargetConnection(options.url, options.connectMs);
+  const cancelled = new Promise<undefined>((resolve) => {
+    options.signal?.addEventListener('abort', () => resolve(undefined), { once: true });
+  });
+  try {
+    const work = readAnswer(connection, request);
+    const answer = await limits.within(
+      options.clock,
+      options.totalMs,
+      Promise.race([work, cancelled]),
+    );
+    work.catch(() => undefined);
+    if (answer === limits.LIMIT_PASSED) return unfinished(connection, TIMED_OUT, 'Time is up.');
+    if (!answer) return unfinished(connection, CANCELLED, 'The caller gave up.');
+    return answer;
+  } catch (error) {
+    return unfinished(connection, BROKEN, String(error));
+  } finally {
+    connection.close();
+  }
+}
+
+async function readAnswer(
+  connection: connections.TargetConnection,
+  request: connections.TargetRequest,
+): Promise<TargetResult<ServiceAnswer>> {
+  const response = await connection.send(request);
+  if (!hasMarkedEnd(request, response)) {
+    return failures.invalid('The answer does not say where it ends, so it may be cut short.');
+  }
+  const body = await readBody(response.body);
+  if (!body) return failures.invalid('The answer is larger than the limit.');
+  return trueMyth.Result.ok({
+    status: response.statusCode,
+    headers: headers.answerHeaders(response.headers),
+    body,
+  });
+}
+
+async function readBody(body: AsyncIterable<Buffer>): Promise<Uint8Array | undefined> {
+  const pieces: Buffer[] = [];
+  let length = 0;
+  for await (const piece of body) {
+    pieces.push(piece);
+    length += piece.length;
+    if (length > MAXIMUM_ANSWER_BYTES) return undefined;
+  }
+  return Buffer.concat(pieces);
+}
+
+/** Tells whether a cut-off answer can be told from a whole one. */
+function hasMarkedEnd(
+  request: connections.TargetRequest,
+  response: undici.Dispatcher.ResponseData,
+): boolean {
+  if (request.method === 'HEAD' || BODILESS_STATUSES.has(response.statusCode)) return true;
+  const fields = response.headers;
+  return fields['content-length'] !== undefined || fields['transfer-encoding'] !== undefined;
+}
+
+function unfinished(
+  connection: connections.TargetConnection,
+  kind: typeof BROKEN | typeof CANCELLED | typeof TIMED_OUT,
+  message: string,
+): TargetResult<ServiceAnswer> {
+  return failures.failed(connection.mayHaveSent ? kind : NOT_SENT, message);
+}
--- /dev/null
+++ b/packages/targets/src/headers.ts
@@ -0,0 +1,87 @@
+import type * as configuration from '@limpettack/configuration';
+import type { FencingNumber, ModelCall, ServiceCall } from './Types.js';
+
+/** Fields that belong to one connection, or that this client sets itself. */
+const DROPPED_FIELDS: ReadonlySet<string> = new Set([
+  'connection',
+  'content-length',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Where a caller shows its key, which no target ever sees. */
+const KEY_FIELD = 'authorization';
+
+/** Fields that only this system sets. */
+const OWN_FIELD_PREFIX = 'limpettack-';
+
+/** The credential of a pool, for all its targets. */
+export function credentialHeaders(
+  pool: configuration.Pool | undefined,
+  credentials: ReadonlyMap<string, string>,
+): Record<string, string> {
+  const credential = pool?.credential ? credentials.get(pool.credential) : undefined;
+  return credential ? { authorization: `Bearer ${credential}` } : {};
+}
+
+/** The fields of a model call. */
+export function modelHeaders(call: ModelCall): Record<string, string> {
+  return {
+    'content-type': 'application/json',
+    accept: 'text/event-stream',
+    'limpettack-call': call.callId,
+    'limpettack-program': call.program,
+    'limpettack-priority': String(call.priority),
+    ...fencingHeaders(call.fencing),
+  };
+}
+
+/** The fields of a service call. */
+export function serviceHeaders(call: ServiceCall): Record<string, string> {
+  const key = call.idempotencyKey;
+  return {
+    ...withoutFields(call.headers, isKeptFromTargets),
+    'limpettack-call': call.callId,
+    ...(key === undefined ? {} : { 'idempotency-key': key }),
+    ...fencingHeaders(call.fencing),
+  };
+}
+
+/** The fields of an answer that go on to the caller. */
+export function answerHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> {
+  const joined = Object.entries(headers).flatMap(([name, value]) =>
+    value === undefined ? [] : [[name, Array.isArray(value) ? value.join(', ') : value] as const],
+  );
+  return withoutFields(Object.fromEntries(joined), (name) => DROPPED_FIELDS.has(name));
+}
+
+function isKeptFromTargets(name: string): boolean {
+  return DROPPED_FIELDS.has(name) || name === KEY_FIELD || name.startsWith(OWN_FIELD_PREFIX);
+}
+
+function withoutFields(
+  headers: Readonly<Record<string, string>>,
+  isDropped: (name: string) => boolean,
+): Record<string, string> {
+  const kept = Object.entries(headers)
+    .map(([name, value]) => [name.toLowerCase(), value] as const)
+    .filter(([name]) => !isDropped(name));
+  return Object.fromEntries(kept);
+}
+
+function fencingHeaders(fencing: FencingNumber): Record<string, string> {
+  return {
+    'limpettack-fencing-scope': fencing.scope,
+    'limpettack-fencing-number': String(fencing.number),
+  };
+}
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,3 +1,11 @@
 /** Clients of targets, their health, load and memory. */
 export * from './Types.js';
 export * from './TargetFailures.js';
+export * from './TargetLookup.js';
+export * from './cancelEarlier.js';
+export * from './ConfigurationLookup.js';
+export * from './CrashFingerprints.js';
+export * from './HttpTargetClient.js';
+export * from './MemoryReleaser.js';
+export * from './PoolTargetDirectory.js';
+export * from './RetryBudget.js';
--- /dev/null
+++ b/packages/targets/src/within.ts
@@ -0,0 +1,27 @@
+import type * as clock from '@limpettack/clock';
+
+/** What a race against a time limit returns when the limit came first. */
+export const LIMIT_PASSED = Symbol('limit passed');
+
+/**
+ * Waits for a promise for at most a span. A promise that settles later is ignored, also when it
+ * rejects. An infinite span sets no limit.
+ */
+export async function within<Value>(
+  time: clock.Clock,
+  spanMs: clock.Milliseconds,
+  promise: Promise<Value>,
+): Promise<Value | typeof LIMIT_PASSED> {
+  if (spanMs <= 0) {
+    promise.catch(() => undefined);
+    return LIMIT_PASSED;
+  }
+  const settled = new AbortController();
+  const limit = time.sleep(spanMs, settled.signal).then((): typeof LIMIT_PASSED => LIMIT_PASSED);
+  try {
+    return await Promise.race([promise, limit]);
+  } finally {
+    settled.abort();
+    promise.catch(() => undefined);
+  }
+}
