--- a/packages/scheduling/src/PoolScheduler.ts
+++ b/packages/scheduling/src/PoolScheduler.ts
@@ -45,10 +45,11 @@
 
 /** One queue a pool, ordered and matched to targets by a policy. */
 export class PoolScheduler implements Scheduler {
-  private readonly queues = new Map<string, Map<string, Entry>>();
+  /** Waiting calls by pool; the object of a call is its key, since a call id may come twice. */
+  private readonly queues = new Map<string, Map<WaitingCall, Entry>>();
 
-  /** Since when waiting calls have had no target at all, by call id. */
-  private readonly unavailableSince = new Map<string, clock.Milliseconds>();
+  /** Since when waiting calls have had no target at all. */
+  private readonly unavailableSince = new Map<WaitingCall, clock.Milliseconds>();
 
   private readonly ledger: usageLedger.UsageLedger;
 
@@ -116,7 +117,7 @@
         run: faults.RUN_STATES.NOT_RUN,
       });
     }
-    const waiting = [...this.queue(call.pool).values()].map((entry) => entry.call);
+    const waiting = [...this.queue(call.pool).keys()];
     return this.options.policy.refuse(call, waiting, this.candidates(call), now);
   }
 
@@ -127,13 +128,13 @@
       const settle = (result: SlotResult): void => {
         if (settled.signal.aborted) return;
         settled.abort();
-        queue.delete(call.callId);
-        this.unavailableSince.delete(call.callId);
+        queue.delete(call);
+        this.unavailableSince.delete(call);
         resolve(result);
       };
       const giveUp = (): void => settle(refusal('deadline-exceeded', 'The caller gave up.'));
       signal.addEventListener('abort', giveUp, { once: true, signal: settled.signal });
-      queue.set(call.callId, { call, settle });
+      queue.set(call, { call, settle });
       this.refuseAtDeadline(call, settle, settled.signal).catch(() => undefined);
       this.dispatch(call.pool);
     });
@@ -156,16 +157,15 @@
     }
   }
 
-  private refuseUnavailable(queue: ReadonlyMap<string, Entry>): void {
+  private refuseUnavailable(queue: ReadonlyMap<WaitingCall, Entry>): void {
     const now = this.options.clock.now();
     [...queue.values()].forEach(({ call, settle }) => {
-      const { callId } = call;
       if (this.options.targets.candidates(call).length > 0) {
-        this.unavailableSince.delete(callId);
+        this.unavailableSince.delete(call);
         return;
       }
-      const since = this.unavailableSince.get(callId) ?? now;
-      this.unavailableSince.set(callId, since);
+      const since = this.unavailableSince.get(call) ?? now;
+      this.unavailableSince.set(call, since);
       if (now - since >= NO_TARGET_GRACE_MS) settle(refusal('target-unavailable'));
     });
   }
@@ -174,7 +174,8 @@
   private dispatch(pool: string): void {
     if (this.owned.isDisposed) return;
     const now = this.options.clock.now();
-    let waiting = [...this.queue(pool).values()].map((entry) => entry.call);
+    let waiting = [...this.queue(pool).keys()];
+    if (!this.mayFindRoom(waiting)) return;
     while (waiting.length > 0) {
       const call = this.options.policy.order(waiting, this.usage, now);
       if (!call) return;
@@ -192,6 +193,12 @@
     }
   }
 
+  /** Whether any call can go; saves the ordering of a long queue when all targets are full. */
+  private mayFindRoom(waiting: readonly WaitingCall[]): boolean {
+    const anywhere = waiting.find((call) => call.excluded.size === 0);
+    return !anywhere || this.candidates(anywhere).some(room.hasRoom);
+  }
+
   private grant(call: WaitingCall, target: TargetCandidate): void {
     const expectedMs = predictions.serviceMs(call, target);
     const priority = priorities.enginePriority(
@@ -207,7 +214,7 @@
         this.dispatch(call.pool);
       },
     };
-    this.queue(call.pool).get(call.callId)?.settle(trueMyth.Result.ok(slot));
+    this.queue(call.pool).get(call)?.settle(trueMyth.Result.ok(slot));
   }
 
   /** The targets with the calls counted that were granted but may not have been started yet. */
@@ -218,8 +225,8 @@
     }));
   }
 
-  private queue(pool: string): Map<string, Entry> {
-    const queue = this.queues.get(pool) ?? new Map<string, Entry>();
+  private queue(pool: string): Map<WaitingCall, Entry> {
+    const queue = this.queues.get(pool) ?? new Map<WaitingCall, Entry>();
     this.queues.set(pool, queue);
     return queue;
   }
--- /dev/null
+++ b/packages/scheduling/src/decisions.test.ts
@@ -0,0 +1,124 @@
+import * as jestGlobals from '@jest/globals';
+import * as choices from './choices.js';
+import * as orders from './orders.js';
+import * as priorities from './priorities.js';
+import * as refusals from './refusals.js';
+import type { TargetCandidate, WaitingCall } from './Types.js';
+
+const { describe, expect, test } = jestGlobals;
+
+function call(overrides: Partial<WaitingCall> = {}): WaitingCall {
+  return {
+    callId: 'call',
+    pool: 'pool',
+    workspace: 'quito',
+    program: 'program',
+    promptTokens: 1_000,
+    expectedTokens: 100,
+    attainedSeconds: 0,
+    deadline: 60_000,
+    excluded: new Set(),
+    waitingSince: 0,
+    ...overrides,
+  };
+}
+
+function candidate(overrides: Partial<TargetCandidate> = {}): TargetCandidate {
+  return {
+    name: 'one',
+    failureDomain: 'here',
+    slots: 4,
+    ownInFlight: 0,
+    otherInFlight: 0,
+    concurrencyLimit: 4,
+    cachedTokens: 0,
+    prefillMsPerToken: 1,
+    decodeMsPerToken: 10,
+    ...overrides,
+  };
+}
+
+function usage(totals: Readonly<Record<string, number>> = {}) {
+  return { attainedSeconds: (workspace: string) => totals[workspace] ?? 0 };
+}
+
+describe('orders', () => {
+  const heavy = call({ workspace: 'heavy', waitingSince: 0 });
+  const long = call({ workspace: 'light', attainedSeconds: 90, waitingSince: 5 });
+  const short = call({ workspace: 'light', attainedSeconds: 1, waitingSince: 9 });
+  const waiting = [heavy, long, short];
+
+  test('the workspace and then the program with the least service go first', () => {
+    expect(orders.fairOrder(waiting, usage({ heavy: 9, light: 2 }), 10)).toBe(short);
+    expect(orders.fairOrder(waiting, usage({ heavy: 1, light: 2 }), 10)).toBe(heavy);
+    expect(orders.firstComeFirstServed(waiting, usage(), 10)).toBe(heavy);
+  });
+
+  test('a call that waits long enough goes before one with less service', () => {
+    const late = { ...short, waitingSince: 300_000 };
+    expect(orders.fairOrder([long, late], usage(), 300_000)).toBe(long);
+  });
+});
+
+describe('choices', () => {
+  const cached = candidate({ name: 'cached', cachedTokens: 900 });
+  const empty = candidate({ name: 'empty' });
+  const choose = (candidates: readonly TargetCandidate[], now = 0) =>
+    choices.cheapestTarget(call(), candidates, 'here', now)?.name;
+
+  test('a call stays where its prefix is', () => {
+    expect(choose([empty, cached])).toBe('cached');
+    expect(choices.cheapestWithoutAffinity(call(), [empty, cached], 'here', 0)?.name).toBe('empty');
+  });
+
+  test('a call waits for a full target only while that is cheaper', () => {
+    const full = { ...cached, ownInFlight: 4 };
+    const queued = { ...full, otherInFlight: 40 };
+    expect(choose([full, empty])).toBeUndefined();
+    expect(choose([full, empty], 10_000)).toBe('empty');
+    expect(choose([queued, empty])).toBe('empty');
+  });
+
+  test('of equal targets the one in the own failure domain is taken', () => {
+    expect(choose([candidate({ name: 'far', failureDomain: 'there' }), empty])).toBe('empty');
+  });
+
+  test('round robin takes each target in turn', () => {
+    const roundRobin = choices.createRoundRobin();
+    const names = [1, 2, 3, 4].map(() => roundRobin(call(), [cached, empty], 'here', 0)?.name);
+    expect(names).toEqual(['empty', 'cached', 'empty', 'cached']);
+  });
+});
+
+describe('refusals', () => {
+  const backlog = (workspace: string, count: number) =>
+    Array.from({ length: count }, () => call({ workspace }));
+  const full = candidate({ ownInFlight: 4 });
+
+  test('a backlog of one workspace refuses its own calls, not those of others', () => {
+    const waiting = backlog('bursting', 512);
+    const bursting = call({ workspace: 'bursting', deadline: Infinity });
+    expect(refusals.refuseEarly(bursting, waiting, [full], 0)?.kind).toBe('overloaded');
+    expect(refusals.refuseEarly(call(), waiting, [full], 0)).toBeUndefined();
+  });
+
+  test('what would be late is refused, with the time after which it would not be', () => {
+    const waiting = backlog('quito', 100);
+    // 100 calls of 2 s and this one on 4 slots: it starts after about 51 s.
+    const fault = refusals.refuseEarly(call({ deadline: 30_000 }), waiting, [full], 0);
+    expect(fault).toMatchObject({ kind: 'deadline-unreachable', run: 'not-run' });
+    expect(fault?.retryAfterMs).toBeGreaterThan(20_000);
+    expect(fault?.retryAfterMs).toBeLessThan(30_000);
+    expect(refusals.refuseEarly(call(), waiting, [full], 0)).toBeUndefined();
+  });
+
+  test('a guess about the call itself refuses nothing while there is room', () => {
+    const slow = call({ deadline: 1 });
+    expect(refusals.refuseEarly(slow, [], [candidate()], 0)).toBeUndefined();
+  });
+});
+
+test('engine priorities fall with the service attained', () => {
+  expect(priorities.enginePriority(0, 0)).toBe(0);
+  expect(priorities.enginePriority(10, 0)).toBeLessThan(priorities.enginePriority(10, 30));
+});
--- a/packages/scheduling/src/predictions.ts
+++ b/packages/scheduling/src/predictions.ts
@@ -33,7 +33,7 @@
 ): clock.Milliseconds {
   if (candidates.length === 0) return 0;
   if (waiting.length === 0 && candidates.some(room.hasRoom)) return 0;
-  const slots = candidates.reduce((sum, candidate) => sum + candidate.slots, 0);
+  const slots = candidates.reduce((sum, candidate) => sum + room.usableSlots(candidate), 0);
   const callMs = meanServiceMs(call, candidates);
   const own = waiting.filter((other) => other.workspace === call.workspace);
   const ownMs = totalServiceMs(own, candidates);
--- a/packages/scheduling/src/refusals.ts
+++ b/packages/scheduling/src/refusals.ts
@@ -25,6 +25,8 @@
   const bound = refusePastBound(call, waiting, candidates, now);
   if (bound || candidates.length === 0) return bound;
   const waitMs = predictions.queueWaitMs(call, waiting, candidates);
+  // The time of the call itself is a guess, which alone is no reason to refuse it.
+  if (waitMs === 0) return undefined;
   const serviceMs = Math.min(
     ...candidates.map((candidate) => predictions.serviceMs(call, candidate)),
   );
--- a/packages/scheduling/src/room.ts
+++ b/packages/scheduling/src/room.ts
@@ -16,3 +16,9 @@
 export function utilisation(candidate: TargetCandidate): number {
   return (candidate.ownInFlight + candidate.otherInFlight) / candidate.slots;
 }
+
+/** Slots that this process can count on: those left by other processes, within its own limit. */
+export function usableSlots(candidate: TargetCandidate): number {
+  const left = Math.max(1, candidate.slots - candidate.otherInFlight);
+  return Math.min(candidate.concurrencyLimit, left);
+}
--- a/packages/targets/src/EventStream.ts
+++ b/packages/targets/src/EventStream.ts
@@ -10,12 +10,14 @@
   EVENT: 'event',
   /** Nothing came within the time limit. */
   STALLED: 'stalled',
-  /** The connection failed or ended. */
+  /** The connection failed. */
   BROKEN: 'broken',
+  /** The target ended the answer. */
+  ENDED: 'ended',
   CANCELLED: 'cancelled',
 } as const;
 
-const { ANSWERED, BROKEN, CANCELLED, EVENT, STALLED } = STREAM_STEPS;
+const { ANSWERED, BROKEN, CANCELLED, ENDED, EVENT, STALLED } = STREAM_STEPS;
 
 /** The largest event, in characters. */
 const MAXIMUM_EVENT_LENGTH = 8 * 1_024 * 1_024;
@@ -25,7 +27,7 @@
 
 /** A step that brought nothing. */
 export interface LostStep {
-  readonly kind: typeof STALLED | typeof BROKEN | typeof CANCELLED;
+  readonly kind: typeof STALLED | typeof BROKEN | typeof ENDED | typeof CANCELLED;
 }
 
 /** The head of an answer. */
@@ -119,7 +121,7 @@
       const event = this.ready.shift();
       if (event) return { kind: EVENT, event };
       const piece = await this.pieces?.next();
-      if (!piece || piece.done) return { kind: BROKEN };
+      if (!piece || piece.done) return { kind: ENDED };
       this.ready.push(...this.parser.push(this.decoder.decode(piece.value, { stream: true })));
       if (this.parser.heldLength > MAXIMUM_EVENT_LENGTH) return { kind: BROKEN };
     }
--- a/packages/targets/src/HttpTargetClient.ts
+++ b/packages/targets/src/HttpTargetClient.ts
@@ -19,6 +19,7 @@
 import * as exchanges from './exchange.js';
 import * as failures from './failures.js';
 import * as headers from './headers.js';
+import * as linkedSignals from './LinkedSignal.js';
 import * as modelRuns from './ModelRun.js';
 import * as probes from './probe.js';
 import type * as connections from './TargetConnection.js';
@@ -100,11 +101,12 @@
     const onAbort = (): void => {
       if (run.mayBeRunning) cancelOnce();
     };
-    signal.addEventListener('abort', onAbort, { once: true });
+    const linked = new linkedSignals.LinkedSignal([signal, this.stop.signal]);
+    linked.signal.addEventListener('abort', onAbort, { once: true });
     try {
-      yield* run.run(AbortSignal.any([signal, this.stop.signal]));
+      yield* run.run(linked.signal);
     } finally {
-      signal.removeEventListener('abort', onAbort);
+      linked.dispose();
       if (run.mayBeRunning) cancelOnce();
     }
   }
@@ -124,13 +126,15 @@
       headers: { ...headers.serviceHeaders(call), ...this.credential(place.pool) },
       body: call.body,
     };
+    const linked = new linkedSignals.LinkedSignal([signal, this.stop.signal]);
     const answer = await exchanges.exchange(request, {
       url: place.target.url,
       clock: this.options.clock,
       connectMs: place.pool.timeLimits.connectMs,
       totalMs: place.pool.timeLimits.totalMs,
-      signal: AbortSignal.any([signal, this.stop.signal]),
+      signal: linked.signal,
     });
+    linked.dispose();
     if (answer.isErr && answer.error.kind === BROKEN) return this.diedOrBroken(place);
     if (answer.isOk && isFenced(answer.value)) {
       return failures.failed(FENCED, 'The target refused the fencing number.');
--- /dev/null
+++ b/packages/targets/src/LinkedSignal.ts
@@ -0,0 +1,28 @@
+import type * as lifetime from '@limpettack/lifetime';
+
+/**
+ * A signal that aborts with the first of several. Disposing of it takes its listeners off the
+ * others, some of which live as long as the process.
+ */
+export class LinkedSignal implements lifetime.Disposable {
+  private readonly controller = new AbortController();
+
+  private readonly abort = (): void => this.controller.abort();
+
+  public constructor(private readonly sources: readonly AbortSignal[]) {
+    sources.forEach((source) => {
+      if (source.aborted) this.abort();
+      source.addEventListener('abort', this.abort, { once: true });
+    });
+  }
+
+  /** The signal. */
+  public get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** @inheritdoc */
+  public dispose(): void {
+    this.sources.forEach((source) => source.removeEventListener('abort', this.abort));
+  }
+}
--- a/packages/targets/src/MemoryReleaser.ts
+++ b/packages/targets/src/MemoryReleaser.ts
@@ -2,6 +2,7 @@
 import * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import type { EngineHolding, TargetClient } from './Types.js';
+import * as targetFailures from './TargetFailures.js';
 
 const FIRST_PAUSE_MS = 250;
 const LONGEST_PAUSE_MS = 10_000;
@@ -127,17 +128,22 @@
     this.pending.delete(target);
   }
 
-  /** Releases one program after the other; false when the target failed. */
+  /** Releases one program after the other; false when some are left to be tried again. */
   private async releaseAll(target: string, programs: Set<string>): Promise<boolean> {
+    let isDone = true;
     for (const program of [...programs]) {
       if (this.stop.signal.aborted) return false;
       // The program may have come back while the others were released.
       if (!programs.has(program)) continue;
       const result = await this.options.client.release(target, program);
-      if (result.isErr) return false;
-      if (programs.delete(program)) this.released.fire({ target, program });
+      // One program that the engine refuses to release must not hold up the others.
+      const isRefused =
+        result.isErr && result.error.kind === targetFailures.TARGET_FAILURES.REFUSED;
+      if (result.isErr) isDone = false;
+      if (result.isErr && !isRefused) return false;
+      if (result.isOk && programs.delete(program)) this.released.fire({ target, program });
     }
-    return true;
+    return isDone;
   }
 }
 
--- a/packages/targets/src/ModelRun.ts
+++ b/packages/targets/src/ModelRun.ts
@@ -41,11 +41,10 @@
   /** Chunks of the whole answer that have come, those before a resume included. */
   private received: number;
 
-  private resumes = 0;
-
   private idleResumes = 0;
 
-  private headSeen = false;
+  /** Whether the connection broke in the middle of the answer; it may also have just ended. */
+  private cutOff = false;
 
   private sent = false;
 
@@ -89,7 +88,6 @@
         stream.close();
       }
       isResume = true;
-      this.resumes += 1;
     }
   }
 
@@ -107,6 +105,8 @@
     const request = isResume ? this.resumeRequest() : this.startRequest();
     const limitMs = isResume ? PROBE_MS : firstTokenMs;
     const head = await stream.open(request, this.limited(limitMs));
+    // Once closed the connection writes nothing more, so what it says below stays true.
+    if (head.kind !== ANSWERED) stream.close();
     this.sent ||= stream.mayHaveSent;
     if (head.kind === ANSWERED) return this.judgeStatus(head.status, stream, isResume);
     if (head.kind === eventStreams.STREAM_STEPS.CANCELLED) return this.cancelled();
@@ -120,10 +120,7 @@
     stream: eventStreams.EventStream,
     isResume: boolean,
   ): Promise<Failure | undefined> {
-    if (status === OK_STATUS) {
-      this.headSeen = true;
-      return undefined;
-    }
+    if (status === OK_STATUS) return undefined;
     if (isResume) return this.judgeLostCall(status);
     this.completed = true;
     const text = await stream.errorText(this.limited(PROBE_MS));
@@ -134,7 +131,7 @@
 
   /** The target answers but does not go on with the call. */
   private judgeLostCall(status: number): Failure {
-    const forgotten = status === NOT_FOUND_STATUS && this.resumes > 0 && this.headSeen;
+    const forgotten = status === NOT_FOUND_STATUS && this.cutOff;
     this.completed = status === NOT_FOUND_STATUS;
     // A target that ran the call a moment ago and does not know it was started anew since.
     if (forgotten) return failures.failed(DIED, 'The target has restarted and lost the call.');
@@ -148,6 +145,7 @@
     for (;;) {
       const step = await stream.next(this.chunkLimit());
       if (step.kind === eventStreams.STREAM_STEPS.CANCELLED) return CANCELLED;
+      this.cutOff = step.kind === eventStreams.STREAM_STEPS.BROKEN;
       if (step.kind !== EVENT) return BROKEN;
       if (step.event.data === chunks.END_OF_STREAM) {
         this.completed = true;
--- a/packages/targets/src/TargetFollower.ts
+++ b/packages/targets/src/TargetFollower.ts
@@ -11,6 +11,9 @@
 /** Time between two looks at a target's status, before jitter. */
 const STATUS_INTERVAL_MS = 900;
 
+/** The shortest time between two looks, however many calls fail. */
+const LEAST_INTERVAL_MS = 100;
+
 /** Time between two looks at a target's cache events, before jitter. */
 const CACHE_INTERVAL_MS = 1_000;
 
@@ -97,11 +100,13 @@
   private async followStatus(): Promise<void> {
     const { clock: time, tracker } = this.options;
     while (!this.stop.signal.aborted) {
-      await this.readStatus();
+      // Made before the look, so that a call that fails meanwhile causes another one.
       this.wake = new AbortController();
+      await this.readStatus();
       if (this.stop.signal.aborted) return;
+      await time.sleep(LEAST_INTERVAL_MS, this.stop.signal);
       const spanMs = Math.max(tracker.health.remainingMs, this.jittered(STATUS_INTERVAL_MS));
-      await time.sleep(spanMs, this.wake.signal);
+      await time.sleep(spanMs - LEAST_INTERVAL_MS, this.wake.signal);
     }
   }
 
--- a/packages/targets/src/exchange.ts
+++ b/packages/targets/src/exchange.ts
@@ -36,27 +36,30 @@
 ): Promise<TargetResult<ServiceAnswer>> {
   if (options.signal?.aborted) return failures.failed(NOT_SENT, 'The caller gave up.');
   const connection = new connections.TargetConnection(options.url, options.connectMs);
-  const cancelled = new Promise<undefined>((resolve) => {
-    options.signal?.addEventListener('abort', () => resolve(undefined), { once: true });
-  });
+  const cancelled = createCancellation(options.signal);
   try {
-    const work = readAnswer(connection, request);
-    const answer = await limits.within(
-      options.clock,
-      options.totalMs,
-      Promise.race([work, cancelled]),
-    );
-    work.catch(() => undefined);
+    const work = Promise.race([readAnswer(connection, request), cancelled.promise]);
+    const answer = await limits.within(options.clock, options.totalMs, work);
     if (answer === limits.LIMIT_PASSED) return unfinished(connection, TIMED_OUT, 'Time is up.');
-    if (!answer) return unfinished(connection, CANCELLED, 'The caller gave up.');
-    return answer;
+    return answer ?? unfinished(connection, CANCELLED, 'The caller gave up.');
   } catch (error) {
     return unfinished(connection, BROKEN, String(error));
   } finally {
+    cancelled.dispose();
     connection.close();
   }
 }
 
+function createCancellation(signal: AbortSignal | undefined) {
+  let dispose = (): void => undefined;
+  const promise = new Promise<undefined>((resolve) => {
+    const cancel = (): void => resolve(undefined);
+    signal?.addEventListener('abort', cancel, { once: true });
+    dispose = () => signal?.removeEventListener('abort', cancel);
+  });
+  return { promise, dispose };
+}
+
 async function readAnswer(
   connection: connections.TargetConnection,
   request: connections.TargetRequest,
@@ -100,5 +103,7 @@
   kind: typeof BROKEN | typeof CANCELLED | typeof TIMED_OUT,
   message: string,
 ): TargetResult<ServiceAnswer> {
+  // Once closed the connection writes nothing more, so what it says now stays true.
+  connection.close();
   return failures.failed(connection.mayHaveSent ? kind : NOT_SENT, message);
 }
