--- /dev/null
+++ b/packages/configuration/src/ConfigurationFold.ts
@@ -0,0 +1,138 @@
+import type {
+  ConfigurationEdit,
+  ConfigurationSnapshot,
+  ConfigurationState,
+  FoldResult,
+  StreamRecord,
+} from './Types.js';
+import * as applyChange from './applyChange.js';
+import * as foldOutcomes from './FoldOutcomes.js';
+import * as schemas from './schemas.js';
+
+const { FOLD_OUTCOMES } = foldOutcomes;
+
+/** How many ids of edits are remembered. All readers must use the same number. */
+const MAXIMUM_EDIT_IDS = 1_000;
+
+/**
+ * The rule by which each reader makes the configuration out of the stream's records. An edit takes
+ * effect iff it is based on the version in force at its offset, its id is new and the result passes
+ * the checks. A snapshot says what the state was before an offset, so it changes nothing for a
+ * reader that has read up to there, and brings others to that offset.
+ */
+export class ConfigurationFold {
+  private current = applyChange.emptyState();
+
+  private editIds: string[] = [];
+
+  /** The next offset to read. */
+  private next = 0;
+
+  /** Records read after a gap, until a snapshot closes it; undefined when there is no gap. */
+  private waiting: StreamRecord[] | undefined;
+
+  /** The first offset after the gap. */
+  private resumedAt = 0;
+
+  /** The configuration as of the records applied. */
+  public get state(): ConfigurationState {
+    return this.current;
+  }
+
+  /** The offset from which to read on. */
+  public get nextOffset(): number {
+    return this.next;
+  }
+
+  /** Whether records are missing that no snapshot has made up for. */
+  public get hasGap(): boolean {
+    return this.waiting !== undefined;
+  }
+
+  /** Tells that the records before an offset can no longer be read. */
+  public skipTo(offset: number): void {
+    if (offset <= this.next) return;
+    this.waiting = [];
+    this.resumedAt = offset;
+    this.next = offset;
+  }
+
+  /** Applies a record. One at an offset that was passed already is ignored. */
+  public apply(entry: StreamRecord): FoldResult {
+    if (entry.record.kind === schemas.RECORD_KINDS.SNAPSHOT && this.isAhead(entry.record)) {
+      return this.adopt(entry, entry.record);
+    }
+    if (entry.offset < this.next) return { outcome: FOLD_OUTCOMES.IGNORED };
+    this.next = entry.offset + 1;
+    if (this.waiting) {
+      this.waiting.push(entry);
+      return { outcome: FOLD_OUTCOMES.WAITING };
+    }
+    return this.applyNext(entry);
+  }
+
+  /** Passes over records that are known to change nothing. */
+  public advanceTo(offset: number): void {
+    this.next = Math.max(this.next, offset);
+  }
+
+  /** The state as a record that brings another reader to the next offset. */
+  public snapshot(): ConfigurationSnapshot {
+    return {
+      kind: schemas.RECORD_KINDS.SNAPSHOT,
+      version: this.current.version,
+      asOf: this.next,
+      tables: {
+        routes: [...this.current.routes.values()],
+        pools: [...this.current.pools.values()],
+        workspaces: [...this.current.workspaces.values()],
+      },
+      keys: [...this.current.keys.values()],
+      withdrawn: [...this.current.withdrawn],
+      editIds: [...this.editIds],
+    };
+  }
+
+  private isAhead(snapshot: ConfigurationSnapshot): boolean {
+    // History is one, so a later state cannot have an earlier version; one that has is a fault.
+    if (snapshot.version < this.current.version) return false;
+    return this.waiting ? snapshot.asOf >= this.resumedAt : snapshot.asOf > this.next;
+  }
+
+  private applyNext(entry: StreamRecord): FoldResult {
+    if (entry.record.kind !== schemas.RECORD_KINDS.EDIT) return { outcome: FOLD_OUTCOMES.IGNORED };
+    return this.applyEdit(entry.record);
+  }
+
+  private applyEdit(edit: ConfigurationEdit): FoldResult {
+    if (this.editIds.includes(edit.id)) return { outcome: FOLD_OUTCOMES.REPEATED };
+    if (edit.basedOn !== this.current.version) return { outcome: FOLD_OUTCOMES.CONFLICT };
+    const result = applyChange.applyChange(this.current, edit.change);
+    if (result.isErr) return { outcome: FOLD_OUTCOMES.INVALID, problems: result.error };
+    this.current = result.value;
+    this.editIds = [...this.editIds, edit.id].slice(-MAXIMUM_EDIT_IDS);
+    return { outcome: FOLD_OUTCOMES.APPLIED };
+  }
+
+  private adopt(entry: StreamRecord, snapshot: ConfigurationSnapshot): FoldResult {
+    const later = (this.waiting ?? []).filter((waiting) => waiting.offset >= snapshot.asOf);
+    this.waiting = undefined;
+    this.current = stateOf(snapshot);
+    this.editIds = [...snapshot.editIds];
+    this.next = Math.max(this.next, snapshot.asOf, entry.offset + 1);
+    // Edits between the state's offset and the snapshot's own came after the state was taken.
+    later.forEach((waiting) => this.applyNext(waiting));
+    return { outcome: FOLD_OUTCOMES.ADOPTED };
+  }
+}
+
+function stateOf(snapshot: ConfigurationSnapshot): ConfigurationState {
+  return {
+    version: snapshot.version,
+    routes: applyChange.byName(snapshot.tables.routes),
+    pools: applyChange.byName(snapshot.tables.pools),
+    workspaces: applyChange.byName(snapshot.tables.workspaces),
+    keys: new Map(snapshot.keys.map((key) => [key.digest, key])),
+    withdrawn: new Set(snapshot.withdrawn),
+  };
+}
--- /dev/null
+++ b/packages/configuration/src/ConfigurationFollower.ts
@@ -0,0 +1,265 @@
+import type * as clock from '@limpettack/clock';
+import type * as errors from '@limpettack/errors';
+import * as lifetime from '@limpettack/lifetime';
+import type * as logging from '@limpettack/logging';
+import * as platformClient from '@limpettack/platform-client';
+import type * as wire from '@limpettack/wire';
+import type * as trueMyth from 'true-myth';
+import type {
+  Caller,
+  ConfigurationSnapshot,
+  ConfigurationState,
+  ConfigurationView,
+  Route,
+} from './Types.js';
+import * as configurationFold from './ConfigurationFold.js';
+import * as configurationStore from './ConfigurationStore.js';
+import * as parseRecord from './parseRecord.js';
+import * as peerExchange from './PeerExchange.js';
+import * as snapshotRenewal from './SnapshotRenewal.js';
+
+/** The stream that holds the configuration. */
+export const CONFIGURATION_STREAM = 'configuration';
+
+const DEFAULT_POLL_WAIT_MS = 2_000;
+
+const READ_LIMIT = 500;
+
+/** How much longer than the log may wait a read may take before it is given up, in milliseconds. */
+const READ_MARGIN_MS = 1_000;
+
+/** The wait before a failed read is tried again, in milliseconds, before jitter. */
+const READ_RETRY_MS = 500;
+
+/** What a follower needs. */
+export interface ConfigurationFollowerOptions {
+  readonly log: platformClient.LogClient;
+  readonly network: wire.PeerNetwork;
+  /** Addresses of available members, this one left out. */
+  readonly peers: () => readonly string[];
+  readonly clock: clock.Clock;
+  readonly logger: logging.Logger;
+  /** A number of at least 0 and below 1. */
+  readonly random?: () => number;
+  readonly stream?: string;
+  /** How long the log may wait for a new record, in milliseconds. */
+  readonly pollWaitMs?: clock.Milliseconds;
+}
+
+/**
+ * Follows the configuration stream on this VM, passes what is new on to peers, and learns from
+ * them while the log cannot be reached. Records are applied in the order of their offsets,
+ * whoever brought them.
+ */
+export class ConfigurationFollower implements ConfigurationView, lifetime.Disposable {
+  private readonly disposables = new lifetime.DisposableStore();
+
+  private readonly closing = new AbortController();
+
+  private readonly fold = new configurationFold.ConfigurationFold();
+
+  private readonly store = new configurationStore.ConfigurationStore();
+
+  private readonly exchange: peerExchange.PeerExchange;
+
+  private readonly renewal: snapshotRenewal.SnapshotRenewal;
+
+  private readonly stream: string;
+
+  private readonly pollWaitMs: clock.Milliseconds;
+
+  private readonly random: () => number;
+
+  private tasks: Promise<unknown> = Promise.resolve();
+
+  /** When the last read of the log succeeded, or else the start, on the process's own clock. */
+  private lastReadAt = 0;
+
+  /** Whether a read of the log has failed since the last one that succeeded. */
+  private readFailed = false;
+
+  private unreadableCount = 0;
+
+  public readonly onChange = this.store.onChange;
+
+  public readonly onKeyWithdrawn = this.store.onKeyWithdrawn;
+
+  public constructor(private readonly options: ConfigurationFollowerOptions) {
+    this.stream = options.stream ?? CONFIGURATION_STREAM;
+    this.pollWaitMs = options.pollWaitMs ?? DEFAULT_POLL_WAIT_MS;
+    this.random = options.random ?? Math.random;
+    this.exchange = this.createExchange();
+    this.renewal = this.createRenewal();
+    this.disposables.add(this.store);
+    this.disposables.add(this.exchange);
+  }
+
+  /** Starts to follow the stream. */
+  public start(): void {
+    const { signal } = this.closing;
+    this.lastReadAt = this.options.clock.now();
+    this.tasks = Promise.all([
+      this.followLog(signal),
+      this.exchange.run(signal),
+      this.renewal.run(signal),
+    ]);
+  }
+
+  /** @inheritdoc */
+  public current(): ConfigurationState {
+    return this.store.current();
+  }
+
+  /** @inheritdoc */
+  public isReady(): boolean {
+    return this.store.isReady();
+  }
+
+  /** @inheritdoc */
+  public identify(key: string | undefined): trueMyth.Result<Caller, errors.Fault> {
+    return this.store.identify(key);
+  }
+
+  /** @inheritdoc */
+  public routeFor(caller: Caller, name: string): trueMyth.Result<Route, errors.Fault> {
+    return this.store.routeFor(caller, name);
+  }
+
+  /** Whether no read of the log has failed or taken too long since the last one that succeeded. */
+  public isLogReachable(): boolean {
+    if (this.readFailed) return false;
+    return this.options.clock.now() - this.lastReadAt <= this.pollWaitMs + READ_MARGIN_MS;
+  }
+
+  /** How many records of the stream could not be understood. */
+  public unreadableRecords(): number {
+    return this.unreadableCount;
+  }
+
+  /** @inheritdoc */
+  public async dispose(): Promise<void> {
+    this.closing.abort();
+    await this.tasks;
+    await this.disposables.dispose();
+  }
+
+  private async followLog(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const page = await this.readPage(signal);
+      if (signal.aborted) return;
+      if (page.isOk) {
+        this.takePage(page.value);
+      } else if (page.error.kind === platformClient.PLATFORM_FAILURES.EXPIRED) {
+        this.skipExpired(page.error.firstOffset ?? this.fold.nextOffset + 1);
+      } else {
+        this.noteReadFailure(page.error);
+        await this.options.clock.sleep(READ_RETRY_MS * (0.5 + this.random()), signal);
+      }
+    }
+  }
+
+  private async readPage(
+    signal: AbortSignal,
+  ): Promise<platformClient.PlatformResult<platformClient.LogPage>> {
+    const readEnd = new AbortController();
+    const readSignal = AbortSignal.any([signal, readEnd.signal]);
+    const limitMs = this.pollWaitMs + READ_MARGIN_MS;
+    // A connection that has gone silent would hold the read for ever.
+    this.options.clock
+      .sleep(limitMs, readSignal)
+      .then(() => readEnd.abort())
+      .catch(() => undefined);
+    const page = await this.options.log.read(this.stream, this.fold.nextOffset, {
+      limit: READ_LIMIT,
+      waitMs: this.store.isReady() ? this.pollWaitMs : 0,
+      signal: readSignal,
+    });
+    readEnd.abort();
+    return page;
+  }
+
+  private takePage(page: platformClient.LogPage): void {
+    this.lastReadAt = this.options.clock.now();
+    this.readFailed = false;
+    page.records.forEach((record) => this.takeRecord(record));
+    const hasTail = this.fold.nextOffset >= page.tailOffset;
+    if (hasTail && !this.fold.hasGap) this.store.markReady();
+    this.publishState();
+  }
+
+  private takeRecord(logRecord: platformClient.LogRecord): void {
+    const parsed = parseRecord.parseRecord(logRecord);
+    if (parsed.isErr) {
+      this.unreadableCount += 1;
+      this.fold.advanceTo(logRecord.offset + 1);
+      this.options.logger.warn('A record cannot be understood and is skipped.', {
+        offset: logRecord.offset,
+      });
+      return;
+    }
+    this.renewal.note(parsed.value.record, logRecord.ageMs);
+    const result = this.fold.apply(parsed.value);
+    this.options.logger.debug('Read a record.', {
+      offset: logRecord.offset,
+      kind: result.outcome,
+    });
+  }
+
+  private skipExpired(firstOffset: number): void {
+    this.options.logger.error('Records expired before they were read; waiting for a snapshot.', {
+      offset: firstOffset,
+    });
+    this.fold.skipTo(firstOffset);
+  }
+
+  private noteReadFailure(failure: platformClient.PlatformFailure): void {
+    if (!this.readFailed) {
+      this.options.logger.warn('The log cannot be read.', { reason: failure.message });
+    }
+    this.readFailed = true;
+  }
+
+  private takeSnapshot(snapshot: ConfigurationSnapshot): void {
+    this.fold.apply({ offset: snapshot.asOf - 1, record: snapshot });
+    this.publishState();
+  }
+
+  private publishState(): void {
+    if (!this.store.take(this.fold.state)) return;
+    const { version } = this.fold.state;
+    this.options.logger.info('A configuration has come into force.', { version });
+    this.exchange.announce();
+  }
+
+  private createExchange(): peerExchange.PeerExchange {
+    return new peerExchange.PeerExchange({
+      network: this.options.network,
+      peers: this.options.peers,
+      clock: this.options.clock,
+      random: this.random,
+      position: () => ({
+        version: this.fold.state.version,
+        offset: this.fold.hasGap ? 0 : this.fold.nextOffset,
+      }),
+      snapshot: () => this.fold.snapshot(),
+      isReady: () => this.store.isReady(),
+      isLogEnough: () => this.isLogReachable() && !this.fold.hasGap,
+      take: (snapshot) => this.takeSnapshot(snapshot),
+      completePull: () => {
+        if (!this.fold.hasGap) this.store.markReady();
+      },
+    });
+  }
+
+  private createRenewal(): snapshotRenewal.SnapshotRenewal {
+    return new snapshotRenewal.SnapshotRenewal({
+      log: this.options.log,
+      stream: this.stream,
+      clock: this.options.clock,
+      logger: this.options.logger,
+      random: this.random,
+      canWrite: () => this.isLogReachable() && this.store.isReady() && !this.fold.hasGap,
+      snapshot: () => this.fold.snapshot(),
+    });
+  }
+}
--- a/packages/configuration/src/Types.ts
+++ b/packages/configuration/src/Types.ts
@@ -2,6 +2,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as trueMyth from 'true-myth';
 import type * as zod from 'zod';
+import type * as foldOutcomes from './FoldOutcomes.js';
 import type * as schemas from './schemas.js';
 
 /** A row of the table of routes: which agent programs callers may reach. */
@@ -25,6 +26,32 @@
 /** A record of the configuration stream. */
 export type ConfigurationRecord = zod.infer<typeof schemas.CONFIGURATION_RECORD>;
 
+/** An edit as it stands in the configuration stream. */
+export type ConfigurationEdit = zod.infer<typeof schemas.CONFIGURATION_EDIT>;
+
+/** A snapshot as it stands in the configuration stream. */
+export type ConfigurationSnapshot = zod.infer<typeof schemas.CONFIGURATION_SNAPSHOT>;
+
+/** The tables as operators write them in a file. */
+export type Tables = zod.infer<typeof schemas.TABLES>;
+
+/** A record with its offset in the stream. */
+export interface StreamRecord {
+  readonly offset: number;
+  readonly record: ConfigurationRecord;
+}
+
+/** The name of what became of a record. */
+export type FoldOutcome =
+  (typeof foldOutcomes.FOLD_OUTCOMES)[keyof typeof foldOutcomes.FOLD_OUTCOMES];
+
+/** What became of a record. */
+export interface FoldResult {
+  readonly outcome: FoldOutcome;
+  /** A sentence for each check that failed; set when the outcome is `invalid`. */
+  readonly problems?: readonly string[];
+}
+
 /** The whole configuration at one version. */
 export interface ConfigurationState {
   /** Grows by one with each edit that takes effect; 0 before the first. */
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,3 +1,11 @@
 /** Routes, pools, workspaces and keys: one history, the same on every VM. */
 export * from './Types.js';
 export * from './schemas.js';
+export * from './FoldOutcomes.js';
+export * from './keyDigest.js';
+export * from './checkState.js';
+export * from './applyChange.js';
+export * from './parseRecord.js';
+export * from './ConfigurationFold.js';
+export * from './ConfigurationStore.js';
+export * from './ConfigurationFollower.js';
--- /dev/null
+++ b/packages/configuration/src/peerMethods.ts
@@ -0,0 +1,36 @@
+import type * as wire from '@limpettack/wire';
+import * as zod from 'zod';
+import * as schemas from './schemas.js';
+
+const ANNOUNCEMENT = zod.strictObject({
+  version: zod.int().min(0),
+  /** The next offset that the sender reads. */
+  offset: zod.int().min(0),
+});
+
+const PULL_ANSWER = zod.strictObject({
+  /** Whether the peer has read the tail of the stream or taken another peer's copy. */
+  ready: zod.boolean(),
+  /** Absent when the peer is not ahead of the one that asks. */
+  snapshot: schemas.CONFIGURATION_SNAPSHOT.optional(),
+});
+
+/** How far a VM has read the configuration stream. */
+export type Announcement = zod.infer<typeof ANNOUNCEMENT>;
+
+/** What a peer knows beyond the one that asks. */
+export type PullAnswer = zod.infer<typeof PULL_ANSWER>;
+
+/** Tells a peer that the sender has a newer configuration. */
+export const ANNOUNCE: wire.PeerMethod<Announcement, Record<string, never>> = {
+  name: 'configuration.announce',
+  request: ANNOUNCEMENT,
+  response: zod.strictObject({}),
+};
+
+/** Asks a peer for what it knows beyond the sender's version and offset. */
+export const PULL: wire.PeerMethod<Announcement, PullAnswer> = {
+  name: 'configuration.pull',
+  request: ANNOUNCEMENT,
+  response: PULL_ANSWER,
+};
--- a/packages/configuration/src/schemas.ts
+++ b/packages/configuration/src/schemas.ts
@@ -133,24 +133,32 @@
   SNAPSHOT: 'configurationSnapshot',
 } as const;
 
+/** An edit by an operator. */
+export const CONFIGURATION_EDIT = zod.strictObject({
+  kind: zod.literal(RECORD_KINDS.EDIT),
+  /** Unique; a repeated record of the same id takes effect once. */
+  id: zod.string().min(1).max(64),
+  /** The version that the operator saw. */
+  basedOn: zod.int().min(0),
+  author: zod.string().max(100),
+  change: CONFIGURATION_CHANGE,
+});
+
+/** The whole configuration as it was before an offset. */
+export const CONFIGURATION_SNAPSHOT = zod.strictObject({
+  kind: zod.literal(RECORD_KINDS.SNAPSHOT),
+  version: zod.int().min(0),
+  /** The state is that after all records below this offset of the stream. */
+  asOf: zod.int().min(0),
+  tables: TABLES,
+  keys: zod.array(GIVEN_KEY),
+  withdrawn: zod.array(GIVEN_KEY.shape.digest),
+  /** Ids of the latest edits, so that a repeated one is still known after the snapshot. */
+  editIds: zod.array(zod.string()),
+});
+
 /** A record of the configuration stream. */
 export const CONFIGURATION_RECORD = zod.discriminatedUnion('kind', [
-  zod.strictObject({
-    kind: zod.literal(RECORD_KINDS.EDIT),
-    /** Unique; a repeated record of the same id takes effect once. */
-    id: zod.string().min(1).max(64),
-    /** The version that the operator saw. */
-    basedOn: zod.int().min(0),
-    author: zod.string().max(100),
-    change: CONFIGURATION_CHANGE,
-  }),
-  zod.strictObject({
-    kind: zod.literal(RECORD_KINDS.SNAPSHOT),
-    version: zod.int().min(0),
-    tables: TABLES,
-    keys: zod.array(GIVEN_KEY),
-    withdrawn: zod.array(GIVEN_KEY.shape.digest),
-    /** Ids of the latest edits, so that a repeated one is still known after the snapshot. */
-    editIds: zod.array(zod.string()),
-  }),
+  CONFIGURATION_EDIT,
+  CONFIGURATION_SNAPSHOT,
 ]);
