--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+/** Settings written in YAML, checked by a schema. */
+export * from './Types.js';
+export * from './SECRET.js';
+export * from './loadSettings.js';
+export * from './readSettingsFile.js';
+export * from './readSecret.js';
