Publish operators' edits and resolve lost answers by id

An edit is appended and read back; a lost answer is resolved by reading to the tail and, when the record is not there, appending the same id again.

--- a/packages/configuration/src/ConfigurationFold.ts
+++ b/packages/configuration/src/ConfigurationFold.ts
@@ -49,6 +49,11 @@
     return this.waiting !== undefined;
   }
 
+  /** Whether an edit of this id has taken effect. Only the latest ids are remembered. */
+  public hasApplied(editId: string): boolean {
+    return this.editIds.includes(editId);
+  }
+
   /** Tells that the records before an offset can no longer be read. */
   public skipTo(offset: number): void {
     if (offset <= this.next) return;
@@ -105,7 +110,7 @@
   }
 
   private applyEdit(edit: ConfigurationEdit): FoldResult {
-    if (this.editIds.includes(edit.id)) return { outcome: FOLD_OUTCOMES.REPEATED };
+    if (this.hasApplied(edit.id)) return { outcome: FOLD_OUTCOMES.REPEATED };
     if (edit.basedOn !== this.current.version) return { outcome: FOLD_OUTCOMES.CONFLICT };
     const result = applyChange.applyChange(this.current, edit.change);
     if (result.isErr) return { outcome: FOLD_OUTCOMES.INVALID, problems: result.error };
--- a/packages/configuration/src/Types.ts
+++ b/packages/configuration/src/Types.ts
@@ -1,3 +1,4 @@
+import type * as clock from '@limpettack/clock';
 import type * as errors from '@limpettack/errors';
 import type * as lifetime from '@limpettack/lifetime';
 import type * as trueMyth from 'true-myth';
@@ -65,6 +66,46 @@
   readonly withdrawn: ReadonlySet<string>;
 }
 
+/** An edit in the stream and what became of it. */
+export interface HistoryEntry {
+  readonly offset: number;
+  /** Age when it was read, by the log's own clock, in milliseconds. */
+  readonly ageMs: clock.Milliseconds;
+  readonly edit: ConfigurationEdit;
+  readonly outcome: FoldOutcome;
+  readonly problems: readonly string[];
+  /** The version in force after the edit. */
+  readonly version: number;
+}
+
+/** An edit that an operator asks for. */
+export interface PublishRequest {
+  /** Unique. The same request with the same id takes effect once, however often it is sent. */
+  readonly id: string;
+  /** The version that the operator saw. */
+  readonly basedOn: number;
+  readonly author: string;
+  readonly change: ConfigurationChange;
+}
+
+/** What became of an edit that was asked for. */
+export type PublishOutcome =
+  | { readonly kind: 'applied'; readonly version: number }
+  | {
+      readonly kind: 'conflict';
+      readonly version: number;
+      /** Edits that came first, the oldest first, as far as the log still has them. */
+      readonly earlier: readonly HistoryEntry[];
+    }
+  | { readonly kind: 'invalid'; readonly problems: readonly string[] };
+
+/** Why nothing is known of an edit that was asked for. */
+export interface PublishFailure {
+  readonly message: string;
+  /** Whether the edit may still take effect; asking again with the same id tells. */
+  readonly maybeApplied: boolean;
+}
+
 /** What a key or its absence stands for. */
 export interface Caller {
   /** Absent for a caller without a key. */
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -9,3 +9,5 @@
 export * from './ConfigurationFold.js';
 export * from './ConfigurationStore.js';
 export * from './ConfigurationFollower.js';
+export * from './ConfigurationReader.js';
+export * from './ConfigurationPublisher.js';
