--- /dev/null
+++ b/packages/journal/src/LogStatus.ts
@@ -0,0 +1,68 @@
+import type * as clock from '@limpettack/clock';
+import * as lifetime from '@limpettack/lifetime';
+import type * as platformClient from '@limpettack/platform-client';
+
+/** Time between two attempts to reach a log that is down. */
+const PROBE_INTERVAL_MS = 200;
+
+/**
+ * Whether the log answers. It counts as down from the first failure that says so until a call
+ * succeeds; one task probes it meanwhile, so that callers need not wait for time-outs.
+ */
+export class LogStatus {
+  private readonly changes = new lifetime.Emitter<boolean>();
+
+  private isUp = true;
+
+  public readonly onChange = this.changes.event;
+
+  public constructor(
+    private readonly log: platformClient.LogClient,
+    private readonly clockSource: clock.Clock,
+    private readonly probeStream: string,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  /** Whether the last call succeeded. */
+  public get available(): boolean {
+    return this.isUp;
+  }
+
+  /** Says that a call has succeeded. */
+  public markUp(): void {
+    if (this.isUp) return;
+    this.isUp = true;
+    this.changes.fire(true);
+  }
+
+  /** Says that a call has failed in a way that shows an outage. */
+  public markDown(): void {
+    if (!this.isUp || this.signal.aborted) return;
+    this.isUp = false;
+    this.changes.fire(false);
+    this.probe().catch(() => undefined);
+  }
+
+  /** Resolves when the log answers again, or when the signal aborts. */
+  public whenUp(signal: AbortSignal): Promise<void> {
+    if (this.isUp || signal.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const subscription = this.changes.event(finish);
+      function finish(): void {
+        subscription.dispose();
+        signal.removeEventListener('abort', finish);
+        resolve();
+      }
+      signal.addEventListener('abort', finish, { once: true });
+    });
+  }
+
+  private async probe(): Promise<void> {
+    while (!this.isUp && !this.signal.aborted) {
+      const page = await this.log.read(this.probeStream, 0, { limit: 1, waitMs: 0 });
+      const answered = page.isOk || page.error.kind === 'expired';
+      if (answered) this.markUp();
+      else await this.clockSource.sleep(PROBE_INTERVAL_MS, this.signal);
+    }
+  }
+}
--- /dev/null
+++ b/packages/journal/src/ReadCounter.ts
@@ -0,0 +1,34 @@
+import type { ReadOutcome } from './ShardReader.js';
+import type { ReadCounts } from './Types.js';
+
+/** Counts what was read. */
+export class ReadCounter {
+  private readonly numbers = {
+    bodies: 0,
+    voids: 0,
+    repeats: 0,
+    unknownKinds: 0,
+    malformed: 0,
+    gaps: 0,
+  };
+
+  /** The numbers so far. */
+  public get counts(): ReadCounts {
+    return { ...this.numbers };
+  }
+
+  /** Counts a record. */
+  public count(outcome: ReadOutcome<unknown>): void {
+    if (outcome.kind === 'body') this.numbers.bodies += 1;
+    if (outcome.kind === 'void') this.numbers.voids += 1;
+    if (outcome.kind === 'repeat') this.numbers.repeats += 1;
+    if (outcome.kind !== 'skipped') return;
+    if (outcome.reason === 'malformed') this.numbers.malformed += 1;
+    else this.numbers.unknownKinds += 1;
+  }
+
+  /** Counts a gap. */
+  public countGap(): void {
+    this.numbers.gaps += 1;
+  }
+}
--- /dev/null
+++ b/packages/journal/src/ShardJournal.ts
@@ -0,0 +1,328 @@
+import type * as clock from '@limpettack/clock';
+import * as errors from '@limpettack/errors';
+import * as lifetime from '@limpettack/lifetime';
+import type * as logging from '@limpettack/logging';
+import type * as membership from '@limpettack/membership';
+import type * as platformClient from '@limpettack/platform-client';
+import type * as wire from '@limpettack/wire';
+import * as trueMyth from 'true-myth';
+import * as xxhash from 'xxhash-wasm';
+import * as appendRate from './AppendRate.js';
+import * as claimSupervisor from './ClaimSupervisor.js';
+import * as handOverShards from './handOverShards.js';
+import * as holderWatch from './HolderWatch.js';
+import * as logStatus from './LogStatus.js';
+import * as ownershipExchange from './OwnershipExchange.js';
+import * as pauseDetector from './PauseDetector.js';
+import * as peerMethods from './peerMethods.js';
+import type * as rankMembers from './rankMembers.js';
+import * as readCounter from './ReadCounter.js';
+import * as shardBalancer from './ShardBalancer.js';
+import * as shardSlot from './ShardSlot.js';
+import * as standbyLink from './StandbyLink.js';
+import type {
+  AppendOptions,
+  AppendReceipt,
+  Journal,
+  OwnedShard,
+  Ownership,
+  ReadCounts,
+  ShardFold,
+  ShardGap,
+} from './Types.js';
+
+const RETENTION_RETRY_MS = 1_000;
+
+/** Parts of the retention after which an owner looks for expiring records. */
+const RENEWAL_CHECKS = 8;
+const DEFAULT_APPEND_PATIENCE_MS = 1_500;
+const DEFAULT_REBALANCE_INTERVAL_MS = 2_000;
+
+/** What the journal works with and by. */
+export interface ShardJournalOptions<State, Body> {
+  /** Fixed when the installation is created. */
+  readonly shardCount: number;
+  readonly log: platformClient.LogClient;
+  readonly network: wire.PeerNetwork;
+  readonly membership: membership.Membership;
+  readonly clock: clock.Clock;
+  readonly fold: ShardFold<State, Body>;
+  readonly logger: logging.Logger;
+  /** The most appends a second that this process sends. */
+  readonly appendsPerSecond: number;
+  /** How long a holder must be out of reach before its shard is claimed by another. */
+  readonly suspicionMs: clock.Milliseconds;
+  /** The longest time that a confirmation of ownership is relied on; below `suspicionMs`. */
+  readonly authorityWindowMs: clock.Milliseconds;
+  /** How long the log keeps records; asked of the log when left out. */
+  readonly retentionMs?: clock.Milliseconds;
+  /** How long an append may take before it is handled as lost. */
+  readonly appendPatienceMs?: clock.Milliseconds;
+  /** Least time between two shards that are handed over to level the shares. */
+  readonly rebalanceIntervalMs?: clock.Milliseconds;
+}
+
+/** The journal on the platform's log: one stream, one owner and one standby a shard. */
+export class ShardJournal<State, Body> implements Journal<State, Body> {
+  private readonly store = new lifetime.DisposableStore();
+
+  private readonly ending = new AbortController();
+
+  private readonly ownedEmitter = this.store.add(new lifetime.Emitter<OwnedShard<State>>());
+
+  private readonly lostEmitter = this.store.add(new lifetime.Emitter<number>());
+
+  private readonly ownershipEmitter = this.store.add(new lifetime.Emitter<Ownership>());
+
+  private readonly gapEmitter = this.store.add(new lifetime.Emitter<ShardGap>());
+
+  private readonly counter = new readCounter.ReadCounter();
+
+  private readonly status: logStatus.LogStatus;
+
+  private readonly slots: readonly shardSlot.ShardSlot<State, Body>[];
+
+  private readonly supervisor: claimSupervisor.ClaimSupervisor;
+
+  private readonly balancer: shardBalancer.ShardBalancer;
+
+  private readonly exchange: ownershipExchange.OwnershipExchange;
+
+  private sequence = 0;
+
+  private retention: clock.Milliseconds | undefined;
+
+  public readonly onOwned = this.ownedEmitter.event;
+
+  public readonly onLost = this.lostEmitter.event;
+
+  public readonly onOwnershipChange = this.ownershipEmitter.event;
+
+  public readonly onGap = this.gapEmitter.event;
+
+  private constructor(
+    private readonly options: ShardJournalOptions<State, Body>,
+    private readonly hash: rankMembers.HashText,
+  ) {
+    const { clock: clockSource, membership: members, suspicionMs } = options;
+    this.retention = options.retentionMs;
+    const probeStream = streamName(0);
+    const { signal } = this.ending;
+    this.status = new logStatus.LogStatus(options.log, clockSource, probeStream, signal);
+    const pauses = new pauseDetector.PauseDetector(clockSource, signal);
+    this.slots = this.createSlots(pauses);
+    const watch = new holderWatch.HolderWatch({ membership: members, clock: clockSource, pauses });
+    const shared = { membership: members, clock: clockSource, hash };
+    this.supervisor = new claimSupervisor.ClaimSupervisor(this.slots, {
+      ...{ ...shared, status: this.status, watch, pauses, suspicionMs },
+    });
+    const intervalMs = options.rebalanceIntervalMs ?? DEFAULT_REBALANCE_INTERVAL_MS;
+    this.balancer = new shardBalancer.ShardBalancer(this.slots, { ...shared, intervalMs });
+    this.exchange = new ownershipExchange.OwnershipExchange(this, options);
+  }
+
+  /** Starts the journal. Resolves once the claims known to peers or in the log are known here. */
+  public static async start<State, Body>(
+    options: ShardJournalOptions<State, Body>,
+  ): Promise<ShardJournal<State, Body>> {
+    const { h32 } = await xxhash.default();
+    const journal = new ShardJournal(options, (text) => h32(text));
+    await journal.begin();
+    return journal;
+  }
+
+  /** @inheritdoc */
+  public get shardCount(): number {
+    return this.options.shardCount;
+  }
+
+  /** @inheritdoc */
+  public shardOf(key: string): number {
+    return this.hash(key) % this.shardCount;
+  }
+
+  /** @inheritdoc */
+  public ownership(shard: number): Ownership | undefined {
+    return this.slots[shard]?.ownership;
+  }
+
+  /** @inheritdoc */
+  public learn(ownership: Ownership): void {
+    this.slots[ownership.shard]?.learn(ownership);
+  }
+
+  /** @inheritdoc */
+  public owned(shard: number): OwnedShard<State> | undefined {
+    return this.slots[shard]?.owned;
+  }
+
+  /** @inheritdoc */
+  public isStandby(shard: number): boolean {
+    return this.slots[shard]?.isStandby ?? false;
+  }
+
+  /** @inheritdoc */
+  public async append(
+    shard: number,
+    body: Body,
+    options: AppendOptions,
+  ): Promise<trueMyth.Result<AppendReceipt, errors.Fault>> {
+    const slot = this.slots[shard];
+    if (slot === undefined) return trueMyth.Result.err(errors.createFault('not-owner'));
+    return slot.append(body, options.replicateInOutage);
+  }
+
+  /** @inheritdoc */
+  public async confirmAuthority(
+    shard: number,
+    freshnessMs: clock.Milliseconds,
+  ): Promise<trueMyth.Result<Ownership, errors.Fault>> {
+    const slot = this.slots[shard];
+    if (slot === undefined) return trueMyth.Result.err(errors.createFault('not-owner'));
+    return slot.confirmAuthority(Math.min(freshnessMs, this.options.authorityWindowMs));
+  }
+
+  /** @inheritdoc */
+  public isLogAvailable(): boolean {
+    return this.status.available;
+  }
+
+  /** @inheritdoc */
+  public readCounts(): ReadCounts {
+    return this.counter.counts;
+  }
+
+  /** @inheritdoc */
+  public async handOver(timeoutMs: clock.Milliseconds): Promise<void> {
+    this.supervisor.stopClaiming();
+    this.balancer.stop();
+    await handOverShards.handOverShards(this.slots, timeoutMs, {
+      ...this.options,
+      hash: this.hash,
+    });
+  }
+
+  /** @inheritdoc */
+  public async dispose(): Promise<void> {
+    this.ending.abort();
+    this.slots.forEach((slot) => slot.stop());
+    await this.store.dispose();
+  }
+
+  private createSlots(
+    pauses: pauseDetector.PauseDetector,
+  ): readonly shardSlot.ShardSlot<State, Body>[] {
+    const { options, status } = this;
+    const { log, clock: clockSource, fold, network, logger } = options;
+    const collaborators: shardSlot.SlotCollaborators<State, Body> = {
+      ...{ log, clock: clockSource, fold, logger, status, streamName, pauses },
+      self: network.self,
+      link: new standbyLink.StandbyLink(network, clockSource),
+      rate: new appendRate.AppendRate(clockSource, options.appendsPerSecond),
+      appendPatienceMs: options.appendPatienceMs ?? DEFAULT_APPEND_PATIENCE_MS,
+      createId: () => this.createId(),
+      retentionMs: () => this.retention,
+    };
+    const listener = this.createSlotListener();
+    return Array.from(
+      { length: options.shardCount },
+      (_, shard) => new shardSlot.ShardSlot(shard, collaborators, listener),
+    );
+  }
+
+  private createSlotListener(): shardSlot.SlotListener<State, Body> {
+    return {
+      onOwned: (owned) => this.ownedEmitter.fire(owned),
+      onLost: (shard) => this.lostEmitter.fire(shard),
+      onOwnership: (ownership) => {
+        this.ownershipEmitter.fire(ownership);
+        this.exchange.tell(ownership);
+      },
+      onGap: (shard, firstOffset) => {
+        this.counter.countGap();
+        this.gapEmitter.fire({ shard, firstOffset });
+      },
+      onRecord: (shard, outcome) => {
+        this.counter.count(outcome);
+        if (outcome.kind !== 'skipped') return;
+        const fields = { shard, offset: outcome.offset, reason: outcome.reason };
+        this.options.logger.warn('A record was skipped.', fields);
+      },
+    };
+  }
+
+  private createId() {
+    const { incarnation } = this.options.network.self;
+    const { sequence } = this;
+    this.sequence += 1;
+    return { incarnation, sequence };
+  }
+
+  private async begin(): Promise<void> {
+    this.serve();
+    await this.exchange.compareWithSome();
+    const unknown = this.slots.filter((slot) => slot.ownership === undefined);
+    await Promise.all(unknown.map((slot) => slot.look()));
+    const { signal } = this.ending;
+    const tasks = [
+      this.supervisor.run(signal),
+      this.balancer.run(signal),
+      this.exchange.run(signal),
+      this.renewUntil(signal),
+    ];
+    tasks.forEach((task) => task.catch((cause: unknown) => this.reportFailure(cause)));
+  }
+
+  private serve(): void {
+    const { network } = this.options;
+    const unknownShard = () =>
+      trueMyth.Result.err<object, errors.Fault>(errors.createFault('not-owner'));
+    this.store.add(
+      network.serve(peerMethods.exchange, async (request) =>
+        trueMyth.Result.ok(this.exchange.answer(request)),
+      ),
+    );
+    this.store.add(
+      network.serve(
+        peerMethods.authority,
+        async ({ shard, epoch }) => (await this.slots[shard]?.vouch(epoch)) ?? unknownShard(),
+      ),
+    );
+    this.store.add(
+      network.serve(
+        peerMethods.replicate,
+        async (request) =>
+          (await this.slots[request.shard]?.holdReplicas(request)) ?? unknownShard(),
+      ),
+    );
+    this.store.add(
+      network.serve(peerMethods.offer, async ({ shard }) => {
+        await this.slots[shard]?.look();
+        this.supervisor.superviseAll();
+        return trueMyth.Result.ok({});
+      }),
+    );
+  }
+
+  private async renewUntil(signal: AbortSignal): Promise<void> {
+    const { clock: clockSource, log } = this.options;
+    while (!signal.aborted) {
+      if (this.retention === undefined) {
+        const answer = await log.retention();
+        if (answer.isOk) this.retention = answer.value;
+      }
+      const span =
+        this.retention === undefined ? RETENTION_RETRY_MS : this.retention / RENEWAL_CHECKS;
+      await clockSource.sleep(span, signal);
+      if (this.retention !== undefined) this.slots.forEach((slot) => slot.renewExpiring());
+    }
+  }
+
+  private reportFailure(cause: unknown): void {
+    this.options.logger.error('A task of the journal failed.', { reason: String(cause) });
+  }
+}
+
+function streamName(shard: number): string {
+  return `journal-${shard}`;
+}
--- /dev/null
+++ b/packages/journal/src/ShardStream.ts
@@ -0,0 +1,159 @@
+import type * as clock from '@limpettack/clock';
+import type * as platformClient from '@limpettack/platform-client';
+import type * as logStatus from './LogStatus.js';
+import type { ReadOutcome } from './ShardReader.js';
+import * as shardView from './ShardView.js';
+import type { ShardFold } from './Types.js';
+
+const PAGE_LIMIT = 1_000;
+const LONG_POLL_MS = 5_000;
+const RETRY_MS = 100;
+
+/** What a stream needs from the process. */
+export interface StreamCollaborators<State, Body> {
+  readonly log: platformClient.LogClient;
+  readonly clock: clock.Clock;
+  readonly fold: ShardFold<State, Body>;
+  readonly status: logStatus.LogStatus;
+  /** The name of a shard's stream. */
+  streamName(shard: number): string;
+}
+
+/** What happens while a stream is read. */
+export interface StreamListener<Body> {
+  /** One record was read; the state has changed by it. */
+  onRecord(outcome: ReadOutcome<Body>): void;
+  /** All records that the log had at `startedAt` by this process' clock have been read. */
+  onTail(startedAt: clock.Milliseconds): void;
+  /** Records expired before they were read; the view starts again behind them. */
+  onRestart(firstOffset: number): void;
+}
+
+/** Reads one shard's stream into a view, and follows it on demand. */
+export class ShardStream<State, Body> {
+  private current: shardView.ShardView<State, Body>;
+
+  private following: AbortController | undefined;
+
+  public readonly name: string;
+
+  public constructor(
+    public readonly shard: number,
+    private readonly collaborators: StreamCollaborators<State, Body>,
+    private readonly listener: StreamListener<Body>,
+  ) {
+    this.name = collaborators.streamName(shard);
+    this.current = this.createView(0);
+  }
+
+  /** The view of the records read so far. */
+  public get view(): shardView.ShardView<State, Body> {
+    return this.current;
+  }
+
+  /** Whether the stream is being followed or anything of it has been read. */
+  public get hasRead(): boolean {
+    return this.following !== undefined || this.current.reader.nextOffset > 0;
+  }
+
+  /** Forgets everything and starts from the first record that the log still has. */
+  public reset(): void {
+    this.current = this.createView(0);
+  }
+
+  /** Starts to follow the stream by long polls. */
+  public follow(): void {
+    if (this.following !== undefined) return;
+    const controller = new AbortController();
+    this.following = controller;
+    this.followUntil(controller.signal).catch(() => undefined);
+  }
+
+  /** Stops following and forgets the state. */
+  public unfollow(): void {
+    this.following?.abort();
+    this.following = undefined;
+    this.reset();
+  }
+
+  /** Reads up to the end that the stream has now. Fails when the log fails. */
+  public async catchUp(): Promise<platformClient.PlatformFailure | undefined> {
+    for (;;) {
+      const step = await this.readPage(0);
+      if (step === 'tail') return undefined;
+      if (typeof step === 'object') return step;
+    }
+  }
+
+  /** Reads until the given offset is behind. Fails when the log fails. */
+  public async readTo(offset: number): Promise<platformClient.PlatformFailure | undefined> {
+    while (this.current.reader.nextOffset < offset) {
+      const step = await this.readPage(0);
+      if (typeof step === 'object') return step;
+    }
+    return undefined;
+  }
+
+  /** Takes records of this process that were appended right behind what has been read. */
+  public absorb(offset: number, payloads: readonly string[]): boolean {
+    const view = this.current;
+    if (view.reader.nextOffset !== offset) return false;
+    payloads.forEach((payload, index) => {
+      this.feed(view, { offset: offset + index, ageMs: 0, payload });
+    });
+    return true;
+  }
+
+  private createView(firstOffset: number): shardView.ShardView<State, Body> {
+    const { fold, clock: clockSource } = this.collaborators;
+    return new shardView.ShardView(this.shard, fold, clockSource, firstOffset);
+  }
+
+  private async followUntil(signal: AbortSignal): Promise<void> {
+    const { clock: clockSource, status } = this.collaborators;
+    while (!signal.aborted) {
+      await status.whenUp(signal);
+      const step = await this.readPage(this.current.caughtUp ? LONG_POLL_MS : 0, signal);
+      if (typeof step === 'object') await clockSource.sleep(RETRY_MS, signal);
+    }
+  }
+
+  private async readPage(
+    waitMs: clock.Milliseconds,
+    signal?: AbortSignal,
+  ): Promise<platformClient.PlatformFailure | 'tail' | 'more'> {
+    const { log, clock: clockSource, status } = this.collaborators;
+    const view = this.current;
+    const startedAt = clockSource.now();
+    const options = { limit: PAGE_LIMIT, waitMs, ...(signal === undefined ? {} : { signal }) };
+    const page = await log.read(this.name, view.reader.nextOffset, options);
+    // The view may have been replaced meanwhile; what was read for the old one is of no use.
+    if (signal?.aborted || view !== this.current) return 'more';
+    if (page.isErr) return this.fail(page.error);
+    status.markUp();
+    page.value.records.forEach((record) => this.feed(view, record));
+    if (view !== this.current) return 'more';
+    if (view.reader.nextOffset < page.value.tailOffset) return 'more';
+    view.caughtUp = true;
+    this.listener.onTail(startedAt);
+    return 'tail';
+  }
+
+  private feed(view: shardView.ShardView<State, Body>, record: platformClient.LogRecord): void {
+    // A record's listener may have replaced the view.
+    if (view !== this.current) return;
+    const outcome = view.feed(record);
+    if (outcome.kind !== 'old') this.listener.onRecord(outcome);
+  }
+
+  private fail(failure: platformClient.PlatformFailure): platformClient.PlatformFailure | 'more' {
+    if (failure.kind === 'unavailable') this.collaborators.status.markDown();
+    if (failure.kind !== 'expired') return failure;
+    this.collaborators.status.markUp();
+    const { firstOffset } = failure;
+    if (firstOffset === undefined || firstOffset <= this.current.reader.nextOffset) return failure;
+    this.current = this.createView(firstOffset);
+    this.listener.onRestart(firstOffset);
+    return 'more';
+  }
+}
--- a/packages/journal/src/Types.ts
+++ b/packages/journal/src/Types.ts
@@ -73,6 +73,29 @@
   readonly ownership: Ownership;
   /** The state as of the last record that counted. Read only; append records to change it. */
   readonly state: State;
+  /**
+   * True when records that may still matter had expired before they were read. The state lacks
+   * them then.
+   */
+  readonly hasGap: boolean;
+}
+
+/** Records of a shard expired before this process could read them. */
+export interface ShardGap {
+  readonly shard: number;
+  /** The first offset that could be read. */
+  readonly firstOffset: number;
+}
+
+/** What was read, in numbers of records since the start of the process. */
+export interface ReadCounts {
+  readonly bodies: number;
+  /** Of writers that were not the owner. */
+  readonly voids: number;
+  readonly repeats: number;
+  readonly unknownKinds: number;
+  readonly malformed: number;
+  readonly gaps: number;
 }
 
 /** The shards of the installation: who owns them, and appends to those owned here. */
@@ -92,6 +115,10 @@
   readonly onOwned: lifetime.Event<OwnedShard<State>>;
   /** Fires with the shard when this process no longer owns it. */
   readonly onLost: lifetime.Event<number>;
+  /** Fires when records of a shard expired before this process read them. */
+  readonly onGap: lifetime.Event<ShardGap>;
+  /** What was read so far, for metrics. */
+  readCounts(): ReadCounts;
   /** Fires when any shard's latest known claim changes. */
   readonly onOwnershipChange: lifetime.Event<Ownership>;
   /** Resolves when the record counts. Faults: `not-owner`, `log-unavailable`. */
--- /dev/null
+++ b/packages/journal/src/handOverShards.ts
@@ -0,0 +1,70 @@
+import type * as clock from '@limpettack/clock';
+import type * as membership from '@limpettack/membership';
+import type * as wire from '@limpettack/wire';
+import * as peerMethods from './peerMethods.js';
+import * as rankMembers from './rankMembers.js';
+import type * as shardSlot from './ShardSlot.js';
+
+const OFFER_TIMEOUT_MS = 500;
+const POLL_MS = 20;
+
+/** The part of a slot that a hand-over goes by. */
+export type ReleasableShard = Pick<
+  shardSlot.ShardSlot<unknown, unknown>,
+  'shard' | 'owned' | 'isOwner' | 'released' | 'ownership' | 'release'
+>;
+
+/** What a hand-over needs from the process. */
+export interface HandOverCollaborators {
+  readonly network: wire.PeerNetwork;
+  readonly membership: membership.Membership;
+  readonly clock: clock.Clock;
+  readonly hash: rankMembers.HashText;
+}
+
+/**
+ * Gives all owned shards up, each to its standby or else to the best-ranked other VM. Resolves when
+ * others have claimed them or the time is up. With the log down nothing can be given up.
+ */
+export async function handOverShards(
+  slots: readonly ReleasableShard[],
+  timeoutMs: clock.Milliseconds,
+  collaborators: HandOverCollaborators,
+): Promise<void> {
+  const { clock: clockSource } = collaborators;
+  const tooLate = new AbortController();
+  const timer = clockSource.sleep(timeoutMs, tooLate.signal).then(() => tooLate.abort());
+  const owned = slots.filter((slot) => slot.isOwner);
+  const all = Promise.all(owned.map((slot) => handOver(slot, collaborators, tooLate.signal)));
+  await Promise.race([all, timer]);
+  tooLate.abort();
+}
+
+async function handOver(
+  slot: ReleasableShard,
+  collaborators: HandOverCollaborators,
+  signal: AbortSignal,
+): Promise<void> {
+  const successor = pickSuccessor(slot, collaborators);
+  // With nobody to take the shard it stays as it is, and the next process finds it ended.
+  if (successor === undefined) return;
+  const { shard } = slot;
+  const { network, clock: clockSource } = collaborators;
+  while (slot.isOwner && !signal.aborted) {
+    if (!(await slot.release(successor.name))) await clockSource.sleep(POLL_MS, signal);
+  }
+  const offer = { shard, epoch: slot.ownership?.epoch ?? 0 };
+  const options = { timeoutMs: OFFER_TIMEOUT_MS };
+  await network.request(successor.address, peerMethods.offer, offer, options);
+  while (slot.released && !signal.aborted) await clockSource.sleep(POLL_MS, signal);
+}
+
+function pickSuccessor(
+  slot: ReleasableShard,
+  { membership: members, hash }: HandOverCollaborators,
+): membership.Member | undefined {
+  const { self } = members;
+  const others = members.available().filter((member) => member.name !== self.name);
+  const standby = others.find((member) => member.name === slot.ownership?.standby?.name);
+  return standby ?? rankMembers.pickStandby(slot.shard, self, others, hash);
+}
--- a/packages/journal/src/index.ts
+++ b/packages/journal/src/index.ts
@@ -1,3 +1,7 @@
 /** Fenced shards on the platform's log. */
 export * from './Types.js';
 export * from './Durabilities.js';
+export * from './ShardJournal.js';
+export * from './ShardReader.js';
+export * from './JournalRecord.js';
+export * from './RecordKinds.js';
--- /dev/null
+++ b/packages/journal/src/rankMembers.ts
@@ -0,0 +1,27 @@
+import type * as membership from '@limpettack/membership';
+
+/** A hash of a text to a whole number, the same on every VM. */
+export type HashText = (text: string) => number;
+
+/** Orders the members by rendezvous hashing: each VM reaches the same order for a shard. */
+export function rankMembers(
+  shard: number,
+  members: readonly membership.Member[],
+  hash: HashText,
+): membership.Member[] {
+  const weighted = members.map((member) => ({ member, weight: hash(`${shard}/${member.name}`) }));
+  weighted.sort((a, b) => b.weight - a.weight || (a.member.name < b.member.name ? -1 : 1));
+  return weighted.map(({ member }) => member);
+}
+
+/** The best-ranked member in another failure domain than the owner, or else the best-ranked. */
+export function pickStandby(
+  shard: number,
+  owner: Pick<membership.Member, 'name' | 'failureDomain'>,
+  members: readonly membership.Member[],
+  hash: HashText,
+): membership.Member | undefined {
+  const others = members.filter((member) => member.name !== owner.name);
+  const ranked = rankMembers(shard, others, hash);
+  return ranked.find((member) => member.failureDomain !== owner.failureDomain) ?? ranked[0];
+}
