Probe the members of the fleet and read the platform's list

Cause: nothing told which VMs are there.

Only a successful read of the list that drops a VM, or a later incarnation, proves an end. A VM that was never seen listed counts as ended once successful reads have lacked it for a minute, or no fleet replaced as a whole could ever prove it. Ruled out: marking members gone after a time of suspicion, which a pause imitates.

--- /dev/null
+++ b/packages/membership/src/ProbingMembership.test.ts
@@ -0,0 +1,196 @@
+import * as jestGlobals from '@jest/globals';
+import * as clock from '@limpettack/clock';
+import type * as errors from '@limpettack/errors';
+import type * as platformClient from '@limpettack/platform-client';
+import * as wire from '@limpettack/wire';
+import * as trueMyth from 'true-myth';
+import * as memberStates from './MemberStates.js';
+import * as probingMembership from './ProbingMembership.js';
+
+const { describe, expect, test } = jestGlobals;
+const { AVAILABLE, GONE, SUSPECTED } = memberStates.MEMBER_STATES;
+
+type Handler = wire.RequestHandler<unknown, unknown>;
+type Fleet = ReturnType<typeof createFleet>;
+
+const INTERVAL_MS = 100;
+const PAUSE_MS = 10_000;
+
+/** VMs that exchange messages in memory; a message to a cut VM fails. */
+function createFleet() {
+  const time = new clock.ManualClock();
+  const handlers = new Map<string, Handler>();
+  const faults = { cut: new Set<string>(), listIsDown: false, pauseOnFailure: false, messages: 0 };
+  let listed: platformClient.ListedVm[] = [];
+
+  function createNetwork(self: wire.PeerIdentity): wire.PeerNetwork {
+    const network = {
+      self,
+      serve(method: { name: string }, handler: Handler) {
+        handlers.set(`${self.address} ${method.name}`, handler);
+        return { dispose: () => undefined };
+      },
+      async request(address: string, method: { name: string }, request: unknown) {
+        faults.messages += 1;
+        const handler = handlers.get(`${address} ${method.name}`);
+        if (!handler || faults.cut.has(address) || faults.cut.has(self.address)) {
+          if (faults.pauseOnFailure) time.advance(PAUSE_MS);
+          const kind = wire.PEER_FAILURES.TIMED_OUT;
+          return trueMyth.Result.err<unknown, wire.PeerFailure>({ kind, message: 'cut' });
+        }
+        const result = await handler(structuredClone(request), self);
+        return result;
+      },
+    };
+    return network as unknown as wire.PeerNetwork;
+  }
+
+  return {
+    time,
+    faults,
+    async start(name: string, seeds: readonly string[] = [], incarnation = '1', port = 1) {
+      const self = { name, incarnation, address: `${name}:${port}`, failureDomain: 'quito-norte' };
+      const membership = new probingMembership.ProbingMembership({
+        network: createNetwork(self),
+        vmList: { list: async () => readList() },
+        clock: time,
+        logger: { debug() {}, info() {}, warn() {}, error() {} },
+        random: createRandom(),
+        probeIntervalMs: INTERVAL_MS,
+        probeTimeoutMs: 50,
+        suspicionMs: 2 * INTERVAL_MS,
+        listIntervalMs: INTERVAL_MS,
+        seeds,
+      });
+      await membership.start();
+      return membership;
+    },
+    list(...names: string[]) {
+      listed = names.map((name) => ({
+        name,
+        address: `${name}:1`,
+        failureDomain: 'quito-norte',
+        leaving: false,
+      }));
+    },
+    async run(rounds: number) {
+      for (let round = 0; round < rounds; round += 1) {
+        time.advance(INTERVAL_MS);
+        await new Promise((resolve) => {
+          setImmediate(resolve);
+        });
+      }
+    },
+  };
+
+  function readList() {
+    if (!faults.listIsDown) return trueMyth.Result.ok<typeof listed>(listed);
+    return trueMyth.Result.err<never, platformClient.PlatformFailure>({
+      kind: 'unavailable',
+      message: 'down',
+    });
+  }
+}
+
+/** A linear congruential generator with a fixed seed. */
+function createRandom(): () => number {
+  let state = 7;
+  return () => {
+    state = (state * 48_271) % 2_147_483_647;
+    return state / 2_147_483_647;
+  };
+}
+
+async function startThree(fleet: Fleet) {
+  fleet.list('a', 'b', 'c');
+  const members = [await fleet.start('a'), await fleet.start('b'), await fleet.start('c')] as const;
+  await fleet.run(10);
+  return members;
+}
+
+describe('ProbingMembership', () => {
+  test('suspects a VM that stopped and takes it back when it answers', async () => {
+    const fleet = createFleet();
+    const [first, second] = await startThree(fleet);
+    fleet.faults.cut.add('c:1');
+    await fleet.run(12);
+    expect([first, second].map((member) => member.find('c')?.state)).toEqual([
+      SUSPECTED,
+      SUSPECTED,
+    ]);
+    expect(await first.confirmUnreachable('c')).toBe(true);
+    expect(await first.confirmUnreachable('b')).toBe(false);
+    expect(first.hasEnded('c', '1')).toBe(false);
+    fleet.faults.cut.clear();
+    await fleet.run(12);
+    expect([first, second].map((member) => member.find('c')?.state)).toEqual([
+      AVAILABLE,
+      AVAILABLE,
+    ]);
+  });
+
+  test('proves an end by the list only when it was read, and by a later incarnation', async () => {
+    const fleet = createFleet();
+    const [first] = await startThree(fleet);
+    fleet.faults.listIsDown = true;
+    fleet.list('a', 'b');
+    fleet.faults.cut.add('c:1');
+    await fleet.run(12);
+    expect(first.hasEnded('c', '1')).toBe(false);
+    fleet.faults.listIsDown = false;
+    await fleet.run(2);
+    expect(first.hasEnded('c', '1')).toBe(true);
+    expect(first.find('c')?.state).toBe(GONE);
+    // The VM comes back under its name: only the earlier process has ended.
+    await fleet.start('c', ['a:1'], '2', 2);
+    await fleet.run(12);
+    expect(first.find('c')).toMatchObject({ incarnation: '2', address: 'c:2', state: AVAILABLE });
+    expect([first.hasEnded('c', '1'), first.hasEnded('c', '2')]).toEqual([true, false]);
+  });
+
+  test('does not take a VM that is not listed yet for one that has ended', async () => {
+    const fleet = createFleet();
+    const [first] = await startThree(fleet);
+    expect(first.hasEnded('d', '1')).toBe(false);
+    await fleet.run(50);
+    expect(first.hasEnded('d', '1')).toBe(false);
+    await fleet.run(600);
+    expect(first.hasEnded('d', '1')).toBe(true);
+  });
+
+  test('suspects nobody after it was paused itself', async () => {
+    const fleet = createFleet();
+    const [first] = await startThree(fleet);
+    fleet.faults.cut.add('a:1');
+    fleet.faults.pauseOnFailure = true;
+    await fleet.run(1);
+    fleet.faults.pauseOnFailure = false;
+    await fleet.run(1);
+    expect(await first.confirmUnreachable('b')).toBe(false);
+    expect(first.available()).toHaveLength(3);
+  });
+
+  test('learns of members through seeds when the list is down, and of their leaving', async () => {
+    const fleet = createFleet();
+    fleet.faults.listIsDown = true;
+    const first = await fleet.start('a');
+    const second = await fleet.start('b', ['a:1']);
+    const third = await fleet.start('c', ['a:1']);
+    await fleet.run(10);
+    expect(third.members().map((member) => member.name)).toEqual(['a', 'b', 'c']);
+    await second.announceLeaving();
+    expect(first.available().map((member) => member.name)).toEqual(['a', 'c']);
+    await fleet.run(10);
+    expect(third.find('b')).toMatchObject({ leaving: true, state: AVAILABLE });
+  });
+
+  test('sends a number of messages that does not grow with the fleet', async () => {
+    const fleet = createFleet();
+    const names = Array.from({ length: 40 }, (unused, index) => `vm-${index}`);
+    fleet.list(...names);
+    await Promise.all(names.map((name) => fleet.start(name)));
+    fleet.faults.messages = 0;
+    await fleet.run(10);
+    expect(fleet.faults.messages).toBeLessThanOrEqual(10 * names.length);
+  });
+});
