Admit requests from one bucket for the whole fleet

Cause: nothing counted a workspace's rate over all VMs. The shard of the workspace's name owns its bucket; grants come from an allowance that the standby has acknowledged, and what earlier owners may still grant is held back until they acknowledge the new epoch or have ended.

A property test drives pauses, kills, restarts, reordered, repeated and lost messages, takeovers and log outages against an ideal bucket.

--- /dev/null
+++ b/packages/limits/src/BucketStandby.ts
@@ -0,0 +1,125 @@
+import type * as clock from '@limpettack/clock';
+import * as heldAmounts from './HeldAmounts.js';
+import type {
+  HeldEntry,
+  Holder,
+  ReplicatedBucket,
+  ReplicateRequest,
+  ShardState,
+} from './messages.js';
+import * as tokenBucket from './TokenBucket.js';
+import type { LimitLookup } from './Types.js';
+
+interface Replica {
+  readonly bucket: tokenBucket.TokenBucket;
+  readonly sequence: number;
+  readonly authorized: number;
+  readonly granted: number;
+}
+
+/** What the standby of a shard has of the owner's buckets in one epoch. */
+export class BucketStandby {
+  private readonly replicas = new Map<string, Replica>();
+
+  private held = new heldAmounts.HeldAmounts([]);
+
+  private emptySince: clock.Milliseconds | undefined;
+
+  /** Messages before this one were sent before the complete state was. */
+  private firstSequence = 0;
+
+  private lastSequence = -1;
+
+  private complete = false;
+
+  public constructor(
+    public readonly epoch: number,
+    public readonly owner: Holder,
+    private readonly time: clock.Clock,
+    private readonly limitOf: LimitLookup,
+  ) {}
+
+  /** Whether all buckets of the epoch have been received. */
+  public get isComplete(): boolean {
+    return this.complete;
+  }
+
+  /** Takes a message of the owner in. Late and repeated ones change nothing. */
+  public apply(message: ReplicateRequest): void {
+    if (message.complete && !this.complete) this.startFrom(message);
+    if (!this.complete || message.sequence < this.firstSequence) return;
+    message.buckets.forEach((bucket) => this.applyBucket(bucket, message.sequence));
+    if (message.sequence <= this.lastSequence) return;
+    this.lastSequence = message.sequence;
+    this.changeHeld(message.held);
+    this.emptySince = this.startOfEmptiness(message);
+  }
+
+  /** Tokens that the owner may grant, counted from the start of the epoch. */
+  public authorized(workspace: string): number {
+    return this.replicas.get(workspace)?.authorized ?? 0;
+  }
+
+  /** Brings the limits of the configuration into force. */
+  public updateLimits(): void {
+    this.replicas.forEach((replica, workspace) => {
+      this.settle(workspace, replica);
+      replica.bucket.setLimit(this.limitOf(workspace));
+    });
+  }
+
+  /** The state for the next owner: all that the owner may still grant counts as held. */
+  public exportState(): ShardState {
+    const names = [...this.replicas.keys()];
+    const amounts = names
+      .map((workspace) => ({ workspace, tokens: outstanding(this.replicas.get(workspace)!) }))
+      .filter((amount) => amount.tokens > 0);
+    const own: HeldEntry = { holder: this.owner, epoch: this.epoch, unlimited: false, amounts };
+    return {
+      epoch: this.epoch,
+      buckets: names.map((workspace) => ({ workspace, level: this.levelOf(workspace) })),
+      held: [...this.held.entries, own],
+      emptyForMs: this.emptySince === undefined ? undefined : this.time.now() - this.emptySince,
+    };
+  }
+
+  private startFrom(message: ReplicateRequest): void {
+    this.complete = true;
+    this.firstSequence = message.sequence;
+  }
+
+  private applyBucket(update: ReplicatedBucket, sequence: number): void {
+    const known = this.replicas.get(update.workspace);
+    if (known && known.sequence >= sequence) return;
+    const { workspace, level, authorized, granted } = update;
+    // The level counts from now on, which is later than the owner's reading and so never more.
+    const limit = this.limitOf(workspace);
+    const bucket = new tokenBucket.TokenBucket(level, this.time.now(), limit);
+    this.replicas.set(workspace, { bucket, sequence, authorized, granted });
+  }
+
+  private changeHeld(entries: readonly HeldEntry[]): void {
+    // What has come so far came under the old ceiling.
+    this.replicas.forEach((replica, workspace) => this.settle(workspace, replica));
+    this.held = new heldAmounts.HeldAmounts(entries);
+  }
+
+  private startOfEmptiness(message: ReplicateRequest): clock.Milliseconds | undefined {
+    if (message.emptyForMs === undefined) return undefined;
+    return this.time.now() - message.emptyForMs;
+  }
+
+  private settle(workspace: string, replica: Replica): void {
+    replica.bucket.settle(this.time.now(), outstanding(replica) + this.held.of(workspace));
+  }
+
+  private levelOf(workspace: string): number {
+    const replica = this.replicas.get(workspace)!;
+    this.settle(workspace, replica);
+    return replica.bucket.level;
+  }
+}
+
+function outstanding(replica: Replica): number {
+  return replica.authorized - replica.granted;
+}
--- /dev/null
+++ b/packages/limits/src/OwnedBucket.ts
@@ -0,0 +1,156 @@
+import type * as clock from '@limpettack/clock';
+import * as messages from './messages.js';
+import type { ReplicatedBucket } from './messages.js';
+import type * as tokenBucket from './TokenBucket.js';
+
+/** Time of the rate that is authorized ahead of requests. */
+const PREFETCH_MS = 30;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Levels are sums of fractions; a level this close below a whole token has it. */
+const ROUNDING = 1e-9;
+
+/** Answers a request; called once. */
+export type Decide = (answer: messages.GrantAnswer) => void;
+
+interface Waiter {
+  readonly decide: Decide;
+  readonly expiresAt: clock.Milliseconds;
+}
+
+/**
+ * One workspace's bucket at its owner. Tokens move from the level to the authorized ones, which the
+ * standby acknowledges, and only then to requests.
+ */
+export class OwnedBucket {
+  private authorized = 0;
+
+  private acknowledged = 0;
+
+  private granted = 0;
+
+  private waiting: Waiter[] = [];
+
+  public constructor(
+    private readonly bucket: tokenBucket.TokenBucket,
+    private readonly onDecision: (isGranted: boolean) => void,
+  ) {}
+
+  /** Tokens authorized and not granted yet. */
+  private get outstanding(): number {
+    return this.authorized - this.granted;
+  }
+
+  /** Tokens that the standby has acknowledged and that are not granted yet. */
+  private get spendable(): number {
+    return this.acknowledged - this.granted;
+  }
+
+  /** Brings the level up to date; `held` is what others may still grant. */
+  public settle(now: clock.Milliseconds, held: number): void {
+    this.bucket.settle(now, this.outstanding + held);
+  }
+
+  /** Changes the limit. Settle first. */
+  public setLimit(limit: Parameters<tokenBucket.TokenBucket['setLimit']>[0]): void {
+    this.bucket.setLimit(limit);
+    // A lowered burst takes from what is authorized too; those tokens are lost.
+    const excess = Math.ceil(this.outstanding - this.bucket.burst);
+    if (excess <= 0) return;
+    this.granted += excess;
+    this.acknowledged = Math.max(this.acknowledged, this.granted);
+  }
+
+  /** Decides a request at once, or lets it wait for tokens that are there already. */
+  public ask(expiresAt: clock.Milliseconds, now: clock.Milliseconds, held: number, decide: Decide) {
+    this.dropExpired(now);
+    this.waiting.push({ decide, expiresAt });
+    this.review(held);
+  }
+
+  /** Refuses the requests that no token is there for, and grants what may be granted. */
+  public review(held: number): void {
+    // When others hold nearly the whole burst, requests wait for the end of the takeover.
+    if (this.bucket.burst - held >= 1) this.refuseExcess();
+    this.serve();
+  }
+
+  /** Authorizes tokens ahead of requests. Returns whether the standby must be told. */
+  public authorize(): boolean {
+    const target = Math.max(1, Math.ceil(this.bucket.ratePerSecond * toSeconds(PREFETCH_MS)));
+    const wanted = target + this.waiting.length - this.outstanding;
+    const isNeeded = this.waiting.length > this.outstanding || this.outstanding < target / 2;
+    const moved = Math.min(Math.floor(this.bucket.level + ROUNDING), wanted);
+    if (!isNeeded || moved < 1) return false;
+    this.bucket.take(moved);
+    this.authorized += moved;
+    return true;
+  }
+
+  /** Takes in what the standby counts as held. */
+  public acknowledge(authorized: number): void {
+    this.acknowledged = Math.max(this.acknowledged, Math.min(authorized, this.authorized));
+    this.serve();
+  }
+
+  /** Takes all that is authorized as acknowledged, when no standby is to be asked. */
+  public acknowledgeAll(): void {
+    this.acknowledge(this.authorized);
+  }
+
+  /** Starts again from nothing, keeping what the standby has acknowledged. */
+  public emptyLevel(): void {
+    this.bucket.empty();
+  }
+
+  /** Answers all waiting requests that they must ask again. */
+  public abandonWaiting(): void {
+    const abandoned = this.waiting;
+    this.waiting = [];
+    abandoned.forEach((waiter) => waiter.decide({ kind: messages.ANSWER_KINDS.PENDING }));
+  }
+
+  public get hasWaiting(): boolean {
+    return this.waiting.length > 0;
+  }
+
+  /** What the standby is told. */
+  public toReplicated(workspace: string): ReplicatedBucket {
+    const { authorized, granted } = this;
+    return { workspace, level: Math.max(0, this.bucket.level), authorized, granted };
+  }
+
+  /** Tokens of a bucket that will grant no more: what was authorized goes back into it. */
+  public remaining(): number {
+    return Math.max(0, this.bucket.level) + this.outstanding;
+  }
+
+  private serve(): void {
+    while (this.spendable >= 1 && this.waiting.length > 0) {
+      this.granted += 1;
+      this.onDecision(true);
+      this.waiting.shift()!.decide({ kind: messages.ANSWER_KINDS.GRANTED });
+    }
+  }
+
+  private refuseExcess(): void {
+    while (this.waiting.length > this.bucket.level + this.outstanding + ROUNDING) {
+      const missing = this.waiting.length - this.bucket.level - this.outstanding;
+      const retryAfterMs = Math.max(1, this.bucket.timeFor(missing));
+      this.onDecision(false);
+      this.waiting.pop()!.decide({ kind: messages.ANSWER_KINDS.REFUSED, retryAfterMs });
+    }
+  }
+
+  private dropExpired(now: clock.Milliseconds): void {
+    const isExpired = (waiter: Waiter) => waiter.expiresAt <= now;
+    const expired = this.waiting.filter(isExpired);
+    this.waiting = this.waiting.filter((waiter) => !isExpired(waiter));
+    expired.forEach((waiter) => waiter.decide({ kind: messages.ANSWER_KINDS.PENDING }));
+  }
+}
+
+function toSeconds(span: clock.Milliseconds): number {
+  return span / MILLISECONDS_PER_SECOND;
+}
--- /dev/null
+++ b/packages/limits/src/testing/FakeExchange.ts
@@ -0,0 +1,56 @@
+import type * as wire from '@limpettack/wire';
+
+type Handler = wire.RequestHandler<unknown, unknown>;
+
+/** A process as the exchange sees it. */
+export interface Endpoint {
+  readonly self: wire.PeerIdentity;
+  readonly handlers: Map<string, Handler>;
+  isPaused: boolean;
+  isEnded: boolean;
+}
+
+interface Message {
+  readonly to: () => Endpoint | undefined;
+  readonly arrive: (endpoint: Endpoint) => Promise<void>;
+}
+
+/** Messages on their way between processes, delivered in the order that a test wants. */
+export class FakeExchange {
+  public readonly endpoints = new Map<string, Endpoint>();
+
+  private messages: Message[] = [];
+
+  public get waiting(): number {
+    return this.messages.length;
+  }
+
+  /** Sends a message that is on its way until it is delivered. */
+  public send(message: Message): void {
+    this.messages.push(message);
+  }
+
+  /** Delivers a message; one for a paused process stays, one for an ended process is lost. */
+  public deliver(index: number, keepsCopy = false): void {
+    const message = this.messages[index];
+    const endpoint = message?.to();
+    if (!message || endpoint?.isPaused) return;
+    if (!keepsCopy) this.messages.splice(index, 1);
+    if (endpoint && !endpoint.isEnded) message.arrive(endpoint).catch(() => undefined);
+  }
+
+  /** Loses a message. */
+  public drop(index: number): void {
+    this.messages.splice(index, 1);
+  }
+
+  /** Delivers all that can be delivered now, in the order of sending. */
+  public deliverAll(): void {
+    const present = this.messages;
+    this.messages = [];
+    present.forEach((message) => {
+      if (message.to()?.isPaused) this.messages.push(message);
+      else this.deliver(this.messages.push(message) - 1);
+    });
+  }
+}
--- /dev/null
+++ b/packages/limits/src/testing/FakeFleet.ts
@@ -0,0 +1,185 @@
+import * as clock from '@limpettack/clock';
+import type * as configuration from '@limpettack/configuration';
+import * as lifetime from '@limpettack/lifetime';
+import * as membership from '@limpettack/membership';
+import type * as wire from '@limpettack/wire';
+import * as fleetAdmission from '../FleetAdmission.js';
+import type { WorkspaceLimit } from '../Types.js';
+import * as fakeExchange from './FakeExchange.js';
+import * as fakeJournal from './FakeJournal.js';
+import * as fakeLog from './FakeLog.js';
+import * as fakeNetwork from './FakeNetwork.js';
+
+/** The one workspace of the fakes. */
+export const WORKSPACE = 'lentes';
+
+const TURNS_UNTIL_QUIET = 8;
+
+/** One process of the fleet. */
+export interface FakeProcess {
+  readonly endpoint: fakeExchange.Endpoint;
+  readonly clock: clock.ManualClock;
+  readonly journal: fakeJournal.FakeJournal;
+  readonly admission: fleetAdmission.FleetAdmission;
+}
+
+/** Processes with limits in one Node process, with a log, a network and time made by hand. */
+export class FakeFleet {
+  public readonly exchange = new fakeExchange.FakeExchange();
+
+  public readonly log = new fakeLog.FakeLog();
+
+  /** The processes that run now, one for each VM. */
+  public readonly processes: FakeProcess[] = [];
+
+  /** Times of all grants, in milliseconds. */
+  public readonly grants: number[] = [];
+
+  public now = 0;
+
+  /** Incarnations whose end the platform's list has shown. */
+  private readonly provedEnded = new Set<string>();
+
+  private readonly changes = new lifetime.Emitter<configuration.ConfigurationState>();
+
+  private incarnations = 0;
+
+  public constructor(
+    size: number,
+    private limit: WorkspaceLimit,
+  ) {
+    for (let index = 0; index < size; index += 1) this.processes.push(this.start(`vm-${index}`));
+  }
+
+  /** Edits the limit of the workspace, at once on all VMs. */
+  public setLimit(limit: WorkspaceLimit): void {
+    this.limit = limit;
+    this.changes.fire(this.configuration());
+  }
+
+  /** Lets time pass for all processes that are not paused. */
+  public advance(span: number): void {
+    this.now += span;
+    this.processes.forEach((process) => this.catchUp(process));
+  }
+
+  public pause(index: number): void {
+    this.processes[index]!.endpoint.isPaused = true;
+  }
+
+  public resume(index: number): void {
+    const process = this.processes[index]!;
+    process.endpoint.isPaused = false;
+    this.catchUp(process);
+  }
+
+  /** Ends a process without notice. */
+  public kill(index: number): void {
+    this.processes[index]!.endpoint.isEnded = true;
+  }
+
+  /** Lets the platform's list drop a VM whose process has ended. */
+  public dropFromList(index: number): void {
+    const { isEnded, self } = this.processes[index]!.endpoint;
+    if (isEnded) this.provedEnded.add(self.incarnation);
+  }
+
+  /** Starts a VM's process again, under a later incarnation. */
+  public restart(index: number): void {
+    const { endpoint } = this.processes[index]!;
+    endpoint.isEnded = true;
+    this.provedEnded.add(endpoint.self.incarnation);
+    this.processes[index] = this.start(endpoint.self.name);
+  }
+
+  /** Makes a process claim the shard, with a standby or none. */
+  public claim(index: number, standby?: number): void {
+    const { endpoint, journal } = this.processes[index]!;
+    if (endpoint.isEnded || endpoint.isPaused) return;
+    const holder = standby === undefined ? undefined : this.processes[standby]!.endpoint.self;
+    journal.claim(holder);
+  }
+
+  /** Makes a process read the log to its tail. */
+  public read(index: number): void {
+    const { endpoint, journal } = this.processes[index]!;
+    if (!endpoint.isEnded && !endpoint.isPaused) journal.read();
+  }
+
+  /** Claims, and lets all processes read it. */
+  public claimAndRead(index: number, standby?: number): void {
+    this.claim(index, standby);
+    this.processes.forEach((process, each) => this.read(each));
+  }
+
+  /** Lets the processes run until they wait for messages or time. */
+  public async settle(): Promise<void> {
+    for (let turn = 0; turn < TURNS_UNTIL_QUIET; turn += 1) {
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  }
+
+  /** Delivers messages, and those that answer them, for a span of time. */
+  public async run(span: number, step = 1): Promise<void> {
+    for (let passed = 0; passed < span; passed += step) {
+      this.exchange.deliverAll();
+      await this.settle();
+      this.advance(step);
+    }
+  }
+
+  private catchUp(process: FakeProcess): void {
+    const { endpoint } = process;
+    if (endpoint.isPaused || endpoint.isEnded) return;
+    process.clock.advance(this.now - process.clock.now());
+  }
+
+  private start(name: string): FakeProcess {
+    this.incarnations += 1;
+    const incarnation = String(this.incarnations).padStart(6, '0');
+    const self = { name, incarnation, address: `${name}:1`, failureDomain: 'cumbaya' };
+    const endpoint = { self, handlers: new Map(), isPaused: false, isEnded: false };
+    const time = new clock.ManualClock();
+    time.advance(this.now);
+    const journal = new fakeJournal.FakeJournal(this.log, self);
+    const network = new fakeNetwork.FakeNetwork(this.exchange, endpoint, time);
+    this.exchange.endpoints.set(self.address, endpoint);
+    const admission = new fleetAdmission.FleetAdmission({
+      network: network as unknown as wire.PeerNetwork,
+      journal,
+      configuration: { current: () => this.configuration(), onChange: this.changes.event },
+      membership: this.membershipOf(self),
+      clock: time,
+      logger: { debug() {}, info() {}, warn() {}, error() {} },
+    });
+    admission.onDecision(({ granted }) => {
+      if (granted) this.grants.push(this.now);
+    });
+    journal.hook = admission;
+    return { endpoint, clock: time, journal, admission };
+  }
+
+  private membershipOf(self: wire.PeerIdentity) {
+    const { AVAILABLE, GONE } = membership.MEMBER_STATES;
+    const members = () =>
+      this.processes.map(({ endpoint }) => {
+        const isGone = this.provedEnded.has(endpoint.self.incarnation);
+        const state = isGone ? GONE : AVAILABLE;
+        return { ...endpoint.self, state, listed: true, leaving: false };
+      });
+    return {
+      self,
+      members,
+      find: (name: string) => members().find((member) => member.name === name),
+      hasEnded: (name: string, incarnation: string) => this.provedEnded.has(incarnation),
+      onChange: new lifetime.Emitter<membership.Member>().event,
+    };
+  }
+
+  private configuration(): configuration.ConfigurationState {
+    const workspaces = new Map([[WORKSPACE, { name: WORKSPACE, ...this.limit }]]);
+    return { workspaces } as unknown as configuration.ConfigurationState;
+  }
+}
