--- a/packages/entry/src/ChatHandler.ts
+++ b/packages/entry/src/ChatHandler.ts
@@ -125,7 +125,7 @@
     const delivery = createDelivery();
     for await (const item of this.options.homes.call(request, shardKey, exchange.gone)) {
       if (item.kind === ITEM_KINDS.FAULT) {
-        const {fault} = item;
+        const { fault } = item;
         if (!response.headersSent) return fault;
         const text = JSON.stringify({
           error: {
--- a/packages/entry/src/EntryServer.ts
+++ b/packages/entry/src/EntryServer.ts
@@ -36,6 +36,8 @@
   readonly services: serviceHandler.ServiceHandler;
   readonly programs: programsHandler.ProgramsHandler;
   readonly isReady: () => boolean;
+  /** Whether the process is about to end, so that the balancer sends no more. */
+  readonly isDraining: () => boolean;
   readonly metrics: metrics.Metrics;
   readonly clock: clockTypes.Clock;
   readonly logger: logging.Logger;
@@ -52,8 +54,6 @@
 
   private openExchanges = 0;
 
-  private draining = false;
-
   public constructor(private readonly options: EntryServerOptions) {
     const { limits } = options;
     this.server = http.createServer(
@@ -90,7 +90,6 @@
 
   /** Takes no new connections and resolves when every request has its whole answer. */
   public async drain(): Promise<void> {
-    this.draining = true;
     this.server.close();
     this.server.closeIdleConnections();
     while (this.openExchanges > 0) {
@@ -114,7 +113,7 @@
     });
     response.on('error', () => undefined);
     response.setHeader('limpettack-request', requestId);
-    if (this.draining) response.setHeader('connection', 'close');
+    if (this.options.isDraining()) response.setHeader('connection', 'close');
     try {
       const fault = await this.answer(request, response, requestId);
       if (fault !== undefined) this.refuse(request, response, fault, requestId);
@@ -145,7 +144,7 @@
     if (url === undefined) return errors.createFault('bad-request', 'The path is malformed.');
     if (url.pathname === '/healthz') return respondHealth(response, true);
     if (url.pathname === '/readyz') {
-      return respondHealth(response, this.options.isReady() && !this.draining);
+      return respondHealth(response, this.options.isReady() && !this.options.isDraining());
     }
     if (!this.options.isReady()) return errors.createFault('not-ready');
     const key = callerFields.readKey(request);
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -6,3 +6,5 @@
 export * from './HomeClient.js';
 export * from './ProgramsHandler.js';
 export * from './ServiceHandler.js';
+export * from './readBody.js';
+export * from './respond.js';
--- a/packages/journal/src/ShardJournal.ts
+++ b/packages/journal/src/ShardJournal.ts
@@ -23,6 +23,7 @@
 import type {
   AppendOptions,
   AppendReceipt,
+  ClaimListener,
   Journal,
   OwnedShard,
   Ownership,
@@ -56,6 +57,8 @@
   readonly authorityWindowMs: clock.Milliseconds;
   /** How long the log keeps records; asked of the log when left out. */
   readonly retentionMs?: clock.Milliseconds;
+  /** Hears of the claims that this process makes. */
+  readonly claimListener?: ClaimListener | undefined;
   /** How long an append may take before it is handled as lost. */
   readonly appendPatienceMs?: clock.Milliseconds;
   /** Least time between two shards that are handed over to level the shares. */
@@ -219,6 +222,7 @@
       self: network.self,
       link: new standbyLink.StandbyLink(network, clockSource),
       rate: new appendRate.AppendRate(clockSource, options.appendsPerSecond),
+      claimListener: options.claimListener,
       appendPatienceMs: options.appendPatienceMs ?? DEFAULT_APPEND_PATIENCE_MS,
       createId: () => this.createId(),
       retentionMs: () => this.retention,
--- a/packages/journal/src/ShardSlot.ts
+++ b/packages/journal/src/ShardSlot.ts
@@ -427,6 +427,7 @@
     const record = this.makeClaim(this.collaborators.createId(), epoch, standby);
     const { stream } = this;
     const claimStream: claimShard.ClaimStream = {
+      shard: this.shard,
       name: stream.name,
       epoch: () => this.reader.epoch,
       absorb: (offset, payloads) => stream.absorb(offset, payloads),
--- a/packages/journal/src/Types.ts
+++ b/packages/journal/src/Types.ts
@@ -98,6 +98,14 @@
   readonly gaps: number;
 }
 
+/** Hears of the claims that this process makes, before anyone can read them. */
+export interface ClaimListener {
+  /** Called right before each append of a claim, with no wait in between. */
+  beforeClaim(shard: number): void;
+  /** Called when it is certain that an announced claim is not and will not be in the log. */
+  claimAbandoned(shard: number): void;
+}
+
 /** The shards of the installation: who owns them, and appends to those owned here. */
 export interface Journal<State, Body> extends lifetime.Disposable {
   readonly shardCount: number;
--- a/packages/journal/src/claimShard.ts
+++ b/packages/journal/src/claimShard.ts
@@ -2,11 +2,13 @@
 import type * as platformClient from '@limpettack/platform-client';
 import type * as appendRate from './AppendRate.js';
 import type * as logStatus from './LogStatus.js';
+import type { ClaimListener } from './Types.js';
 
 const RETRY_MS = 50;
 
 /** Where a claim is appended and read back. */
 export interface ClaimStream {
+  readonly shard: number;
   readonly name: string;
   epoch(): number;
   absorb(offset: number, payloads: readonly string[]): boolean;
@@ -20,6 +22,7 @@
   readonly clock: clock.Clock;
   readonly status: logStatus.LogStatus;
   readonly rate: appendRate.AppendRate;
+  readonly claimListener?: ClaimListener | undefined;
 }
 
 /**
@@ -31,12 +34,13 @@
   stream: ClaimStream,
   epoch: number,
   payload: string,
-  { log, clock: clockSource, status, rate }: ClaimCollaborators,
+  { log, clock: clockSource, status, rate, claimListener }: ClaimCollaborators,
   signal: AbortSignal,
 ): Promise<void> {
   let mayCount = false;
   while (stream.epoch() < epoch && !signal.aborted) {
     await rate.acquire(signal);
+    claimListener?.beforeClaim(stream.shard);
     const result = await log.append(stream.name, [payload]);
     if (result.isOk) {
       mayCount = true;
@@ -44,7 +48,10 @@
     } else {
       if (result.error.kind === 'unavailable') status.markDown();
       if (result.error.kind === 'lost') mayCount = true;
-      if (!mayCount) return;
+      if (!mayCount) {
+        claimListener?.claimAbandoned(stream.shard);
+        return;
+      }
       await stream.catchUp();
     }
     if (stream.epoch() < epoch) await clockSource.sleep(RETRY_MS, signal);
--- a/packages/limits/src/testing/FakeJournal.ts
+++ b/packages/limits/src/testing/FakeJournal.ts
@@ -72,7 +72,7 @@
     this.log.claims.forEach((claim) => this.learn(claim));
     const isOwner = this.latest?.owner.incarnation === this.self.incarnation;
     if (!this.latest || !isOwner || this.ownedShard?.ownership === this.latest) return;
-    this.ownedShard = { ownership: this.latest, state: undefined };
+    this.ownedShard = { ownership: this.latest, state: undefined, hasGap: false };
     this.ownedEmitter.fire(this.ownedShard);
   }
 
--- /dev/null
+++ b/packages/node/src/FleetView.ts
@@ -0,0 +1,96 @@
+import type * as clockTypes from '@limpettack/clock';
+import type * as configuration from '@limpettack/configuration';
+import * as errors from '@limpettack/errors';
+import type * as journal from '@limpettack/journal';
+import type * as membership from '@limpettack/membership';
+import * as programs from '@limpettack/programs';
+import type * as wire from '@limpettack/wire';
+import * as trueMyth from 'true-myth';
+
+const TIMEOUT_MS = 2_000;
+
+/** The fleet as this VM sees it. */
+export interface FleetDescription {
+  readonly self: wire.PeerIdentity;
+  readonly configurationVersion: number;
+  readonly isLogAvailable: boolean;
+  readonly members: readonly membership.Member[];
+  readonly shards: readonly (journal.Ownership | undefined)[];
+}
+
+/** What the view needs. */
+export interface FleetViewOptions {
+  readonly network: wire.PeerNetwork;
+  readonly members: membership.Membership;
+  readonly shards: journal.Journal<programs.ShardState, programs.JournalBody>;
+  readonly configuration: configuration.ConfigurationView;
+  readonly clock: clockTypes.Clock;
+}
+
+/** Answers operators' questions about the fleet, its programs and its calls in doubt. */
+export class FleetView {
+  public constructor(private readonly options: FleetViewOptions) {}
+
+  /** The members and the owners of the shards, as known here. */
+  public async describe(): Promise<FleetDescription> {
+    const { network, members, shards } = this.options;
+    return {
+      self: network.self,
+      configurationVersion: this.options.configuration.current().version,
+      isLogAvailable: shards.isLogAvailable(),
+      members: members.members(),
+      shards: Array.from({ length: shards.shardCount }, (_, shard) => shards.ownership(shard)),
+    };
+  }
+
+  /** A program of any workspace. */
+  public async showProgram(id: string): Promise<programs.Outcome<programs.ProgramView>> {
+    return this.askOwner(programs.rootOf(id), programs.SHOW_ANY_PROGRAM, { program: id });
+  }
+
+  /** The calls in doubt of all shards; VMs that do not answer are named. */
+  public async listInDoubt(): Promise<{
+    calls: readonly programs.InDoubtCall[];
+    unreachable: readonly string[];
+  }> {
+    const { network, members } = this.options;
+    const answers = await Promise.all(
+      members.available().map(async (member) => ({
+        name: member.name,
+        result: await network.request(
+          member.address,
+          programs.LIST_IN_DOUBT,
+          {},
+          { timeoutMs: TIMEOUT_MS },
+        ),
+      })),
+    );
+    return {
+      calls: answers.flatMap(({ result }) => (result.isOk ? result.value : [])),
+      unreachable: answers.flatMap(({ name, result }) => (result.isErr ? [name] : [])),
+    };
+  }
+
+  /** Notes how a call in doubt ended. */
+  public async resolveInDoubt(request: {
+    callKey: string;
+    outcome: programs.Resolution;
+    note: string;
+  }): Promise<programs.Outcome<{ resolved: boolean }>> {
+    const shardKey = programs.shardKeyOfCallKey(request.callKey);
+    if (shardKey === undefined) return trueMyth.Result.err(errors.createFault('bad-request'));
+    return this.askOwner(shardKey, programs.RESOLVE_IN_DOUBT, request);
+  }
+
+  private async askOwner<Request, Response>(
+    shardKey: string,
+    method: wire.PeerMethod<Request, Response>,
+    request: Request,
+  ): Promise<programs.Outcome<Response>> {
+    const { network, shards } = this.options;
+    const owner = shards.ownership(shards.shardOf(shardKey))?.owner;
+    if (owner === undefined) return trueMyth.Result.err(errors.createFault('home-unavailable'));
+    const result = await network.request(owner.address, method, request, { timeoutMs: TIMEOUT_MS });
+    return result.mapErr((failure) => failure.fault ?? errors.createFault('home-unavailable'));
+  }
+}
--- /dev/null
+++ b/packages/node/src/OperatorsServer.ts
@@ -0,0 +1,154 @@
+import * as crypto from 'node:crypto';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as entry from '@limpettack/entry';
+import * as errors from '@limpettack/errors';
+import type * as lifetime from '@limpettack/lifetime';
+import type * as metrics from '@limpettack/metrics';
+import * as programs from '@limpettack/programs';
+import * as zod from 'zod';
+import type * as fleetView from './FleetView.js';
+
+const BEARER_PREFIX = 'Bearer ';
+const MAXIMUM_BODY_BYTES = 65_536;
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+const PROGRAM_PATH_PATTERN = /^\/v1\/operators\/programs\/([^/]{1,100})$/;
+
+const RESOLVE_BODY = zod.strictObject({
+  callKey: zod.string().min(1).max(1_000),
+  outcome: zod.enum([programs.RESOLUTIONS.RAN, programs.RESOLUTIONS.NOT_RUN]),
+  note: zod.string().max(1_000).default(''),
+});
+
+/** What the server needs. */
+export interface OperatorsServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly token: string;
+  readonly metrics: metrics.Metrics;
+  readonly isReady: () => boolean;
+  readonly fleet: fleetView.FleetView;
+  readonly homes: entry.Homes;
+}
+
+/** The operators' port: health, metrics, the fleet, programs and calls in doubt. */
+export class OperatorsServer implements lifetime.Disposable {
+  private readonly server = http.createServer((request, response) => {
+    this.serve(request, response);
+  });
+
+  public constructor(private readonly options: OperatorsServerOptions) {}
+
+  /** Listens. Resolves with the port. */
+  public listen(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.options.port, this.options.host, () => {
+        resolve((this.server.address() as net.AddressInfo).port);
+      });
+    });
+  }
+
+  /** @inheritdoc */
+  public dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    response.on('error', () => undefined);
+    try {
+      const fault = await this.answer(request, response);
+      if (fault !== undefined) entry.respondFault(response, fault, '');
+    } catch {
+      entry.respondFault(response, errors.createFault('internal'), '');
+    }
+  }
+
+  private async answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<errors.Fault | undefined> {
+    const path = (request.url ?? '').split('?')[0] ?? '';
+    if (path === '/healthz') return respondHealth(response, true);
+    if (path === '/readyz') return respondHealth(response, this.options.isReady());
+    if (path === '/metrics') return this.respondMetrics(response);
+    if (!path.startsWith('/v1/operators/')) return errors.createFault('not-found');
+    if (!this.isTrusted(request)) return errors.createFault('operator-untrusted');
+    return this.answerOperator(path, request, response);
+  }
+
+  private async answerOperator(
+    path: string,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<errors.Fault | undefined> {
+    const { method } = request;
+    if (path === '/v1/operators/fleet' && method === 'GET') {
+      entry.respondJson(response, STATUS_OK, await this.options.fleet.describe());
+      return undefined;
+    }
+    if (path === '/v1/operators/in-doubt' && method === 'GET') {
+      entry.respondJson(response, STATUS_OK, await this.options.fleet.listInDoubt());
+      return undefined;
+    }
+    if (path === '/v1/operators/in-doubt/resolve' && method === 'POST') {
+      return this.resolve(request, response);
+    }
+    const id = PROGRAM_PATH_PATTERN.exec(path)?.[1];
+    if (id === undefined) return errors.createFault('not-found');
+    if (!programs.isProgramId(id)) return errors.createFault('bad-request');
+    return this.answerProgram(id, method, response);
+  }
+
+  private async answerProgram(
+    id: string,
+    method: string | undefined,
+    response: http.ServerResponse,
+  ): Promise<errors.Fault | undefined> {
+    if (method !== 'GET' && method !== 'DELETE') return errors.createFault('method-not-allowed');
+    const result =
+      method === 'GET'
+        ? await this.options.fleet.showProgram(id)
+        : await this.options.homes.end(undefined, id, true);
+    if (result.isErr) return result.error;
+    entry.respondJson(response, STATUS_OK, result.value);
+    return undefined;
+  }
+
+  private async resolve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<errors.Fault | undefined> {
+    const body = await entry.readBody(request, MAXIMUM_BODY_BYTES);
+    if (body.isErr) return body.error;
+    const parsed = entry.parseJson(body.value, RESOLVE_BODY);
+    if (parsed.isErr) return parsed.error;
+    const resolved = await this.options.fleet.resolveInDoubt(parsed.value);
+    if (resolved.isErr) return resolved.error;
+    entry.respondJson(response, STATUS_OK, resolved.value);
+    return undefined;
+  }
+
+  private async respondMetrics(response: http.ServerResponse): Promise<undefined> {
+    const text = await this.options.metrics.text();
+    response.writeHead(STATUS_OK, { 'content-type': 'text/plain; version=0.0.4' });
+    response.end(text);
+    return undefined;
+  }
+
+  private isTrusted(request: http.IncomingMessage): boolean {
+    const given = digest(request.headers.authorization ?? '');
+    return crypto.timingSafeEqual(given, digest(`${BEARER_PREFIX}${this.options.token}`));
+  }
+}
+
+function digest(text: string): Buffer {
+  return crypto.createHash('sha256').update(text).digest();
+}
+
+function respondHealth(response: http.ServerResponse, isGood: boolean): undefined {
+  entry.respondJson(response, isGood ? STATUS_OK : STATUS_UNAVAILABLE, { ok: isGood });
+  return undefined;
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The VM process. */
+export * from './NodeSettings.js';
+export * from './VmProcess.js';
--- /dev/null
+++ b/packages/node/src/pickRandom.ts
@@ -0,0 +1,18 @@
+import type * as membership from '@limpettack/membership';
+import type * as wire from '@limpettack/wire';
+
+/** Picks so many available peers at random, this process left out. */
+export function pickPeers(
+  members: Pick<membership.Membership, 'available'>,
+  self: wire.PeerIdentity,
+  count: number,
+  random: () => number,
+): readonly membership.Member[] {
+  const others = members.available().filter((member) => member.name !== self.name);
+  const picked: membership.Member[] = [];
+  while (picked.length < count && others.length > 0) {
+    const index = Math.floor(random() * others.length);
+    picked.push(...others.splice(index, 1));
+  }
+  return picked;
+}
--- a/packages/programs/src/Home.ts
+++ b/packages/programs/src/Home.ts
@@ -56,6 +56,11 @@
     this.store.add(network.serveStream(messages.CALL, (open, sink) => this.serveCall(open, sink)));
     this.store.add(network.serve(messages.OPEN_PROGRAM, (request) => this.open(request)));
     this.store.add(network.serve(messages.SHOW_PROGRAM, async (request) => this.show(request)));
+    this.store.add(
+      network.serve(messages.SHOW_ANY_PROGRAM, async ({ program }) =>
+        this.find(program).map((found) => this.view(found)),
+      ),
+    );
     this.store.add(network.serve(messages.END_PROGRAM, (request) => this.endByRequest(request)));
     this.store.add(network.serve(messages.SHOW_TURN, (request) => this.showTurn(request)));
     this.store.add(network.serve(messages.LIST_IN_DOUBT, async () => this.listInDoubt()));
@@ -63,6 +68,7 @@
     this.store.add(shards.onLost((shard) => options.calls.abortShard(shard)));
     this.store.add(shards.onOwned((owned) => this.releaseEnded(owned.ownership.shard)));
     this.store.addCallback(() => this.controller.abort());
+    for (let shard = 0; shard < shards.shardCount; shard += 1) this.releaseEnded(shard);
     this.expirePrograms();
   }
 
@@ -261,7 +267,9 @@
     outcome: 'ran' | 'not-run';
     note: string;
   }): Promise<Outcome<{ resolved: boolean }>> {
-    const shard = this.options.shards.shardOf(programIds.shardKeyOfCallKey(request.callKey));
+    const shardKey = programIds.shardKeyOfCallKey(request.callKey);
+    if (shardKey === undefined) return trueMyth.Result.err(errors.createFault('bad-request'));
+    const shard = this.options.shards.shardOf(shardKey);
     const owned = this.options.shards.owned(shard);
     if (owned === undefined) return trueMyth.Result.err(errors.createFault('not-owner'));
     const call = owned.state.keyedCalls.get(request.callKey);
--- a/packages/programs/src/HomeCalls.ts
+++ b/packages/programs/src/HomeCalls.ts
@@ -75,6 +75,9 @@
 
   private readonly controllers = new Map<AbortController, number>();
 
+  /** Calls of earlier homes that were taken up here. */
+  private readonly resumed = new Set<string>();
+
   /** Targets that a program's calls went to, whether or not the journal says so. */
   private readonly touched = new Map<string, Set<string>>();
 
@@ -94,6 +97,11 @@
     return this.enterAlone(request, callerGone);
   }
 
+  /** Whether a call that an earlier home started goes on here. */
+  public isResumed(callId: string): boolean {
+    return this.resumed.has(callId);
+  }
+
   /** Targets that may hold engine memory for a program since this process runs its calls. */
   public touchedBy(program: string): ReadonlySet<string> {
     return this.touched.get(program) ?? new Set();
@@ -159,8 +167,11 @@
     if (prepared.isErr) return trueMyth.Result.err(prepared.error);
     const buffer = new answerBuffer.AnswerBuffer();
     const { call, controller } = prepared.value;
+    const { running } = request;
+    if (running !== undefined) this.resumed.add(running.callId);
     this.runTurn(call, program, requestDigest, buffer).finally(() => {
       this.controllers.delete(controller);
+      if (running !== undefined) this.resumed.delete(running.callId);
       this.orderOf(program.program).finish();
     });
     const { requestId } = request;
--- a/packages/programs/src/ModelCaller.ts
+++ b/packages/programs/src/ModelCaller.ts
@@ -215,7 +215,7 @@
     }
     attempts.abandonedTokens += prepared.maximumTokens;
     if (failure.kind === TARGET_FAILURES.DIED) {
-      this.options.crashes.noteDeath(prepared.fingerprint, slot.target);
+      this.options.crashes.noteDeath(prepared.fingerprint, slot.target, startedAt);
     }
     if (isCallersFault(failure)) {
       return trueMyth.Result.err(errors.createFault('bad-request', failure.message));
--- a/packages/programs/src/ServiceCaller.ts
+++ b/packages/programs/src/ServiceCaller.ts
@@ -104,7 +104,7 @@
       createServiceCall(prepared, place.target, authority.value),
       signal,
     );
-    this.report(prepared, place.target, answer, this.options.clock.now() - startedAt);
+    this.report(prepared, place.target, answer, startedAt);
     return trueMyth.Result.ok(answer);
   }
 
@@ -112,8 +112,9 @@
     prepared: PreparedServiceCall,
     target: string,
     answer: targets.TargetResult<targets.ServiceAnswer>,
-    totalMs: clockTypes.Milliseconds,
+    startedAt: clockTypes.Milliseconds,
   ): void {
+    const totalMs = this.options.clock.now() - startedAt;
     if (answer.isOk) {
       this.options.directory.report({ target, totalMs });
       return;
@@ -123,7 +124,7 @@
       this.options.directory.report({ target, totalMs, failure: kind });
     }
     if (kind === TARGET_FAILURES.DIED) {
-      this.options.crashes.noteDeath(prepared.fingerprint, target);
+      this.options.crashes.noteDeath(prepared.fingerprint, target, startedAt);
     }
   }
 }
--- a/packages/programs/src/Types.ts
+++ b/packages/programs/src/Types.ts
@@ -91,7 +91,7 @@
 export interface CrashRecord {
   isQuarantined(fingerprint: string): boolean;
   /** Notes that a target died while it ran the request. */
-  noteDeath(fingerprint: string, target: string): void;
+  noteDeath(fingerprint: string, target: string, sentAt: clock.Milliseconds): void;
 }
 
 /** Frees engine memory until the engine has acknowledged it. Implemented by the targets package. */
--- a/packages/programs/src/messages.ts
+++ b/packages/programs/src/messages.ts
@@ -119,6 +119,14 @@
   zod.infer<typeof PROGRAM_VIEW>
 > = { name: 'programs.show', request: PROGRAM_REQUEST, response: PROGRAM_VIEW };
 
+const ANY_PROGRAM_REQUEST = zod.object({ program: zod.string() });
+
+/** Shows operators a program of any workspace. */
+export const SHOW_ANY_PROGRAM: wire.PeerMethod<
+  zod.infer<typeof ANY_PROGRAM_REQUEST>,
+  zod.infer<typeof PROGRAM_VIEW>
+> = { name: 'programs.showAny', request: ANY_PROGRAM_REQUEST, response: PROGRAM_VIEW };
+
 const END_REQUEST = PROGRAM_REQUEST.extend({ byOperator: zod.boolean() });
 
 /** Ends a program and its children. */
--- a/packages/programs/src/programIds.ts
+++ b/packages/programs/src/programIds.ts
@@ -36,8 +36,20 @@
   return program === undefined ? callKey : rootOf(program);
 }
 
-/** The shard key of a call key as `createCallKey` makes it. */
-export function shardKeyOfCallKey(callKey: string): string {
-  const [scope, program] = JSON.parse(callKey) as string[];
+/** The shard key of a call key as `createCallKey` makes it; nothing for any other text. */
+export function shardKeyOfCallKey(callKey: string): string | undefined {
+  const parts = parseParts(callKey);
+  if (parts === undefined) return undefined;
+  const [scope, program] = parts;
   return scope === 'program' && program !== undefined ? rootOf(program) : callKey;
 }
+
+function parseParts(callKey: string): readonly string[] | undefined {
+  try {
+    const parts: unknown = JSON.parse(callKey);
+    const isList = Array.isArray(parts) && parts.every((part) => typeof part === 'string');
+    return isList ? parts : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/wire/src/FleetNetwork.test.ts
+++ b/packages/wire/src/FleetNetwork.test.ts
@@ -33,10 +33,11 @@
 async function startNetwork(name: string, secret = 'secret') {
   const owner = new lifetime.DisposableStore();
   store.push(owner);
-  const self = { name, incarnation: '1', address: `${name}.invalid`, failureDomain: 'cumbaya' };
   const network = owner.add(
     new fleetNetwork.FleetNetwork({
-      self,
+      name,
+      incarnation: '1',
+      failureDomain: 'cumbaya',
       secret,
       host: '127.0.0.1',
       port: 0,
@@ -44,8 +45,8 @@
       logger: new logging.PartLogger('test'),
     }),
   );
-  const port = await network.listen();
-  return { network, address: `127.0.0.1:${port}` };
+  await network.listen();
+  return { network, address: network.self.address };
 }
 
 function serveCount(network: fleetNetwork.FleetNetwork) {
--- a/packages/wire/src/FleetNetwork.ts
+++ b/packages/wire/src/FleetNetwork.ts
@@ -34,7 +34,11 @@
 
 /** What the network needs. */
 export interface FleetNetworkOptions {
-  readonly self: PeerIdentity;
+  readonly name: string;
+  readonly incarnation: string;
+  readonly failureDomain: string;
+  /** Where peers reach this process, when it is not where it listens. */
+  readonly advertisedAddress?: string | undefined;
   /** The secret that all processes of the fleet hold. */
   readonly secret: string;
   /** Where to listen for peers. */
@@ -67,6 +71,8 @@
 
   private pendingHandshakes = 0;
 
+  private port = 0;
+
   private disposed = false;
 
   public constructor(private readonly options: FleetNetworkOptions) {
@@ -78,7 +84,9 @@
 
   /** @inheritdoc */
   public get self(): PeerIdentity {
-    return this.options.self;
+    const { name, incarnation, failureDomain, host, advertisedAddress } = this.options;
+    const address = advertisedAddress ?? `${host}:${this.port}`;
+    return { name, incarnation, address, failureDomain };
   }
 
   /** How many links are open. */
@@ -91,7 +99,8 @@
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(this.options.port, this.options.host, () => {
-        resolve((this.server.address() as net.AddressInfo).port);
+        this.port = (this.server.address() as net.AddressInfo).port;
+        resolve(this.port);
       });
     });
   }
