--- a/packages/stand-ins/src/CallJournal.ts
+++ b/packages/stand-ins/src/CallJournal.ts
@@ -7,17 +7,22 @@
 
 /** Limits of a journal. */
 export interface JournalLimits {
-  /** Entries that are kept. */
+  /** Entries of calls that are kept. */
   readonly journalEntries: number;
   /** Characters of each body that are kept. */
   readonly journalBodyCharacters: number;
 }
 
+/** Entries that are kept of requests for state, so that they never displace those of calls. */
+const KEPT_QUERIES = 10_000;
+
 type OpenEntry = { -readonly [Field in keyof JournalEntry]: JournalEntry[Field] };
 
 /** Records what a target was sent, in the order of arrival. */
 export class CallJournal {
-  private readonly kept: OpenEntry[] = [];
+  private readonly calls: OpenEntry[] = [];
+
+  private readonly queries: OpenEntry[] = [];
 
   private sequence = 0;
 
@@ -28,11 +33,17 @@
 
   /** Entries after a sequence whose path starts with a prefix. */
   public entries(after = 0, pathPrefix = ''): readonly JournalEntry[] {
-    return this.kept.filter((entry) => entry.sequence > after && entry.path.startsWith(pathPrefix));
+    return [...this.calls, ...this.queries]
+      .filter((entry) => entry.sequence > after && entry.path.startsWith(pathPrefix))
+      .sort((left, right) => left.sequence - right.sequence);
   }
 
   /** Adds what has arrived. Call the result when its outcome is known. */
-  public begin(request: http.IncomingMessage, body: string): (outcome: Outcome) => void {
+  public begin(
+    request: http.IncomingMessage,
+    body: string,
+    isCall: boolean,
+  ): (outcome: Outcome) => void {
     this.sequence += 1;
     const entry: OpenEntry = {
       sequence: this.sequence,
@@ -47,8 +58,9 @@
       finishedAtMs: undefined,
       outcome: undefined,
     };
-    this.kept.push(entry);
-    if (this.kept.length > this.limits.journalEntries) this.kept.shift();
+    const kept = isCall ? this.calls : this.queries;
+    kept.push(entry);
+    if (kept.length > (isCall ? this.limits.journalEntries : KEPT_QUERIES)) kept.shift();
     return (outcome) => {
       entry.finishedAtMs = this.time.now();
       entry.outcome = outcome;
--- a/packages/stand-ins/src/EngineServer.test.ts
+++ b/packages/stand-ins/src/EngineServer.test.ts
@@ -120,6 +120,32 @@
     expect(await statuses(false)).toEqual([200, 200]);
   });
 
+  test('exports a session to another engine, and reports load late and its leaving at once', async () => {
+    const [source, destination] = [await startEngine(), await startEngine({ loadLagMs: 60_000 })];
+    await (await chat(source, { max_tokens: 2 }, { 'limpettack-program': 'p' })).body.dump();
+    const exported = await post(source, '/v1/kv/export', { program: 'p' });
+    const session = (await exported.body.json()) as Record<string, unknown>;
+    await post(destination, '/v1/kv/import', { program: 'p', ...session });
+    await destination.host.setFaults({ leaving: true });
+    const running = chat(destination, { max_tokens: 2 }, { 'limpettack-program': 'p' });
+    expect(await get(destination, '/v1/load')).toMatchObject({ running: 0, status: 'leaving' });
+    expect(await (await running).body.json()).toMatchObject({
+      usage: { prompt_tokens_details: { cached_tokens: 3 } },
+    });
+  });
+
+  test('a stalled stream sends nothing until the fault ends', async () => {
+    const engine = await startEngine({ decodeMsPerToken: 0 });
+    await engine.host.setFaults({ stallStreams: true });
+    const answer = await chat(engine, { max_tokens: 2, stream: true });
+    const text = answer.body.text();
+    const other = await chat(engine, { max_tokens: 2 });
+    expect(other.statusCode).toBe(200);
+    expect(await Promise.race([text, TIME.sleep(50).then(() => 'nothing')])).toBe('nothing');
+    await engine.host.setFaults({ stallStreams: false });
+    expect(textOf(eventsOf(await text))).toBe(generateText.expectedText(MESSAGES, 2));
+  });
+
   test('a call that crashes the engine loses all calls and sessions', async () => {
     const engine = await startEngine();
     const bystander = chat(engine, { max_tokens: 1_000 }, { 'limpettack-program': 'p' });
@@ -140,10 +166,19 @@
   body: Record<string, unknown>,
   headers: Record<string, string> = {},
 ): Promise<undici.Dispatcher.ResponseData> {
-  return undici.request(`${engine.url}/v1/chat/completions`, {
+  return post(engine, '/v1/chat/completions', { messages: MESSAGES, ...body }, headers);
+}
+
+function post(
+  engine: engineServer.EngineServer,
+  path: string,
+  body: Record<string, unknown>,
+  headers: Record<string, string> = {},
+): Promise<undici.Dispatcher.ResponseData> {
+  return undici.request(engine.url + path, {
     method: 'POST',
     headers: { 'content-type': 'application/json', ...headers },
-    body: JSON.stringify({ messages: MESSAGES, ...body }),
+    body: JSON.stringify(body),
   });
 }
 
--- a/packages/stand-ins/src/StreamLog.ts
+++ b/packages/stand-ins/src/StreamLog.ts
@@ -56,9 +56,12 @@
     span: clock.Milliseconds,
     signal: AbortSignal,
   ): Promise<void> {
-    const appended = new AbortController();
-    const subscription = this.stream(name).onAppend.event(() => appended.abort());
-    await this.time.sleep(span, AbortSignal.any([signal, appended.signal]));
+    const wait = new AbortController();
+    const wake = (): void => wait.abort();
+    const subscription = this.stream(name).onAppend.event(wake);
+    signal.addEventListener('abort', wake, { once: true });
+    await this.time.sleep(span, wait.signal);
+    signal.removeEventListener('abort', wake);
     await subscription.dispose();
   }
 
--- a/packages/stand-ins/src/TargetHost.ts
+++ b/packages/stand-ins/src/TargetHost.ts
@@ -136,7 +136,7 @@
       await this.handleAdmin(exchange);
       return;
     }
-    const finish = this.callJournal.begin(request, body);
+    const finish = this.callJournal.begin(request, body, this.behaviour.isCall(exchange));
     try {
       finish(await this.runWithFaults(exchange));
     } catch (error) {
--- a/packages/stand-ins/src/runServer.ts
+++ b/packages/stand-ins/src/runServer.ts
@@ -1,5 +1,6 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as cac from 'cac';
+import * as zod from 'zod';
 
 /** A server that a binary runs. */
 export interface RunnableServer extends lifetime.Disposable {
@@ -8,17 +9,23 @@
 
 const EXIT_INVALID_USE = 2;
 
-/** Runs a command line and prints what is wrong with it in one line. */
+/** Runs a command line and prints what is wrong with it. */
 export async function runCommand(command: cac.CAC): Promise<void> {
   try {
-    command.parse(process.argv, { run: false });
+    const { options } = command.parse(process.argv, { run: false });
+    if (options.help) return;
+    if (command.matchedCommand === undefined) throw new Error('Unknown command; see --help.');
     await command.runMatchedCommand();
   } catch (error) {
-    process.stderr.write(`${(error as Error).message}\n`);
+    process.stderr.write(`${describeError(error)}\n`);
     process.exit(EXIT_INVALID_USE);
   }
 }
 
+function describeError(error: unknown): string {
+  return error instanceof zod.ZodError ? zod.prettifyError(error) : (error as Error).message;
+}
+
 /** Starts a server, prints one JSON line that says where it listens, and ends with SIGTERM. */
 export async function runServer<Server extends RunnableServer>(
   server: Server,
--- a/packages/stand-ins/src/schemas.ts
+++ b/packages/stand-ins/src/schemas.ts
@@ -72,7 +72,7 @@
   /** Port of a second listener that faults leave alone; 0 takes a free one. */
   adminPort: PORT.default(0),
   checksFencing: zod.boolean().default(false),
-  /** Entries that the journal keeps. */
+  /** Entries of calls that the journal keeps. */
   journalEntries: zod.coerce.number().int().min(1).default(200_000),
   /** Characters of each body that the journal keeps. */
   journalBodyCharacters: zod.coerce.number().int().min(0).default(1_048_576),
