--- a/packages/stand-ins/src/PlatformServer.ts
+++ b/packages/stand-ins/src/PlatformServer.ts
@@ -1,3 +1,4 @@
+import * as events from 'node:events';
 import type * as http from 'node:http';
 
 import type * as clock from '@limpettack/clock';
@@ -41,7 +42,7 @@
   private random = seededRandom.createSeededRandom(this.faults.seed);
 
   /** Aborts the waits of reads when an outage starts or the server stops. */
-  private waits = new AbortController();
+  private waits = createWaits();
 
   public constructor(
     private readonly time: clock.Clock,
@@ -83,7 +84,7 @@
     this.vmList.freeze(faults.vmListFrozen, this.vmListLagMs());
     if (!faults.logOutage) return;
     this.waits.abort();
-    this.waits = new AbortController();
+    this.waits = createWaits();
   }
 
   /** Sets the list of VMs. */
@@ -233,3 +234,10 @@
     return this.faults.vmListLagMs ?? this.settings.vmListLagMs;
   }
 }
+
+/** Every waiting read listens to the signal, so their number has no bound that hints at a leak. */
+function createWaits(): AbortController {
+  const waits = new AbortController();
+  events.setMaxListeners(0, waits.signal);
+  return waits;
+}
