--- a/packages/journal/src/HolderWatch.ts
+++ b/packages/journal/src/HolderWatch.ts
@@ -30,6 +30,8 @@
   public hasEnded({ name, incarnation }: ShardHolder): boolean {
     const { self } = this.collaborators.membership;
     if (name === self.name) return incarnation !== self.incarnation;
+    const member = this.collaborators.membership.find(name);
+    if (member !== undefined && member.incarnation > incarnation) return true;
     return this.collaborators.membership.hasEnded(name, incarnation);
   }
 
--- a/packages/journal/src/LogStatus.ts
+++ b/packages/journal/src/LogStatus.ts
@@ -4,6 +4,7 @@
 
 /** Time between two attempts to reach a log that is down. */
 const PROBE_INTERVAL_MS = 200;
+const FIRST_PROBE_MS = 20;
 
 /**
  * Whether the log answers. It counts as down from the first failure that says so until a call
@@ -58,6 +59,7 @@
   }
 
   private async probe(): Promise<void> {
+    await this.clockSource.sleep(FIRST_PROBE_MS, this.signal);
     while (!this.isUp && !this.signal.aborted) {
       const page = await this.log.read(this.probeStream, 0, { limit: 1, waitMs: 0 });
       const answered = page.isOk || page.error.kind === 'expired';
--- a/packages/journal/src/OwnershipExchange.ts
+++ b/packages/journal/src/OwnershipExchange.ts
@@ -37,7 +37,7 @@
 
   /** Compares the table with a few peers at once. */
   public async compareWithSome(): Promise<void> {
-    await Promise.all(this.pickPeers(TOLD_PEERS).map((peer) => this.exchange(peer.address, [])));
+    await Promise.all(this.pickPeers(TOLD_PEERS).map((peer) => this.compare(peer.address)));
   }
 
   /** Compares the table with a random peer each second until the signal aborts. */
@@ -45,7 +45,7 @@
     while (!signal.aborted) {
       await this.collaborators.clock.sleep(COMPARE_INTERVAL_MS, signal);
       const [peer] = this.pickPeers(1);
-      if (peer !== undefined && !signal.aborted) await this.exchange(peer.address, []);
+      if (peer !== undefined && !signal.aborted) await this.compare(peer.address);
     }
   }
 
@@ -56,26 +56,30 @@
     const isOther = standby !== undefined && standby.name !== this.collaborators.network.self.name;
     const told = new Set(isOther ? [standby.address, ...addresses] : addresses);
     told.forEach((address) => {
-      this.exchange(address, [ownership]).catch(() => undefined);
+      this.send(address, { news: [ownership] }).catch(() => undefined);
     });
   }
 
   /** Answers a peer: takes its news and returns the claims that it does not know. */
   public answer({ epochs, news }: peerMethods.ExchangeRequest): peerMethods.ExchangeResponse {
     news.forEach((ownership) => this.learn(ownership));
+    if (epochs === undefined) return { news: [] };
     const known = this.knownOwnerships();
     return { news: known.filter(({ shard, epoch }) => epoch > (epochs[shard] ?? 0)) };
   }
 
-  private async exchange(address: string, news: readonly Ownership[]): Promise<void> {
-    const { network } = this.collaborators;
+  private async compare(address: string): Promise<void> {
     const epochs = this.shards().map((shard) => this.table.ownership(shard)?.epoch ?? 0);
-    const request = { epochs, news: [...news] };
-    const options = { timeoutMs: TIMEOUT_MS };
-    const answer = await network.request(address, peerMethods.exchange, request, options);
+    const answer = await this.send(address, { epochs, news: [] });
     if (answer.isOk) answer.value.news.forEach((ownership) => this.learn(ownership));
   }
 
+  private send(address: string, request: peerMethods.ExchangeRequest) {
+    const { network } = this.collaborators;
+    const options = { timeoutMs: TIMEOUT_MS };
+    return network.request(address, peerMethods.exchange, request, options);
+  }
+
   private learn(ownership: Ownership): void {
     if (ownership.shard < this.table.shardCount) this.table.learn(ownership);
   }
--- a/packages/journal/src/ShardJournal.ts
+++ b/packages/journal/src/ShardJournal.ts
@@ -14,9 +14,10 @@
 import * as logStatus from './LogStatus.js';
 import * as ownershipExchange from './OwnershipExchange.js';
 import * as pauseDetector from './PauseDetector.js';
-import * as peerMethods from './peerMethods.js';
 import type * as rankMembers from './rankMembers.js';
 import * as readCounter from './ReadCounter.js';
+import * as retentionWatch from './RetentionWatch.js';
+import * as servePeers from './servePeers.js';
 import * as shardBalancer from './ShardBalancer.js';
 import * as shardSlot from './ShardSlot.js';
 import * as standbyLink from './StandbyLink.js';
@@ -31,10 +32,6 @@
   ShardGap,
 } from './Types.js';
 
-const RETENTION_RETRY_MS = 1_000;
-
-/** Parts of the retention after which an owner looks for expiring records. */
-const RENEWAL_CHECKS = 8;
 const DEFAULT_APPEND_PATIENCE_MS = 1_500;
 const DEFAULT_REBALANCE_INTERVAL_MS = 2_000;
 
@@ -90,7 +87,7 @@
 
   private sequence = 0;
 
-  private retention: clock.Milliseconds | undefined;
+  private readonly retention: retentionWatch.RetentionWatch;
 
   public readonly onOwned = this.ownedEmitter.event;
 
@@ -105,7 +102,8 @@
     private readonly hash: rankMembers.HashText,
   ) {
     const { clock: clockSource, membership: members, suspicionMs } = options;
-    this.retention = options.retentionMs;
+    const { log, retentionMs } = options;
+    this.retention = new retentionWatch.RetentionWatch(log, clockSource, retentionMs);
     const probeStream = streamName(0);
     const { signal } = this.ending;
     this.status = new logStatus.LogStatus(options.log, clockSource, probeStream, signal);
@@ -221,7 +219,7 @@
       rate: new appendRate.AppendRate(clockSource, options.appendsPerSecond),
       appendPatienceMs: options.appendPatienceMs ?? DEFAULT_APPEND_PATIENCE_MS,
       createId: () => this.createId(),
-      retentionMs: () => this.retention,
+      retentionMs: () => this.retention.retentionMs,
     };
     const listener = this.createSlotListener();
     return Array.from(
@@ -268,54 +266,18 @@
       this.supervisor.run(signal),
       this.balancer.run(signal),
       this.exchange.run(signal),
-      this.renewUntil(signal),
+      this.retention.run(() => this.slots.forEach((slot) => slot.renewExpiring()), signal),
     ];
     tasks.forEach((task) => task.catch((cause: unknown) => this.reportFailure(cause)));
   }
 
   private serve(): void {
-    const { network } = this.options;
-    const unknownShard = () =>
-      trueMyth.Result.err<object, errors.Fault>(errors.createFault('not-owner'));
-    this.store.add(
-      network.serve(peerMethods.exchange, async (request) =>
-        trueMyth.Result.ok(this.exchange.answer(request)),
-      ),
-    );
-    this.store.add(
-      network.serve(
-        peerMethods.authority,
-        async ({ shard, epoch }) => (await this.slots[shard]?.vouch(epoch)) ?? unknownShard(),
-      ),
-    );
-    this.store.add(
-      network.serve(
-        peerMethods.replicate,
-        async (request) =>
-          (await this.slots[request.shard]?.holdReplicas(request)) ?? unknownShard(),
-      ),
-    );
-    this.store.add(
-      network.serve(peerMethods.offer, async ({ shard }) => {
-        await this.slots[shard]?.look();
-        this.supervisor.superviseAll();
-        return trueMyth.Result.ok({});
-      }),
-    );
-  }
-
-  private async renewUntil(signal: AbortSignal): Promise<void> {
-    const { clock: clockSource, log } = this.options;
-    while (!signal.aborted) {
-      if (this.retention === undefined) {
-        const answer = await log.retention();
-        if (answer.isOk) this.retention = answer.value;
-      }
-      const span =
-        this.retention === undefined ? RETENTION_RETRY_MS : this.retention / RENEWAL_CHECKS;
-      await clockSource.sleep(span, signal);
-      if (this.retention !== undefined) this.slots.forEach((slot) => slot.renewExpiring());
-    }
+    const service: servePeers.PeerService = {
+      slot: (shard) => this.slots[shard],
+      exchange: (request) => this.exchange.answer(request),
+      supervise: () => this.supervisor.superviseAll(),
+    };
+    this.store.add(servePeers.servePeers(this.options.network, service));
   }
 
   private reportFailure(cause: unknown): void {
--- a/packages/journal/src/ShardReader.ts
+++ b/packages/journal/src/ShardReader.ts
@@ -19,7 +19,7 @@
   /** The owner has given the shard up. */
   | { kind: 'release'; offset: number; successor: string | undefined }
   /** A checkpoint of a claim that was known. */
-  | { kind: 'checkpoint'; offset: number }
+  | { kind: 'checkpoint'; offset: number; completeFrom: number }
   /** A record of a writer that was not the owner at this offset. */
   | { kind: 'void'; id: RecordId; offset: number }
   /** A record that counted at an earlier offset. */
@@ -155,7 +155,9 @@
       return { kind: 'release', offset: log.offset, successor: record.successor };
     }
     if (record.completeFrom >= this.firstOffset) this.incomplete = false;
-    if (this.holders !== undefined) return { kind: 'checkpoint', offset: log.offset };
+    if (this.holders !== undefined) {
+      return { kind: 'checkpoint', offset: log.offset, completeFrom: record.completeFrom };
+    }
     this.holders = journalRecord.ownershipOf(record);
     const { holders } = this;
     return { kind: 'claim', ownership: holders, handedOver: false, offset: log.offset };
--- a/packages/journal/src/ShardSlot.ts
+++ b/packages/journal/src/ShardSlot.ts
@@ -1,35 +1,25 @@
 import type * as clock from '@limpettack/clock';
 import type * as errors from '@limpettack/errors';
-import type * as logging from '@limpettack/logging';
-import type * as wire from '@limpettack/wire';
 import * as trueMyth from 'true-myth';
 import * as claimShard from './claimShard.js';
 import * as controlRecords from './controlRecords.js';
+import * as freshness from './Freshness.js';
 import * as journalRecord from './JournalRecord.js';
-import type { JournalRecord, RecordId } from './JournalRecord.js';
+import type { RecordId } from './JournalRecord.js';
+import * as ownerTerm from './OwnerTerm.js';
 import type * as pauseDetector from './PauseDetector.js';
-import * as refusal from './refuse.js';
 import type * as peerMethods from './peerMethods.js';
+import * as refusal from './refuse.js';
 import type { ReadOutcome } from './ShardReader.js';
 import * as shardStream from './ShardStream.js';
-import type * as standbyLink from './StandbyLink.js';
 import * as standbyRecords from './StandbyRecords.js';
-import * as streamWriter from './StreamWriter.js';
-import type { AppendResult } from './StreamWriter.js';
 import type { OwnedShard, Ownership, ShardHolder } from './Types.js';
-
-/** Age, as a part of the log's retention, from which records are renewed. */
-const RENEWAL_PART = 0.5;
+import type { AppendResult } from './WriterQueue.js';
 
 /** What a slot needs from the process. */
 export interface SlotCollaborators<State, Body>
-  extends shardStream.StreamCollaborators<State, Body>, streamWriter.WriterCollaborators {
-  readonly self: wire.PeerIdentity;
-  readonly link: standbyLink.StandbyLink;
+  extends shardStream.StreamCollaborators<State, Body>, ownerTerm.OwnerCollaborators<State, Body> {
   readonly pauses: pauseDetector.PauseDetector;
-  readonly logger: logging.Logger;
-  createId(): RecordId;
-  retentionMs(): clock.Milliseconds | undefined;
 }
 
 /** What a slot tells the journal. */
@@ -45,31 +35,28 @@
 
 /** One shard as this process knows it: follows, owns or stands by for it as its claims say. */
 export class ShardSlot<State, Body> {
-  public readonly stream: shardStream.ShardStream<State, Body>;
-
-  private latest: Ownership | undefined;
+  private readonly stream: shardStream.ShardStream<State, Body>;
 
-  private writer: streamWriter.StreamWriter<Body> | undefined;
+  private readonly fresh: freshness.Freshness;
 
-  private isServing = false;
-
-  private isClaiming = false;
+  private readonly replicas = new standbyRecords.StandbyRecords();
 
-  private isReleasing = false;
+  private readonly ending = new AbortController();
 
-  private confirmedAt = Number.NEGATIVE_INFINITY;
+  private latest: Ownership | undefined;
 
-  private gapReported = false;
+  private term: ownerTerm.OwnerTerm<State, Body> | undefined;
 
-  private readonly replicas = new standbyRecords.StandbyRecords();
+  private isClaiming = false;
 
-  private readonly ending = new AbortController();
+  private isGapReported = false;
 
   public constructor(
     public readonly shard: number,
     private readonly collaborators: SlotCollaborators<State, Body>,
     private readonly listener: SlotListener<State, Body>,
   ) {
+    this.fresh = new freshness.Freshness(collaborators.clock, collaborators.pauses);
     this.stream = new shardStream.ShardStream(shard, collaborators, {
       onRecord: (outcome) => this.onRecord(outcome),
       onTail: (startedAt) => this.onTail(startedAt),
@@ -84,14 +71,12 @@
 
   /** The shard, when it is owned here and its records have been replayed. */
   public get owned(): OwnedShard<State> | undefined {
-    const { ownership, hasGap } = this.reader;
-    if (!this.isServing || ownership === undefined) return undefined;
-    return { ownership, state: this.stream.view.state, hasGap };
+    return this.term?.owned;
   }
 
   /** Whether the log names this process as the owner, replayed or not. */
   public get isOwner(): boolean {
-    return this.writer !== undefined;
+    return this.term !== undefined;
   }
 
   /** Whether the latest claim names this process as the standby. */
@@ -104,7 +89,7 @@
     return this.isClaiming;
   }
 
-  /** Whether the owner has given the shard up, as far as this process follows it. */
+  /** Whether the owner has given the shard up, as far as this process has read. */
   public get released(): boolean {
     return this.stream.view.caughtUp && this.reader.released;
   }
@@ -124,7 +109,7 @@
     if (!this.noteClaim(ownership)) return;
     if (this.isStandby || this.isSelf(ownership.owner)) this.stream.follow();
     if (!this.isOwner || ownership.epoch <= this.reader.epoch) return;
-    this.confirmedAt = Number.NEGATIVE_INFINITY;
+    this.fresh.revoke();
     this.stream.catchUp().catch(() => undefined);
   }
 
@@ -145,30 +130,20 @@
 
   /** Appends a body to the owned shard. */
   public async append(body: Body, replicateInOutage: boolean): Promise<AppendResult> {
-    const { writer } = this;
-    if (writer === undefined || !this.isServing || this.isReleasing)
-      return refusal.refuse('not-owner');
-    return writer.append(body, replicateInOutage);
+    return this.term?.append(body, replicateInOutage) ?? refusal.refuse('not-owner');
   }
 
   /** The owner claims again with another standby. */
   public async renewClaim(standby: ShardHolder | undefined): Promise<void> {
-    if (this.isReleasing || this.isClaiming) return;
+    if (this.isClaiming) return;
     this.isClaiming = true;
-    await this.writer?.appendControl((id, epoch) => this.makeClaim(id, epoch + 1, standby));
+    await this.term?.renewClaim(standby);
     this.isClaiming = false;
   }
 
   /** The owner gives the shard up. Appends are refused from now on. */
   public async release(successor: string | undefined): Promise<boolean> {
-    if (this.writer === undefined || this.isReleasing) return false;
-    this.isReleasing = true;
-    const { shard } = this;
-    const result = await this.writer.appendControl((id, epoch) =>
-      controlRecords.makeRelease({ id, shard, epoch }, successor),
-    );
-    this.isReleasing = false;
-    return result.isOk || !this.isOwner;
+    return this.term?.release(successor) ?? false;
   }
 
   /**
@@ -179,7 +154,7 @@
     if (this.isClaiming || this.isOwner) return;
     this.isClaiming = true;
     const failure = await this.stream.catchUp();
-    if (failure === undefined && this.reader.epoch === expectedEpoch && !this.isOwner) {
+    if (failure === undefined && this.epochForClaim() === expectedEpoch && !this.isOwner) {
       await this.claim(expectedEpoch + 1, standby);
     }
     this.isClaiming = false;
@@ -187,20 +162,10 @@
 
   /** Makes sure that this process still owned the shard at most `freshnessMs` ago. */
   public async confirmAuthority(freshnessMs: clock.Milliseconds): Promise<Answer<Ownership>> {
-    const { owned } = this;
-    if (owned === undefined || this.isReleasing) return refusal.refuse('not-owner');
-    if (this.isFresh(freshnessMs)) return this.authority();
-    const answer = await this.collaborators.link.askAuthority(owned.ownership);
-    if (answer.kind === 'refused') {
-      this.stream.catchUp().catch(() => undefined);
-      return refusal.refuse('not-owner');
-    }
-    if (answer.kind === 'granted') {
-      this.confirm(answer.startedAt);
-      return this.authority();
-    }
-    const failure = await this.stream.catchUp();
-    return failure === undefined ? this.authority() : refusal.refuse('log-unavailable');
+    const answer = await this.term?.confirmAuthority(freshnessMs);
+    if (answer === undefined) return refusal.refuse('not-owner');
+    const isOutdated = answer.isOk && answer.value.epoch < (this.latest?.epoch ?? 0);
+    return isOutdated ? refusal.refuse('not-owner') : answer;
   }
 
   /** Answers an owner that asks for this standby's word. */
@@ -228,15 +193,14 @@
 
   /** Has the owner renew what is about to expire. */
   public renewExpiring(): void {
-    this.writer?.renew();
+    this.term?.renewExpiring();
   }
 
   /** Ends all work on the shard. */
   public stop(): void {
     this.ending.abort();
-    this.writer?.stop();
-    this.writer = undefined;
-    this.isServing = false;
+    this.term?.end();
+    this.term = undefined;
     this.stream.unfollow();
   }
 
@@ -254,6 +218,12 @@
     return known === epoch && this.isStandby ? undefined : 'not-ready';
   }
 
+  /** The epoch that a claim follows. After a gap the peers may know of one that has expired. */
+  private epochForClaim(): number {
+    const { epoch, hasGap } = this.reader;
+    return hasGap ? Math.max(epoch, this.latest?.epoch ?? 0) : epoch;
+  }
+
   private onRecord(outcome: ReadOutcome<Body>): void {
     this.listener.onRecord(this.shard, outcome);
     if (outcome.kind === 'body') this.onCounted(outcome.id, outcome);
@@ -266,7 +236,7 @@
 
   private onCounted(id: RecordId, outcome?: Extract<ReadOutcome<Body>, { kind: 'body' }>): void {
     this.replicas.forget(id);
-    this.writer?.settleRead(id, outcome?.position);
+    this.term?.settleRead(id, outcome?.position);
   }
 
   private noteClaim(ownership: Ownership): boolean {
@@ -277,17 +247,16 @@
   }
 
   private onTail(startedAt: clock.Milliseconds): void {
-    this.confirm(startedAt);
+    this.fresh.confirm(startedAt);
     this.reportGap();
     this.takeRole();
   }
 
   private reportGap(): void {
-    const { view } = this.stream;
-    if (!this.reader.hasGap || this.gapReported) return;
-    this.gapReported = true;
     const { shard } = this;
-    const offset = view.firstOffset;
+    const { firstOffset: offset } = this.stream.view;
+    if (!this.reader.hasGap || this.isGapReported) return;
+    this.isGapReported = true;
     this.collaborators.logger.error('Records expired before they were read.', { shard, offset });
     this.listener.onGap(shard, offset);
   }
@@ -298,8 +267,8 @@
     if (!isOwner) {
       this.stopOwning();
       this.dropReplicasBefore(ownership);
-    } else if (this.writer === undefined) {
-      this.startOwning();
+    } else if (this.term === undefined) {
+      this.startOwning().catch(() => undefined);
     }
   }
 
@@ -313,119 +282,29 @@
     this.collaborators.logger.warn('Replicated records were dropped at a foreign claim.', fields);
   }
 
-  private startOwning(): void {
-    const writer = new streamWriter.StreamWriter<Body>(this.createHost(), this.collaborators);
-    this.writer = writer;
+  private async startOwning(): Promise<void> {
+    const term = new ownerTerm.OwnerTerm(this.stream, this.fresh, this.collaborators);
+    this.term = term;
     this.stream.follow();
-    const { logger } = this.collaborators;
-    const onFailure = (cause: unknown) => {
-      logger.error('The writer failed.', { shard: this.shard, reason: String(cause) });
-    };
-    writer.run().catch(onFailure);
-    this.serveAfterReplicas(writer).catch(onFailure);
-  }
-
-  private async serveAfterReplicas(writer: streamWriter.StreamWriter<Body>): Promise<void> {
-    const { epoch } = this.reader;
-    const records = this.replicas.takeBefore(epoch);
-    const open = records.filter(({ id }) => !this.reader.hasCounted(id));
-    await Promise.all(open.map(({ id, body }) => writer.adopt(id, body as Body)));
-    if (this.writer !== writer) return;
-    this.isServing = true;
-    const fields = { shard: this.shard, epoch, count: open.length };
-    this.collaborators.logger.info('This VM owns the shard.', fields);
-    if (this.owned !== undefined) this.listener.onOwned(this.owned);
+    const canServe = await term.begin(this.replicas.takeBefore(this.reader.epoch));
+    if (canServe && term.owned !== undefined) this.listener.onOwned(term.owned);
   }
 
   private stopOwning(): void {
-    const { writer, isServing } = this;
-    if (writer === undefined) return;
+    const { term } = this;
+    if (term === undefined) return;
     const { isAhead } = this.stream.view;
-    this.writer = undefined;
-    this.isServing = false;
-    writer.stop();
-    this.collaborators.logger.info('This VM no longer owns the shard.', { shard: this.shard });
-    if (isServing) this.listener.onLost(this.shard);
+    this.term = undefined;
+    if (term.end()) this.listener.onLost(this.shard);
     // The state holds records that no other reader will ever have.
     if (isAhead) this.stream.reset();
   }
 
-  private createHost(): streamWriter.WriterHost<Body> {
-    const { shard, stream } = this;
-    return {
-      shard,
-      stream: stream.name,
-      epoch: () => this.reader.epoch,
-      createId: () => this.collaborators.createId(),
-      absorb: async (offset, payloads) =>
-        stream.absorb(offset, payloads) ||
-        (await stream.readTo(offset + payloads.length)) === undefined,
-      replicate: (records) => this.replicate(records),
-      applyAhead: (id, body) => stream.view.applyAhead(id, body),
-      confirm: (startedAt) => this.confirm(startedAt),
-      takeRenewal: () => this.takeRenewal(),
-    };
-  }
-
-  private confirm(startedAt: clock.Milliseconds): void {
-    this.confirmedAt = Math.max(this.confirmedAt, startedAt);
-  }
-
-  private isFresh(freshnessMs: clock.Milliseconds): boolean {
-    const { clock: clockSource, pauses } = this.collaborators;
-    if (pauses.hasPausedSince(this.confirmedAt)) return false;
-    return clockSource.now() - this.confirmedAt < freshnessMs;
-  }
-
-  private authority(): Answer<Ownership> {
-    const { owned } = this;
-    if (owned === undefined || this.isReleasing) return refusal.refuse('not-owner');
-    if (owned.ownership.epoch < (this.latest?.epoch ?? 0)) return refusal.refuse('not-owner');
-    return trueMyth.Result.ok(owned.ownership);
-  }
-
-  private async replicate(
-    records: readonly { id: RecordId; body: Body }[],
-  ): Promise<standbyLink.StandbyAnswer['kind']> {
-    const { ownership } = this.reader;
-    if (ownership === undefined) return 'no-effect';
-    const answer = await this.collaborators.link.replicate(ownership, [...records]);
-    if (answer.kind === 'granted') this.confirm(answer.startedAt);
-    return answer.kind;
-  }
-
-  private takeRenewal(): streamWriter.Renewal<Body> | undefined {
-    const retention = this.collaborators.retentionMs();
-    const { view } = this.stream;
-    if (retention === undefined) return undefined;
-    const expiringBelow = view.firstOffsetYoungerThan(retention * RENEWAL_PART);
-    if (expiringBelow <= view.completeFrom) return undefined;
-    view.completeFrom = expiringBelow;
-    const bodies = this.collaborators.fold.renew(view.state, expiringBelow);
-    const checkpoint = (id: RecordId, epoch: number) =>
-      controlRecords.makeCheckpoint(
-        this.subject(id, epoch, this.reader.ownership?.standby),
-        expiringBelow,
-      );
-    return { bodies, checkpoint };
-  }
-
-  private subject(
-    id: RecordId,
-    epoch: number,
-    standby: ShardHolder | undefined,
-  ): controlRecords.ControlSubject {
-    const owner = controlRecords.holderOf(this.collaborators.self);
-    return { id, shard: this.shard, epoch, owner, standby };
-  }
-
-  private makeClaim(id: RecordId, epoch: number, standby: ShardHolder | undefined): JournalRecord {
-    return controlRecords.makeClaim(this.subject(id, epoch, standby));
-  }
-
   private claim(epoch: number, standby: ShardHolder | undefined): Promise<void> {
-    const record = this.makeClaim(this.collaborators.createId(), epoch, standby);
-    const { stream } = this;
+    const { stream, shard, collaborators } = this;
+    const owner = controlRecords.holderOf(collaborators.self);
+    const id = collaborators.createId();
+    const record = controlRecords.makeClaim({ id, shard, epoch, owner, standby });
     const claimStream: claimShard.ClaimStream = {
       name: stream.name,
       epoch: () => this.reader.epoch,
@@ -435,6 +314,6 @@
     };
     const payload = journalRecord.encodeRecord(record);
     const { signal } = this.ending;
-    return claimShard.claimShard(claimStream, epoch, payload, this.collaborators, signal);
+    return claimShard.claimShard(claimStream, epoch, payload, collaborators, signal);
   }
 }
--- a/packages/journal/src/ShardStream.ts
+++ b/packages/journal/src/ShardStream.ts
@@ -9,12 +9,17 @@
 const LONG_POLL_MS = 5_000;
 const RETRY_MS = 100;
 
+/** Lost answers in a row that count as an outage. */
+const LOST_LIMIT = 2;
+
 /** What a stream needs from the process. */
 export interface StreamCollaborators<State, Body> {
   readonly log: platformClient.LogClient;
   readonly clock: clock.Clock;
   readonly fold: ShardFold<State, Body>;
   readonly status: logStatus.LogStatus;
+  /** How long the log keeps records; nothing while that is unknown. */
+  retentionMs(): clock.Milliseconds | undefined;
   /** The name of a shard's stream. */
   streamName(shard: number): string;
 }
@@ -33,6 +38,8 @@
 export class ShardStream<State, Body> {
   private current: shardView.ShardView<State, Body>;
 
+  private lostInARow = 0;
+
   private following: AbortController | undefined;
 
   public readonly name: string;
@@ -105,8 +112,8 @@
   }
 
   private createView(firstOffset: number): shardView.ShardView<State, Body> {
-    const { fold, clock: clockSource } = this.collaborators;
-    return new shardView.ShardView(this.shard, fold, clockSource, firstOffset);
+    const { fold, clock: clockSource, retentionMs } = this.collaborators;
+    return new shardView.ShardView(this.shard, fold, clockSource, retentionMs, firstOffset);
   }
 
   private async followUntil(signal: AbortSignal): Promise<void> {
@@ -130,6 +137,7 @@
     // The view may have been replaced meanwhile; what was read for the old one is of no use.
     if (signal?.aborted || view !== this.current) return 'more';
     if (page.isErr) return this.fail(page.error);
+    this.lostInARow = 0;
     status.markUp();
     page.value.records.forEach((record) => this.feed(view, record));
     if (view !== this.current) return 'more';
@@ -147,7 +155,9 @@
   }
 
   private fail(failure: platformClient.PlatformFailure): platformClient.PlatformFailure | 'more' {
-    if (failure.kind === 'unavailable') this.collaborators.status.markDown();
+    this.lostInARow = failure.kind === 'lost' ? this.lostInARow + 1 : 0;
+    const isOutage = failure.kind === 'unavailable' || this.lostInARow >= LOST_LIMIT;
+    if (isOutage) this.collaborators.status.markDown();
     if (failure.kind !== 'expired') return failure;
     this.collaborators.status.markUp();
     const { firstOffset } = failure;
--- a/packages/journal/src/ShardView.ts
+++ b/packages/journal/src/ShardView.ts
@@ -9,6 +9,10 @@
 /** Smallest time between two offsets whose age is remembered. */
 const AGE_SAMPLE_MS = 250;
 
+/** Offsets whose age is remembered within one retention. */
+const SAMPLES_IN_RETENTION = 64;
+const SAMPLES_LIMIT = 256;
+
 interface AgeSample {
   readonly offset: number;
   /** The clock reading at which the record was appended, by the age that the log told. */
@@ -24,8 +28,7 @@
   /** Whether the end of the stream has been reached once. */
   public caughtUp = false;
 
-  /** Offset below which all that matters has been appended again. */
-  public completeFrom: number;
+  private renewedBelow: number;
 
   private readonly appliedAhead = new Set<string>();
 
@@ -35,11 +38,17 @@
     shard: number,
     private readonly fold: ShardFold<State, Body>,
     private readonly clockSource: clock.Clock,
+    private readonly retentionMs: () => clock.Milliseconds | undefined,
     public readonly firstOffset: number,
   ) {
     this.reader = new shardReader.ShardReader(shard, fold.body, firstOffset);
     this.state = fold.createState();
-    this.completeFrom = firstOffset;
+    this.renewedBelow = firstOffset;
+  }
+
+  /** Offset below which all that matters has been appended again. */
+  public get completeFrom(): number {
+    return this.renewedBelow;
   }
 
   /** Whether the state holds replicated records that the log is not known to hold. */
@@ -52,6 +61,9 @@
     const outcome = this.reader.feed(log);
     if (outcome.kind === 'old') return outcome;
     this.remember(log);
+    if (outcome.kind === 'checkpoint') {
+      this.renewedBelow = Math.max(this.renewedBelow, outcome.completeFrom);
+    }
     if (outcome.kind === 'claim') {
       this.fold.applyClaim(this.state, outcome.ownership, outcome.handedOver);
     }
@@ -78,7 +90,10 @@
   private remember(log: platformClient.LogRecord): void {
     const appendedAt = this.clockSource.now() - log.ageMs;
     const last = this.samples.at(-1);
-    if (last !== undefined && appendedAt - last.appendedAt < AGE_SAMPLE_MS) return;
+    const span = Math.max(AGE_SAMPLE_MS, (this.retentionMs() ?? 0) / SAMPLES_IN_RETENTION);
+    if (last !== undefined && appendedAt - last.appendedAt < span) return;
     this.samples.push({ offset: log.offset, appendedAt });
+    // Without its oldest samples the view takes more records to be old, which is on the safe side.
+    if (this.samples.length > SAMPLES_LIMIT) this.samples.shift();
   }
 }
--- a/packages/journal/src/peerMethods.ts
+++ b/packages/journal/src/peerMethods.ts
@@ -26,8 +26,8 @@
 const authoritySchema = zod.object({ shard: shardSchema, epoch: epochSchema });
 
 const exchangeSchema = zod.object({
-  /** The epoch that the sender knows of each shard. */
-  epochs: zod.array(epochSchema),
+  /** The epoch that the sender knows of each shard; absent when it asks for nothing. */
+  epochs: zod.array(epochSchema).optional(),
   /** Claims that the receiver may not know. */
   news: zod.array(ownershipSchema),
 });
--- a/packages/journal/src/testing/MemoryLog.ts
+++ b/packages/journal/src/testing/MemoryLog.ts
@@ -98,8 +98,10 @@
   private async wait({ waitMs, signal }: platformClient.ReadOptions): Promise<void> {
     const done = new AbortController();
     const subscription = this.arrivals.event(() => done.abort());
-    signal?.addEventListener('abort', () => done.abort(), { once: true });
+    const cancel = () => done.abort();
+    signal?.addEventListener('abort', cancel, { once: true });
     await systemClock.sleep(Math.min(waitMs, 50), done.signal);
+    signal?.removeEventListener('abort', cancel);
     subscription.dispose();
   }
 }
