Count calls that wait for a full target, and tell a crash from a cut connection

Cause: all waiting calls could wait for one full target, since none saw the others; a choice may name a full target now and the later calls see the wait. A connection that broke before its first byte on a target that answers at once but does not know the call was 'broken', so a request that crashes targets with a fast restart was never counted; it is 'died' now. A stream that stays silent on a fresh connection too is given up after one resume, not two. One lost packet no longer declares a target dead: two probes must fail.

--- a/packages/scheduling/src/PoolScheduler.ts
+++ b/packages/scheduling/src/PoolScheduler.ts
@@ -27,6 +27,14 @@
 /** Time between looks at all queues, for what no event tells of. */
 const SWEEP_INTERVAL_MS = 250;
 
+/** Timers cannot run for much longer. */
+const LONGEST_SLEEP_MS = 86_400_000;
+
+/** Calls that one look at a queue may leave waiting for a target that is full. */
+const MAXIMUM_PASSED_OVER = 128;
+
+const NONE_EXPECTED: ReadonlyMap<string, number> = new Map();
+
 /** What a scheduler needs. */
 export interface PoolSchedulerOptions {
   readonly targets: TargetView;
@@ -145,7 +153,10 @@
     settle: (result: SlotResult) => void,
     settled: AbortSignal,
   ): Promise<void> {
-    await this.options.clock.sleep(call.deadline - this.options.clock.now(), settled);
+    while (!settled.aborted && this.options.clock.now() < call.deadline) {
+      const spanMs = call.deadline - this.options.clock.now();
+      await this.options.clock.sleep(Math.min(spanMs, LONGEST_SLEEP_MS), settled);
+    }
     settle(refusal('deadline-exceeded', 'The call waited past its deadline.'));
   }
 
@@ -174,22 +185,26 @@
   private dispatch(pool: string): void {
     if (this.owned.isDisposed) return;
     const now = this.options.clock.now();
+    const expected = new Map<string, number>();
     let waiting = [...this.queue(pool).keys()];
+    let passedOver = 0;
     if (!this.mayFindRoom(waiting)) return;
-    while (waiting.length > 0) {
+    while (waiting.length > 0 && passedOver < MAXIMUM_PASSED_OVER) {
       const call = this.options.policy.order(waiting, this.usage, now);
       if (!call) return;
       waiting = waiting.filter((other) => other !== call);
-      const candidates = this.candidates(call);
-      const choice = this.options.policy.choose(
-        call,
-        candidates,
-        this.options.ownFailureDomain,
-        now,
-      );
-      if (choice) this.grant(call, choice);
+      const candidates = this.candidates(call, expected);
       // A call that may go anywhere found no room, so no other call will.
-      else if (call.excluded.size === 0 && !candidates.some(room.hasRoom)) return;
+      if (call.excluded.size === 0 && !candidates.some(room.hasRoom)) return;
+      const { ownFailureDomain, policy } = this.options;
+      const choice = policy.choose(call, candidates, ownFailureDomain, now);
+      if (choice && room.hasRoom(choice)) {
+        this.grant(call, choice);
+        continue;
+      }
+      passedOver += 1;
+      // Later calls see that this one waits for the target too, so that not all wait for it.
+      if (choice) expected.set(choice.name, (expected.get(choice.name) ?? 0) + 1);
     }
   }
 
@@ -217,11 +232,18 @@
     this.queue(call.pool).get(call)?.settle(trueMyth.Result.ok(slot));
   }
 
-  /** The targets with the calls counted that were granted but may not have been started yet. */
-  private candidates(call: CallDescription): readonly TargetCandidate[] {
+  /**
+   * The targets with the calls counted that were granted but may not have been started yet, and
+   * those that wait for one of them.
+   */
+  private candidates(
+    call: CallDescription,
+    expected: ReadonlyMap<string, number> = NONE_EXPECTED,
+  ): readonly TargetCandidate[] {
     return this.options.targets.candidates(call).map((candidate) => ({
       ...candidate,
       ownInFlight: Math.max(candidate.ownInFlight, this.held.count(candidate.name)),
+      otherInFlight: candidate.otherInFlight + (expected.get(candidate.name) ?? 0),
     }));
   }
 
--- a/packages/scheduling/src/Types.ts
+++ b/packages/scheduling/src/Types.ts
@@ -60,7 +60,10 @@
   now: clock.Milliseconds,
 ) => WaitingCall | undefined;
 
-/** Picks a target with room for a call; nothing when the call should wait. Passed in. */
+/**
+ * Picks a target for a call. One without room says that the call waits for it; nothing says that
+ * the call waits for any. Passed in.
+ */
 export type TargetChoice = (
   call: WaitingCall,
   candidates: readonly TargetCandidate[],
--- a/packages/scheduling/src/choices.ts
+++ b/packages/scheduling/src/choices.ts
@@ -16,15 +16,12 @@
 export const cheapestTarget: TargetChoice = (call, candidates, ownFailureDomain, now) => {
   const cost = (candidate: TargetCandidate) => costMs(call, candidate, ownFailureDomain);
   const open = cheapest(candidates.filter(room.hasRoom), cost);
-  const full = cheapest(
-    candidates.filter((candidate) => !room.hasRoom(candidate)),
-    cost,
-  );
-  if (!open || !full) return open;
-  const savedMs = cost(open) * WAITING_MARGIN - cost(full);
+  const best = cheapest(candidates, cost);
+  if (!open || !best || room.hasRoom(best)) return open;
+  const savedMs = cost(open) * WAITING_MARGIN - cost(best);
   // The wait is worth no more than what it saves, so a call that has waited so long moves.
   const mayWait = savedMs > 0 && now - call.waitingSince < savedMs;
-  return mayWait ? undefined : open;
+  return mayWait ? best : open;
 };
 
 /** The cheapest target as if none had anything cached. */
@@ -37,9 +34,12 @@
 export const leastLoadedTarget: TargetChoice = (_call, candidates) =>
   cheapest(candidates.filter(room.hasRoom), room.utilisation);
 
-/** The target with the most of the prompt cached, however loaded. */
-export const mostCachedTarget: TargetChoice = (_call, candidates) =>
-  cheapest(candidates.filter(room.hasRoom), (candidate) => -candidate.cachedTokens);
+/** The target with the most of the prompt cached, also when it is full; else the least loaded. */
+export const mostCachedTarget: TargetChoice = (call, candidates, ownFailureDomain, now) => {
+  const best = cheapest(candidates, (candidate) => -candidate.cachedTokens);
+  if (best && best.cachedTokens > 0) return best;
+  return leastLoadedTarget(call, candidates, ownFailureDomain, now);
+};
 
 /** Takes the targets with room in turn. Each result counts on its own. */
 export function createRoundRobin(): TargetChoice {
--- a/packages/scheduling/src/predictions.ts
+++ b/packages/scheduling/src/predictions.ts
@@ -14,12 +14,12 @@
   return prefillMs(call, candidate) + decodeMs + (candidate.callMs ?? 0);
 }
 
-/** Time until a slot of a full target is free, when its calls resemble this one; 0 with room. */
+/** Time until a slot of a target is free, when its calls resemble this one; 0 when one is. */
 export function slotWaitMs(call: CallDescription, candidate: TargetCandidate): clock.Milliseconds {
-  if (room.hasRoom(candidate)) return 0;
-  const excess = candidate.ownInFlight + candidate.otherInFlight - candidate.slots;
-  const turns = (Math.max(0, excess) + 1) / candidate.slots;
-  return turns * serviceMs(call, candidate);
+  const { concurrencyLimit, otherInFlight, ownInFlight, slots } = candidate;
+  const overSlots = Math.max(0, ownInFlight + otherInFlight + 1 - slots) / slots;
+  const overLimit = Math.max(0, ownInFlight + 1 - concurrencyLimit) / concurrencyLimit;
+  return Math.max(overSlots, overLimit) * serviceMs(call, candidate);
 }
 
 /**
--- a/packages/targets/src/ConcurrencyLimit.ts
+++ b/packages/targets/src/ConcurrencyLimit.ts
@@ -34,9 +34,9 @@
     this.limit = Math.min(this.limit, slots);
   }
 
-  /** Notes a call that ended well while so many ran. Unused room says nothing, so it adds none. */
-  public noteSuccess(inFlight: number): void {
-    if (inFlight < this.current) return;
+  /** Notes a call that ended well while so many others ran. Unused room adds nothing. */
+  public noteSuccess(others: number): void {
+    if (others + 1 < this.current) return;
     this.limit = Math.min(this.slots, this.limit + 1 / this.limit);
   }
 
--- a/packages/targets/src/HttpTargetClient.test.ts
+++ b/packages/targets/src/HttpTargetClient.test.ts
@@ -212,6 +212,20 @@
     expect(await runModel(createClient(engine.url))).toEqual({ text: 't0', failure: 'died' });
   });
 
+  test('says died when the target crashes on the call and is up again at once', async () => {
+    const engine = await serve((request, response) => {
+      if (request.method === 'POST') response.destroy();
+      else response.writeHead(404).end();
+    });
+    expect((await runModel(createClient(engine.url))).failure).toBe('died');
+  });
+
+  test('says timed-out when a fresh connection brings no chunk either', async () => {
+    const engine = await serve((_request, response) => response.write(': waiting\n\n'));
+    expect((await runModel(createClient(engine.url))).failure).toBe('timed-out');
+    await until(() => engine.seen.includes('DELETE /v1/calls/call-1'));
+  });
+
   test('says broken when the request was lost but the target answers', async () => {
     const engine = await serve((request, response) => {
       if (request.method !== 'POST') response.writeHead(404).end();
--- a/packages/targets/src/ModelRun.ts
+++ b/packages/targets/src/ModelRun.ts
@@ -11,7 +11,12 @@
 const { BROKEN, CANCELLED, DIED, FENCED, INVALID, NOT_SENT, TIMED_OUT } =
   targetFailures.TARGET_FAILURES;
 
-const { ANSWERED, EVENT } = eventStreams.STREAM_STEPS;
+const {
+  ANSWERED,
+  BROKEN: BROKEN_STEP,
+  CANCELLED: CANCELLED_STEP,
+  EVENT,
+} = eventStreams.STREAM_STEPS;
 
 const OK_STATUS = 200;
 const NOT_FOUND_STATUS = 404;
@@ -20,8 +25,12 @@
 /** Time in which a target that is well answers on a fresh connection. */
 const PROBE_MS = 2_000;
 
-/** Fresh connections in a row that may bring no chunk. */
-const MAXIMUM_IDLE_RESUMES = 2;
+/** Fresh connections without an answer after which a target is dead, and the time between them. */
+const MAXIMUM_SILENCES = 2;
+const PROBE_INTERVAL_MS = 50;
+
+/** Fresh connections in a row that may be answered and bring no chunk. */
+const MAXIMUM_IDLE_RESUMES = 1;
 
 /** What a model call needs to be run. */
 export interface ModelRunOptions {
@@ -33,6 +42,12 @@
 
 type Failure = TargetResult<ModelChunk>;
 
+/** How the opening of a connection went; neither open nor failed says to try a fresh one. */
+interface Opening {
+  readonly isOpen: boolean;
+  readonly failure?: Failure;
+}
+
 /**
  * One model call. A connection that breaks or stalls is replaced by a fresh one, which also shows
  * whether the target is alive; the answer then goes on from the chunk it had reached.
@@ -43,6 +58,8 @@
 
   private idleResumes = 0;
 
+  private silences = 0;
+
   /** Whether the connection broke in the middle of the answer; it may also have just ended. */
   private cutOff = false;
 
@@ -72,18 +89,14 @@
     for (;;) {
       const stream = this.createStream(signal);
       try {
-        const failure = await this.open(stream, isResume);
+        const opening = await this.open(stream, isResume);
+        const lost = opening.isOpen ? yield* this.relay(stream) : undefined;
+        if (this.completed && !opening.failure) return;
+        const failure = opening.failure ?? this.judgeLoss(lost);
         if (failure) {
           yield failure;
           return;
         }
-        const lost = yield* this.relay(stream);
-        if (this.completed) return;
-        const end = this.judgeLoss(lost);
-        if (end) {
-          yield end;
-          return;
-        }
       } finally {
         stream.close();
       }
@@ -96,37 +109,49 @@
     return new eventStreams.EventStream(this.options.url, connectMs, this.options.clock, signal);
   }
 
-  /** Sends the request; nothing when events follow or a fresh connection is to be tried. */
-  private async open(
-    stream: eventStreams.EventStream,
-    isResume: boolean,
-  ): Promise<Failure | undefined> {
+  /** Sends the request and waits for the head of the answer. */
+  private async open(stream: eventStreams.EventStream, isResume: boolean): Promise<Opening> {
     const { firstTokenMs } = this.options.pool.timeLimits;
     const request = isResume ? this.resumeRequest() : this.startRequest();
-    const limitMs = isResume ? PROBE_MS : firstTokenMs;
-    const head = await stream.open(request, this.limited(limitMs));
+    const limitMs = isResume ? PROBE_MS : this.limited(firstTokenMs);
+    const head = await stream.open(request, limitMs);
     // Once closed the connection writes nothing more, so what it says below stays true.
     if (head.kind !== ANSWERED) stream.close();
     this.sent ||= stream.mayHaveSent;
     if (head.kind === ANSWERED) return this.judgeStatus(head.status, stream, isResume);
-    if (head.kind === eventStreams.STREAM_STEPS.CANCELLED) return this.cancelled();
-    if (!this.sent) return failures.failed(NOT_SENT, 'The target cannot be reached.');
-    if (isResume) return failures.failed(DIED, 'The target does not answer a fresh connection.');
-    return undefined;
+    if (head.kind === CANCELLED_STEP) return { isOpen: false, failure: this.cancelled() };
+    if (isResume) return this.judgeSilence();
+    this.cutOff = head.kind === BROKEN_STEP;
+    const notSent = failures.failed<ModelChunk>(NOT_SENT, 'The target cannot be reached.');
+    return this.sent ? { isOpen: false } : { isOpen: false, failure: notSent };
+  }
+
+  /** A fresh connection brought no answer: the target is dead when the next does neither. */
+  private async judgeSilence(): Promise<Opening> {
+    this.silences += 1;
+    if (this.silences >= MAXIMUM_SILENCES) {
+      const message = 'The target does not answer on fresh connections.';
+      return { isOpen: false, failure: failures.failed(DIED, message) };
+    }
+    await this.options.clock.sleep(PROBE_INTERVAL_MS);
+    return { isOpen: false };
   }
 
   private async judgeStatus(
     status: number,
     stream: eventStreams.EventStream,
     isResume: boolean,
-  ): Promise<Failure | undefined> {
-    if (status === OK_STATUS) return undefined;
-    if (isResume) return this.judgeLostCall(status);
+  ): Promise<Opening> {
+    this.silences = 0;
+    if (status === OK_STATUS) return { isOpen: true };
+    if (isResume) return { isOpen: false, failure: this.judgeLostCall(status) };
     this.completed = true;
     const text = await stream.errorText(this.limited(PROBE_MS));
     const isFenced = status === CONFLICT_STATUS && text.includes('"fenced"');
-    if (isFenced) return failures.failed(FENCED, 'The target refused the fencing number.');
-    return failures.refused(status);
+    const failure = isFenced
+      ? failures.failed<ModelChunk>(FENCED, 'The target refused the fencing number.')
+      : failures.refused<ModelChunk>(status);
+    return { isOpen: false, failure };
   }
 
   /** The target answers but does not go on with the call. */
@@ -144,8 +169,8 @@
   ): AsyncGenerator<TargetResult<ModelChunk>, TargetFailureKind> {
     for (;;) {
       const step = await stream.next(this.chunkLimit());
-      if (step.kind === eventStreams.STREAM_STEPS.CANCELLED) return CANCELLED;
-      this.cutOff = step.kind === eventStreams.STREAM_STEPS.BROKEN;
+      if (step.kind === CANCELLED_STEP) return CANCELLED;
+      this.cutOff = step.kind === BROKEN_STEP;
       if (step.kind !== EVENT) return BROKEN;
       if (step.event.data === chunks.END_OF_STREAM) {
         this.completed = true;
@@ -163,10 +188,11 @@
   }
 
   /** Decides whether a fresh connection is tried; a failure when not. */
-  private judgeLoss(lost: TargetFailureKind): Failure | undefined {
+  private judgeLoss(lost: TargetFailureKind | undefined): Failure | undefined {
     if (lost === CANCELLED) return this.cancelled();
     if (lost === INVALID) return failures.invalid('A chunk of the answer is malformed.');
     if (this.options.clock.now() >= this.endsAt) return failures.failed(TIMED_OUT, 'Time is up.');
+    if (this.silences > 0) return undefined;
     this.idleResumes += 1;
     if (this.idleResumes <= MAXIMUM_IDLE_RESUMES) return undefined;
     return failures.failed(TIMED_OUT, 'The target sends no further chunk.');
@@ -180,7 +206,8 @@
 
   private chunkLimit(): clock.Milliseconds {
     const { betweenTokensMs, firstTokenMs } = this.options.pool.timeLimits;
-    return this.limited(this.received === 0 ? firstTokenMs : betweenTokensMs);
+    const isFirst = this.received === 0 && this.idleResumes === 0;
+    return this.limited(isFirst ? firstTokenMs : betweenTokensMs);
   }
 
   private limited(spanMs: clock.Milliseconds): clock.Milliseconds {
--- a/packages/targets/src/TargetFollower.ts
+++ b/packages/targets/src/TargetFollower.ts
@@ -117,6 +117,8 @@
     if (this.stop.signal.aborted) return;
     if (report.isErr) {
       tracker.health.noteUnreachable();
+      // It may come back as a new process that counts its events anew and holds nothing.
+      tracker.cache.forget();
       return;
     }
     tracker.learnStatus(report.value, askedAt);
--- a/packages/targets/src/TargetHealth.ts
+++ b/packages/targets/src/TargetHealth.ts
@@ -19,9 +19,16 @@
 /** An ejection lasts between this share of its span and the whole span. */
 const JITTER_FLOOR = 0.5;
 
-/** Tells whether a kind of failure says something about the target's health. */
-export function isFailureOfTarget(kind: TargetFailureKind): boolean {
-  return kind in WEIGHTS;
+/** The weight of a refusal with a status that blames the target. */
+const REFUSAL_WEIGHT = 1;
+
+const FIRST_TARGET_ERROR_STATUS = 500;
+
+/** How far a failed call goes towards ejection; 0 when it says nothing of the target's health. */
+export function failureWeight(kind: TargetFailureKind, status = 0): number {
+  const isRefusal = kind === targetFailures.TARGET_FAILURES.REFUSED;
+  if (isRefusal && status >= FIRST_TARGET_ERROR_STATUS) return REFUSAL_WEIGHT;
+  return WEIGHTS[kind] ?? 0;
 }
 
 /** Decides when a target is ejected and when it is tried again. */
@@ -53,11 +60,11 @@
     this.ejections = 0;
   }
 
-  /** Notes a failed call; true when it ejects the target. */
-  public noteFailure(kind: TargetFailureKind): boolean {
+  /** Notes a failed call of a weight; true when it ejects the target. */
+  public noteFailure(weight: number): boolean {
     // Calls that were under way before an ejection say nothing new.
     if (this.isEjected) return false;
-    this.weight += WEIGHTS[kind] ?? 0;
+    this.weight += weight;
     if (this.weight < EJECTION_WEIGHT) return false;
     this.eject();
     return true;
--- a/packages/targets/src/TargetTracker.ts
+++ b/packages/targets/src/TargetTracker.ts
@@ -78,9 +78,10 @@
       else this.limit.noteSuccess(this.load.ownInFlight);
       return false;
     }
-    if (!targetHealth.isFailureOfTarget(report.failure)) return false;
+    const weight = targetHealth.failureWeight(report.failure, report.status);
+    if (weight === 0) return false;
     this.limit.noteFailure();
-    return this.health.noteFailure(report.failure);
+    return this.health.noteFailure(weight);
   }
 
   /** The target as the scheduler sees it for a call. */
--- a/packages/targets/src/Types.ts
+++ b/packages/targets/src/Types.ts
@@ -141,6 +141,8 @@
 export interface CallReport {
   readonly target: string;
   readonly failure?: TargetFailureKind;
+  /** Status of a refusal: 500 and above count against the target's health. */
+  readonly status?: number;
   readonly firstTokenMs?: clock.Milliseconds;
   readonly totalMs: clock.Milliseconds;
   readonly usage?: TokenUsage;
