--- a/packages/journal/src/ShardSlot.ts
+++ b/packages/journal/src/ShardSlot.ts
@@ -13,13 +13,14 @@
 import type { ReadOutcome } from './ShardReader.js';
 import * as shardStream from './ShardStream.js';
 import * as standbyRecords from './StandbyRecords.js';
-import type { OwnedShard, Ownership, ShardHolder } from './Types.js';
+import type { ClaimListener, OwnedShard, Ownership, ShardHolder } from './Types.js';
 import type { AppendResult } from './WriterQueue.js';
 
 /** What a slot needs from the process. */
 export interface SlotCollaborators<State, Body>
   extends shardStream.StreamCollaborators<State, Body>, ownerTerm.OwnerCollaborators<State, Body> {
   readonly pauses: pauseDetector.PauseDetector;
+  readonly claimListener?: ClaimListener | undefined;
 }
 
 /** What a slot tells the journal. */
--- a/packages/membership/src/ProbingMembership.test.ts
+++ b/packages/membership/src/ProbingMembership.test.ts
@@ -1,6 +1,5 @@
 import * as jestGlobals from '@jest/globals';
 import * as clock from '@limpettack/clock';
-import type * as errors from '@limpettack/errors';
 import type * as platformClient from '@limpettack/platform-client';
 import * as wire from '@limpettack/wire';
 import * as trueMyth from 'true-myth';
--- a/packages/stand-ins/src/PlatformServer.ts
+++ b/packages/stand-ins/src/PlatformServer.ts
@@ -238,6 +238,6 @@
 /** Every waiting read listens to the signal, so their number has no bound that hints at a leak. */
 function createWaits(): AbortController {
   const waits = new AbortController();
-  events.setMaxListeners(0, waits.signal);
+  events.EventEmitter.setMaxListeners(0, waits.signal);
   return waits;
 }
