Offer no VM for claims that has never been met

Cause: in the first run of three real processes, claims named a standby that was listed but not met, with an empty incarnation; every reader skipped them as malformed. Identities were also taken before the peers' port was known. Before: 16 void claims a shard, no owner. The membership test failed before the change.

--- a/packages/membership/src/ProbingMembership.test.ts
+++ b/packages/membership/src/ProbingMembership.test.ts
@@ -108,6 +108,14 @@
 }
 
 describe('ProbingMembership', () => {
+  test('does not offer a VM that is listed and has never been met', async () => {
+    const fleet = createFleet();
+    fleet.list('a', 'b');
+    const member = await fleet.start('a');
+    await fleet.run(1);
+    expect(member.available().map(({ name }) => name)).toEqual(['a']);
+  });
+
   test('suspects a VM that stopped and takes it back when it answers', async () => {
     const fleet = createFleet();
     const [first, second] = await startThree(fleet);
--- a/packages/membership/src/ProbingMembership.ts
+++ b/packages/membership/src/ProbingMembership.ts
@@ -108,7 +108,11 @@
   /** @inheritdoc */
   public available(): readonly Member[] {
     return this.members().filter(
-      (member) => member.state === memberStates.MEMBER_STATES.AVAILABLE && !member.leaving,
+      (member) =>
+        member.state === memberStates.MEMBER_STATES.AVAILABLE &&
+        !member.leaving &&
+        // A VM that is only listed may have no process yet, and its incarnation is not known.
+        member.incarnation !== '',
     );
   }
 
--- a/packages/node/src/VmProcess.ts
+++ b/packages/node/src/VmProcess.ts
@@ -58,14 +58,20 @@
 
   private readonly log: platformClient.HttpLogClient;
 
-  private readonly members: membership.ProbingMembership;
+  private readonly vmList: platformClient.HttpVmListClient;
 
-  private readonly configuration: configuration.ConfigurationFollower;
+  private members!: membership.ProbingMembership;
+
+  private configuration!: configuration.ConfigurationFollower;
 
   private shards: Shards | undefined;
 
   private entryServer: entry.EntryServer | undefined;
 
+  private takeoverHook: limits.TakeoverHook | undefined;
+
+  private isDraining = false;
+
   public constructor(
     private readonly settings: nodeSettings.NodeSettings,
     private readonly secrets: NodeSecrets,
@@ -76,14 +82,15 @@
       requestTimeoutMs: settings.platform.requestTimeoutMs,
     };
     this.log = this.store.add(new platformClient.HttpLogClient(this.clock, platformOptions));
-    const vmList = this.store.add(new platformClient.HttpVmListClient(this.clock, platformOptions));
-    this.members = this.store.add(this.createMembership(vmList));
-    this.configuration = this.store.add(this.createConfiguration());
+    this.vmList = this.store.add(new platformClient.HttpVmListClient(this.clock, platformOptions));
   }
 
   /** Starts all parts. Resolves with the addresses; readiness comes when the state is read. */
   public async start(): Promise<ListeningAddresses> {
+    // The address is known only now, and all other parts take their identity from it.
     await this.network.listen();
+    this.members = this.store.add(this.createMembership());
+    this.configuration = this.store.add(this.createConfiguration());
     await this.members.start();
     this.configuration.start();
     const lookup = new targets.ConfigurationLookup(this.configuration);
@@ -140,8 +147,6 @@
     return this.store.dispose();
   }
 
-  private isDraining = false;
-
   private parts(part: string): { clock: clockPackage.Clock; logger: logging.Logger } {
     return { clock: this.clock, logger: new logging.PartLogger(part) };
   }
@@ -160,12 +165,12 @@
     });
   }
 
-  private createMembership(vmList: platformClient.VmListClient): membership.ProbingMembership {
+  private createMembership(): membership.ProbingMembership {
     return new membership.ProbingMembership({
       ...this.parts('membership'),
       ...this.settings.membership,
       network: this.network,
-      vmList,
+      vmList: this.vmList,
       random: this.random,
       seeds: this.settings.peers.seeds,
     });
@@ -229,8 +234,6 @@
     return shards;
   }
 
-  private takeoverHook: limits.TakeoverHook | undefined;
-
   private createAdmission(shards: Shards): limits.FleetAdmission {
     const admission = new limits.FleetAdmission({
       ...this.parts('limits'),
