--- a/packages/journal/src/StreamWriter.ts
+++ b/packages/journal/src/StreamWriter.ts
@@ -207,7 +207,8 @@
     }
     if (failure.kind === 'lost') {
       batch.forEach(markUncertain);
-      this.lostInARow += 1;
+      // The records may have been read in the log before the loss of the answer was noticed.
+      if (batch.some((entry) => !entry.done)) this.lostInARow += 1;
       if (this.lostInARow >= LOST_LIMIT) status.markDown();
     }
     if (failure.kind === 'invalid') this.queue.refuseBatch(batch, failure.message);
--- a/packages/journal/src/testing/MemoryLog.ts
+++ b/packages/journal/src/testing/MemoryLog.ts
@@ -28,20 +28,24 @@
   public constructor(public retentionMs = 3_600_000) {}
 
   /** A client of the log. A client that is cut off sees an outage that others do not. */
-  public connect(isCut: () => boolean = () => false): platformClient.LogClient {
+  public connect(isCut: () => boolean, pass: () => Promise<void>): platformClient.LogClient {
     const isAway = () => this.isDown || isCut();
     return {
       append: async (stream, payloads) => {
-        await Promise.resolve();
+        await pass();
         if (isAway()) return err({ kind: 'unavailable', message: 'down' });
-        return this.append(stream, payloads);
+        const result = this.append(stream, payloads);
+        await pass();
+        return result;
       },
       read: async (stream, from, options) => {
-        await Promise.resolve();
+        await pass();
         if (isAway()) return err({ kind: 'unavailable', message: 'down' });
         if (options.waitMs > 0 && from >= this.tail(stream)) await this.wait(options);
         if (isAway()) return err({ kind: 'unavailable', message: 'down' });
-        return this.read(stream, from, options.limit);
+        const result = this.read(stream, from, options.limit);
+        await pass();
+        return result;
       },
       retention: async () => ok(this.retentionMs),
     };
--- a/packages/journal/src/testing/testFixtures.ts
+++ b/packages/journal/src/testing/testFixtures.ts
@@ -5,6 +5,7 @@
 import * as manualMembers from './ManualMembers.js';
 import * as memoryLog from './MemoryLog.js';
 import * as memoryNetworks from './MemoryNetworks.js';
+import * as pauses from './Pauses.js';
 
 /** The clock of the tests that run several processes' journals at once. */
 export const systemClock = new clock.SystemClock();
@@ -48,7 +49,8 @@
 /** Everything that the journals of a test share. */
 export function createWorld() {
   const log = new memoryLog.MemoryLog();
-  const networks = new memoryNetworks.MemoryNetworks();
+  const paused = new pauses.Pauses();
+  const networks = new memoryNetworks.MemoryNetworks(paused);
   const members = new manualMembers.ManualMembers();
   const journals = new Map<string, shardJournal.ShardJournal<Words, Word>>();
   const cutFromLog = new Set<string>();
@@ -61,10 +63,13 @@
     const self = { name, incarnation, address: name, failureDomain };
     const journal = await shardJournal.ShardJournal.start<Words, Word>({
       shardCount: 1,
-      log: log.connect(() => cutFromLog.has(name)),
+      log: log.connect(
+        () => cutFromLog.has(name),
+        () => paused.pass(name),
+      ),
       network: networks.connect(self),
       membership: members.connect(self),
-      clock: systemClock,
+      clock: paused.clockOf(name),
       fold: createWordFold(),
       logger: { debug: silent, info: silent, warn: silent, error: silent },
       appendsPerSecond: 1_000,
@@ -78,7 +83,7 @@
   const dispose = async () => {
     await Promise.all([...journals.values()].map((journal) => journal.dispose()));
   };
-  return { log, networks, members, journals, cutFromLog, start, dispose };
+  return { log, paused, networks, members, journals, cutFromLog, start, dispose };
 }
 
 /** Waits until a condition holds. */
