--- a/packages/journal/src/ClaimSupervisor.ts
+++ b/packages/journal/src/ClaimSupervisor.ts
@@ -23,6 +23,10 @@
 /** How long a standby in the owner's failure domain is kept when there is a better one. */
 const DOMAIN_DELAY_MS = 10_000;
 
+/** How long the log must be out of reach here before the standbys are asked to claim. */
+const YIELD_DELAY_MS = 2_000;
+const YIELD_INTERVAL_MS = 1_000;
+
 /** What the supervisor needs from the process. */
 export interface SupervisorCollaborators {
   readonly membership: membership.Membership;
@@ -51,6 +55,8 @@
   | 'leaveUnlessHeld'
   | 'renewClaim'
   | 'takeOver'
+  | 'yielded'
+  | 'yieldToStandby'
 >;
 
 interface Condition {
@@ -68,6 +74,8 @@
 
   private isHandingOver = false;
 
+  private yieldedAt = Number.NEGATIVE_INFINITY;
+
   public constructor(
     private readonly slots: readonly ClaimableShard[],
     private readonly collaborators: SupervisorCollaborators,
@@ -88,8 +96,19 @@
 
   /** Looks at all shards once. What it starts goes on by itself. */
   public superviseAll(): void {
-    if (this.isHandingOver || !this.collaborators.status.available) return;
-    this.slots.forEach((slot) => this.supervise(slot));
+    if (this.isHandingOver) return;
+    if (this.collaborators.status.available) this.slots.forEach((slot) => this.supervise(slot));
+    else this.yieldOwned();
+  }
+
+  /** When only this VM has lost the log, its standbys can claim what it owns. */
+  private yieldOwned(): void {
+    const { status, clock: clockSource } = this.collaborators;
+    const now = clockSource.now();
+    if (status.unchangedFor < YIELD_DELAY_MS || now - this.yieldedAt < YIELD_INTERVAL_MS) return;
+    this.yieldedAt = now;
+    const owned = this.slots.filter((slot) => slot.owned !== undefined);
+    owned.forEach((slot) => slot.yieldToStandby().catch(() => undefined));
   }
 
   private supervise(slot: ClaimableShard): void {
@@ -155,7 +174,8 @@
 
   private superviseAsStandby(slot: ClaimableShard, { owner, epoch }: Ownership): void {
     const { watch, suspicionMs } = this.collaborators;
-    if (watch.unreachableFor(owner) >= suspicionMs) this.takeOver(slot, epoch);
+    const isGone = watch.unreachableFor(owner) >= suspicionMs;
+    if (slot.yielded || isGone) this.takeOver(slot, epoch);
   }
 
   private superviseForeign(slot: ClaimableShard, { owner, standby, epoch }: Ownership): void {
--- a/packages/journal/src/LogStatus.ts
+++ b/packages/journal/src/LogStatus.ts
@@ -15,6 +15,8 @@
 
   private isUp = true;
 
+  private changedAt: clock.Milliseconds;
+
   public readonly onChange = this.changes.event;
 
   public constructor(
@@ -22,25 +24,29 @@
     private readonly clockSource: clock.Clock,
     private readonly probeStream: string,
     private readonly signal: AbortSignal,
-  ) {}
+  ) {
+    this.changedAt = clockSource.now();
+  }
 
   /** Whether the last call succeeded. */
   public get available(): boolean {
     return this.isUp;
   }
 
+  /** For how long the log has been up, or down, without a change; in milliseconds. */
+  public get unchangedFor(): clock.Milliseconds {
+    return this.clockSource.now() - this.changedAt;
+  }
+
   /** Says that a call has succeeded. */
   public markUp(): void {
-    if (this.isUp) return;
-    this.isUp = true;
-    this.changes.fire(true);
+    if (!this.isUp) this.change(true);
   }
 
   /** Says that a call has failed in a way that shows an outage. */
   public markDown(): void {
     if (!this.isUp || this.signal.aborted) return;
-    this.isUp = false;
-    this.changes.fire(false);
+    this.change(false);
     this.probe().catch(() => undefined);
   }
 
@@ -58,6 +64,12 @@
     });
   }
 
+  private change(isUp: boolean): void {
+    this.isUp = isUp;
+    this.changedAt = this.clockSource.now();
+    this.changes.fire(isUp);
+  }
+
   private async probe(): Promise<void> {
     await this.clockSource.sleep(FIRST_PROBE_MS, this.signal);
     while (!this.isUp && !this.signal.aborted) {
--- a/packages/journal/src/OwnerTerm.ts
+++ b/packages/journal/src/OwnerTerm.ts
@@ -109,6 +109,15 @@
     return result.isOk || this.isEnded;
   }
 
+  /** Asks the standby to claim the shard, since the log cannot be reached from here. */
+  public async yieldToStandby(): Promise<void> {
+    const { owned } = this;
+    if (owned === undefined) return;
+    const answer = await this.collaborators.link.yieldShard(owned.ownership);
+    // Once the standby may claim, an earlier confirmation says nothing any more.
+    if (answer.kind !== 'no-effect') this.fresh.revoke();
+  }
+
   /** Renews what is about to expire. */
   public renewExpiring(): void {
     this.writer.renew();
--- a/packages/journal/src/ShardJournal.test.ts
+++ b/packages/journal/src/ShardJournal.test.ts
@@ -191,4 +191,30 @@
     const epochs = () => journals.map((journal) => shards.map((s) => journal.ownership(s)?.epoch));
     await until(() => epochs().every((row) => `${row}` === `${epochs()[0]}`));
   });
+
+  test('an owner that alone cannot reach the log gives way to its standby', async () => {
+    const { a, b } = await startPair();
+    world.cutFromLog.add('a');
+    await until(() => !a.isLogAvailable());
+    const held = await a.append(0, { word: 'held' }, REPLICABLE);
+    expect(held.isOk && held.value.durability).toBe('replicated');
+    await until(() => b.owned(0) !== undefined);
+    expect(wordsOf(b.owned(0)?.state)).toEqual(['held']);
+    expect((await a.confirmAuthority(0, 1_000)).isErr).toBe(true);
+    expect((await a.append(0, { word: 'late' }, REPLICABLE)).isErr).toBe(true);
+  });
+
+  test('a standby that has begun to claim no longer vouches for the owner', async () => {
+    const { a, b } = await startPair();
+    expect((await a.confirmAuthority(0, 0)).isOk).toBe(true);
+    world.log.loseRequests = Number.POSITIVE_INFINITY;
+    const before = world.log.appends;
+    world.members.set('a', { state: 'suspected' });
+    await until(() => world.log.appends > before);
+    expect(b.owned(0)).toBeUndefined();
+    expect((await a.confirmAuthority(0, 0)).isErr).toBe(true);
+    expect((await a.append(0, { word: 'late' }, REPLICABLE)).isErr).toBe(true);
+    world.log.loseRequests = 0;
+    await until(() => b.owned(0) !== undefined && a.owned(0) === undefined);
+  });
 });
--- a/packages/journal/src/ShardSlot.ts
+++ b/packages/journal/src/ShardSlot.ts
@@ -16,6 +16,9 @@
 import type { OwnedShard, Ownership, ShardHolder } from './Types.js';
 import type { AppendResult } from './WriterQueue.js';
 
+/** How long the log must have been up here before this standby takes a shard from its owner. */
+const YIELD_UP_MS = 1_000;
+
 /** What a slot needs from the process. */
 export interface SlotCollaborators<State, Body>
   extends shardStream.StreamCollaborators<State, Body>, ownerTerm.OwnerCollaborators<State, Body> {
@@ -51,6 +54,8 @@
 
   private isGapReported = false;
 
+  private hasBeenYielded = false;
+
   public constructor(
     public readonly shard: number,
     private readonly collaborators: SlotCollaborators<State, Body>,
@@ -94,6 +99,11 @@
     return this.stream.view.caughtUp && this.reader.released;
   }
 
+  /** Whether the owner has asked this standby to claim the shard. */
+  public get yielded(): boolean {
+    return this.hasBeenYielded;
+  }
+
   /** The epoch in force at the end of what was read here; 0 before the first claim. */
   public get epoch(): number {
     return this.reader.epoch;
@@ -158,6 +168,23 @@
       await this.claim(expectedEpoch + 1, standby);
     }
     this.isClaiming = false;
+    this.hasBeenYielded = false;
+  }
+
+  /** The owner asks its standby to claim, since it cannot reach the log itself. */
+  public async yieldToStandby(): Promise<void> {
+    await this.term?.yieldToStandby();
+  }
+
+  /** Accepts an owner's request to claim its shard. The claim must follow at once. */
+  public acceptYield(epoch: number): Answer<object> {
+    const { status } = this.collaborators;
+    const reason = this.reasonToRefuse(epoch);
+    if (reason !== undefined) return refusal.refuse(reason);
+    // In an outage for all, or as it ends, the pair stays as it is.
+    if (!status.available || status.unchangedFor < YIELD_UP_MS) return refusal.refuse('not-ready');
+    this.hasBeenYielded = true;
+    return trueMyth.Result.ok({});
   }
 
   /** Makes sure that this process still owned the shard at most `freshnessMs` ago. */
--- a/packages/journal/src/StandbyLink.ts
+++ b/packages/journal/src/StandbyLink.ts
@@ -30,6 +30,12 @@
     return this.tell(ownership, peerMethods.authority, { shard, epoch });
   }
 
+  /** Asks the standby to claim the shard, since the log cannot be reached from here. */
+  public yieldShard(ownership: Ownership): Promise<StandbyAnswer> {
+    const { shard, epoch } = ownership;
+    return this.tell(ownership, peerMethods.yieldShard, { shard, epoch });
+  }
+
   /** Asks the standby to hold records. */
   public replicate(
     ownership: Ownership,
--- a/packages/journal/src/peerMethods.ts
+++ b/packages/journal/src/peerMethods.ts
@@ -73,3 +73,10 @@
   request: authoritySchema,
   response: emptySchema,
 };
+
+/** An owner that cannot reach the log asks its standby, which can, to claim the shard. */
+export const yieldShard: wire.PeerMethod<AuthorityRequest, object> = {
+  name: 'journal.yield',
+  request: authoritySchema,
+  response: emptySchema,
+};
--- a/packages/journal/src/servePeers.ts
+++ b/packages/journal/src/servePeers.ts
@@ -8,7 +8,7 @@
 /** The part of a slot that peers reach. */
 export type ServedShard = Pick<
   shardSlot.ShardSlot<unknown, unknown>,
-  'vouch' | 'holdReplicas' | 'look'
+  'vouch' | 'holdReplicas' | 'look' | 'acceptYield'
 >;
 
 /** What answers the peers. */
@@ -46,6 +46,14 @@
       return trueMyth.Result.ok({});
     }),
   );
+  store.add(
+    network.serve(peerMethods.yieldShard, async ({ shard, epoch }) => {
+      const answer = service.slot(shard)?.acceptYield(epoch) ?? refuseUnknown();
+      // The claim begins before the answer is sent, so nothing is granted to the owner after it.
+      if (answer.isOk) service.supervise();
+      return answer;
+    }),
+  );
   return store;
 }
 
