--- a/packages/journal/src/ClaimSupervisor.ts
+++ b/packages/journal/src/ClaimSupervisor.ts
@@ -13,6 +13,9 @@
 /** Time by which each further member in the ranking waits longer before it claims. */
 const RANK_DELAY_MS = 1_000;
 
+/** How long a shard whose owner has ended is left to its standby. */
+const IDLE_STANDBY_MS = 10_000;
+
 /** How long the others leave a released shard to the successor. */
 const RELEASE_STANDBY_DELAY_MS = 700;
 const RELEASE_OWNER_DELAY_MS = 3_000;
@@ -180,10 +183,18 @@
 
   private superviseForeign(slot: ClaimableShard, { owner, standby, epoch }: Ownership): void {
     const { watch, suspicionMs } = this.collaborators;
-    const isStandbyGone = standby === undefined || watch.unreachableFor(standby) >= suspicionMs;
-    if (!isStandbyGone || watch.unreachableFor(owner) < suspicionMs) return;
-    const span = this.heldFor(slot, `both-gone-${epoch}`);
-    if (span >= (this.rankOfSelf(slot.shard) + 1) * RANK_DELAY_MS) this.takeOver(slot, epoch);
+    if (watch.isThoughtAvailable(owner)) return;
+    const rankDelay = (this.rankOfSelf(slot.shard) + 1) * RANK_DELAY_MS;
+    if (standby !== undefined && watch.isThoughtAvailable(standby)) {
+      // A standby that cannot reach the log leaves the shard without an owner.
+      const span = this.heldFor(slot, `left-${epoch}`);
+      const isLeft = watch.hasEnded(owner) && span >= IDLE_STANDBY_MS + rankDelay;
+      if (isLeft) this.takeOver(slot, epoch);
+      return;
+    }
+    const spans = [owner, standby].map((holder) => holder && watch.unreachableFor(holder));
+    if (spans.some((span) => span !== undefined && span < suspicionMs)) return;
+    if (this.heldFor(slot, `both-gone-${epoch}`) >= rankDelay) this.takeOver(slot, epoch);
   }
 
   private takeOver(slot: ClaimableShard, epoch: number): void {
--- a/packages/journal/src/HolderWatch.ts
+++ b/packages/journal/src/HolderWatch.ts
@@ -40,6 +40,14 @@
     return this.collaborators.membership.find(name)?.leaving ?? false;
   }
 
+  /** Whether the process is thought to be in reach. Asking costs nothing. */
+  public isThoughtAvailable(holder: ShardHolder): boolean {
+    if (this.hasEnded(holder)) return false;
+    if (holder.name === this.collaborators.membership.self.name) return true;
+    const member = this.collaborators.membership.find(holder.name);
+    return member?.state === membership.MEMBER_STATES.AVAILABLE;
+  }
+
   /**
    * For how long the process has been out of reach by this VM and its probers, in milliseconds; 0
    * when it is in reach, infinite when it has ended. Call it often: asking starts a confirmation.
@@ -47,8 +55,7 @@
   public unreachableFor(holder: ShardHolder): clock.Milliseconds {
     if (this.hasEnded(holder)) return Number.POSITIVE_INFINITY;
     const { name } = holder;
-    const member = this.collaborators.membership.find(name);
-    if (member?.state === membership.MEMBER_STATES.AVAILABLE || this.isOwnVm(name)) {
+    if (this.isThoughtAvailable(holder)) {
       this.suspicions.delete(name);
       return 0;
     }
@@ -63,10 +70,6 @@
     return this.collaborators.clock.now() - since;
   }
 
-  private isOwnVm(name: string): boolean {
-    return name === this.collaborators.membership.self.name;
-  }
-
   private suspicionOf(name: string): Suspicion {
     const known = this.suspicions.get(name);
     if (known !== undefined) return known;
--- a/packages/journal/src/OwnerTerm.ts
+++ b/packages/journal/src/OwnerTerm.ts
@@ -47,9 +47,10 @@
 
   /** The shard, once all that counted before the claim has been applied, and until it is lost. */
   public get owned(): OwnedShard<State> | undefined {
-    const { ownership, hasGap } = this.reader;
+    const { ownership } = this.reader;
     if (!this.isServing || ownership === undefined) return undefined;
-    return { ownership, state: this.stream.view.state, hasGap };
+    const { state, hasGap } = this.stream.view;
+    return { ownership, state, hasGap };
   }
 
   /** Appends what the earlier owner replicated here. True when the shard can then be served. */
--- a/packages/journal/src/ShardSlot.ts
+++ b/packages/journal/src/ShardSlot.ts
@@ -2,23 +2,17 @@
 import type * as errors from '@limpettack/errors';
 import * as trueMyth from 'true-myth';
 import * as claimShard from './claimShard.js';
-import * as controlRecords from './controlRecords.js';
 import * as freshness from './Freshness.js';
-import * as journalRecord from './JournalRecord.js';
 import type { RecordId } from './JournalRecord.js';
 import * as ownerTerm from './OwnerTerm.js';
 import type * as pauseDetector from './PauseDetector.js';
-import type * as peerMethods from './peerMethods.js';
 import * as refusal from './refuse.js';
 import type { ReadOutcome } from './ShardReader.js';
 import * as shardStream from './ShardStream.js';
-import * as standbyRecords from './StandbyRecords.js';
+import * as standbyDuty from './StandbyDuty.js';
 import type { OwnedShard, Ownership, ShardHolder } from './Types.js';
 import type { AppendResult } from './WriterQueue.js';
 
-/** How long the log must have been up here before this standby takes a shard from its owner. */
-const YIELD_UP_MS = 1_000;
-
 /** What a slot needs from the process. */
 export interface SlotCollaborators<State, Body>
   extends shardStream.StreamCollaborators<State, Body>, ownerTerm.OwnerCollaborators<State, Body> {
@@ -42,7 +36,7 @@
 
   private readonly fresh: freshness.Freshness;
 
-  private readonly replicas = new standbyRecords.StandbyRecords();
+  private readonly duty: standbyDuty.StandbyDuty<Body>;
 
   private readonly ending = new AbortController();
 
@@ -54,8 +48,6 @@
 
   private isGapReported = false;
 
-  private hasBeenYielded = false;
-
   public constructor(
     public readonly shard: number,
     private readonly collaborators: SlotCollaborators<State, Body>,
@@ -67,6 +59,12 @@
       onTail: (startedAt) => this.onTail(startedAt),
       onRestart: () => this.stopOwning(),
     });
+    this.duty = new standbyDuty.StandbyDuty(this.createFacts());
+  }
+
+  /** What this process does for the owner while it is the standby. */
+  public get standbyDuty(): standbyDuty.StandbyDuty<Body> {
+    return this.duty;
   }
 
   /** The latest claim known, read here or told by a peer. */
@@ -101,7 +99,7 @@
 
   /** Whether the owner has asked this standby to claim the shard. */
   public get yielded(): boolean {
-    return this.hasBeenYielded;
+    return this.duty.yielded;
   }
 
   /** The epoch in force at the end of what was read here; 0 before the first claim. */
@@ -165,10 +163,12 @@
     this.isClaiming = true;
     const failure = await this.stream.catchUp();
     if (failure === undefined && this.epochForClaim() === expectedEpoch && !this.isOwner) {
-      await this.claim(expectedEpoch + 1, standby);
+      const content = { epoch: expectedEpoch + 1, standby };
+      const { signal } = this.ending;
+      await claimShard.claimShard(this.stream, content, this.collaborators, signal);
     }
     this.isClaiming = false;
-    this.hasBeenYielded = false;
+    this.duty.clearYield();
   }
 
   /** The owner asks its standby to claim, since it cannot reach the log itself. */
@@ -176,17 +176,6 @@
     await this.term?.yieldToStandby();
   }
 
-  /** Accepts an owner's request to claim its shard. The claim must follow at once. */
-  public acceptYield(epoch: number): Answer<object> {
-    const { status } = this.collaborators;
-    const reason = this.reasonToRefuse(epoch);
-    if (reason !== undefined) return refusal.refuse(reason);
-    // In an outage for all, or as it ends, the pair stays as it is.
-    if (!status.available || status.unchangedFor < YIELD_UP_MS) return refusal.refuse('not-ready');
-    this.hasBeenYielded = true;
-    return trueMyth.Result.ok({});
-  }
-
   /** Makes sure that this process still owned the shard at most `freshnessMs` ago. */
   public async confirmAuthority(freshnessMs: clock.Milliseconds): Promise<Answer<Ownership>> {
     const answer = await this.term?.confirmAuthority(freshnessMs);
@@ -195,29 +184,6 @@
     return isOutdated ? refusal.refuse('not-owner') : answer;
   }
 
-  /** Answers an owner that asks for this standby's word. */
-  public async vouch(epoch: number): Promise<Answer<object>> {
-    if (this.reader.epoch < epoch && !this.isClaiming) await this.stream.catchUp();
-    const reason = this.reasonToRefuse(epoch);
-    return reason === undefined ? trueMyth.Result.ok({}) : refusal.refuse(reason);
-  }
-
-  /** Holds records of the owner until they are read in the log. */
-  public async holdReplicas({
-    epoch,
-    records,
-  }: peerMethods.ReplicateRequest): Promise<Answer<object>> {
-    const reason = this.reasonToRefuse(epoch);
-    if (reason !== undefined) return refusal.refuse(reason);
-    const { body: schema } = this.collaborators.fold;
-    const checked = records.map(({ id, body }) => ({ id, epoch, parsed: schema.safeParse(body) }));
-    if (checked.some(({ parsed }) => !parsed.success)) return refusal.refuse('bad-request');
-    checked.forEach(({ id, parsed }) => {
-      if (!this.reader.hasCounted(id)) this.replicas.add({ id, epoch, body: parsed.data });
-    });
-    return trueMyth.Result.ok({});
-  }
-
   /** Has the owner renew what is about to expire. */
   public renewExpiring(): void {
     this.term?.renewExpiring();
@@ -239,10 +205,18 @@
     return holder?.incarnation === this.collaborators.self.incarnation;
   }
 
-  private reasonToRefuse(epoch: number): errors.ErrorKind | undefined {
-    const known = Math.max(this.latest?.epoch ?? 0, this.reader.epoch);
-    if (this.isClaiming || this.isOwner || this.released || known > epoch) return 'not-owner';
-    return known === epoch && this.isStandby ? undefined : 'not-ready';
+  private createFacts(): standbyDuty.StandbyFacts<Body> {
+    const { fold, status } = this.collaborators;
+    return {
+      body: fold.body,
+      status,
+      latestEpoch: () => this.latest?.epoch ?? 0,
+      readEpoch: () => this.reader.epoch,
+      isStandby: () => this.isStandby,
+      isPastOwner: () => this.isClaiming || this.isOwner || this.released,
+      hasCounted: (id) => this.reader.hasCounted(id),
+      catchUp: () => this.stream.catchUp(),
+    };
   }
 
   /** The epoch that a claim follows. After a gap the peers may know of one that has expired. */
@@ -262,7 +236,7 @@
   }
 
   private onCounted(id: RecordId, outcome?: Extract<ReadOutcome<Body>, { kind: 'body' }>): void {
-    this.replicas.forget(id);
+    this.duty.forget(id);
     this.term?.settleRead(id, outcome?.position);
   }
 
@@ -281,8 +255,8 @@
 
   private reportGap(): void {
     const { shard } = this;
-    const { firstOffset: offset } = this.stream.view;
-    if (!this.reader.hasGap || this.isGapReported) return;
+    const { firstOffset: offset, hasGap } = this.stream.view;
+    if (!hasGap || this.isGapReported) return;
     this.isGapReported = true;
     this.collaborators.logger.error('Records expired before they were read.', { shard, offset });
     this.listener.onGap(shard, offset);
@@ -302,7 +276,7 @@
   private dropReplicasBefore(ownership: Ownership | undefined): void {
     if (ownership === undefined) return;
     // An owner appends what it replicated before it claims again, so nothing is lost by that.
-    const count = this.replicas.takeBefore(ownership.epoch).length;
+    const count = this.duty.takeBefore(ownership.epoch).length;
     if (count === 0) return;
     const { shard, epoch } = ownership;
     const fields = { shard, epoch, count };
@@ -313,7 +287,7 @@
     const term = new ownerTerm.OwnerTerm(this.stream, this.fresh, this.collaborators);
     this.term = term;
     this.stream.follow();
-    const canServe = await term.begin(this.replicas.takeBefore(this.reader.epoch));
+    const canServe = await term.begin(this.duty.takeBefore(this.reader.epoch));
     if (canServe && term.owned !== undefined) this.listener.onOwned(term.owned);
   }
 
@@ -326,21 +300,4 @@
     // The state holds records that no other reader will ever have.
     if (isAhead) this.stream.reset();
   }
-
-  private claim(epoch: number, standby: ShardHolder | undefined): Promise<void> {
-    const { stream, shard, collaborators } = this;
-    const owner = controlRecords.holderOf(collaborators.self);
-    const id = collaborators.createId();
-    const record = controlRecords.makeClaim({ id, shard, epoch, owner, standby });
-    const claimStream: claimShard.ClaimStream = {
-      name: stream.name,
-      epoch: () => this.reader.epoch,
-      absorb: (offset, payloads) => stream.absorb(offset, payloads),
-      readTo: (offset) => stream.readTo(offset),
-      catchUp: () => stream.catchUp(),
-    };
-    const payload = journalRecord.encodeRecord(record);
-    const { signal } = this.ending;
-    return claimShard.claimShard(claimStream, epoch, payload, collaborators, signal);
-  }
 }
--- a/packages/journal/src/ShardStream.ts
+++ b/packages/journal/src/ShardStream.ts
@@ -12,6 +12,11 @@
 /** Lost answers in a row that count as an outage. */
 const LOST_LIMIT = 2;
 
+const NO_PROGRESS: platformClient.PlatformFailure = {
+  kind: 'invalid',
+  message: 'The log returns no records before its tail.',
+};
+
 /** What a stream needs from the process. */
 export interface StreamCollaborators<State, Body> {
   readonly log: platformClient.LogClient;
@@ -141,8 +146,10 @@
     status.markUp();
     page.value.records.forEach((record) => this.feed(view, record));
     if (view !== this.current) return 'more';
-    if (view.reader.nextOffset < page.value.tailOffset) return 'more';
-    view.caughtUp = true;
+    if (view.reader.nextOffset < page.value.tailOffset) {
+      return page.value.records.length > 0 ? 'more' : NO_PROGRESS;
+    }
+    view.markCaughtUp();
     this.listener.onTail(startedAt);
     return 'tail';
   }
--- a/packages/journal/src/ShardView.ts
+++ b/packages/journal/src/ShardView.ts
@@ -25,8 +25,9 @@
 
   public readonly state: State;
 
-  /** Whether the end of the stream has been reached once. */
-  public caughtUp = false;
+  private hasCaughtUp = false;
+
+  private startedWithGap = false;
 
   private renewedBelow: number;
 
@@ -46,6 +47,19 @@
     this.renewedBelow = firstOffset;
   }
 
+  /** Whether the end of the stream has been reached once. */
+  public get caughtUp(): boolean {
+    return this.hasCaughtUp;
+  }
+
+  /**
+   * Whether the state lacks records that had expired before they were read. A later checkpoint of
+   * this process speaks for what it could read, so it does not clear this.
+   */
+  public get hasGap(): boolean {
+    return this.startedWithGap;
+  }
+
   /** Offset below which all that matters has been appended again. */
   public get completeFrom(): number {
     return this.renewedBelow;
@@ -56,6 +70,12 @@
     return this.appliedAhead.size > 0;
   }
 
+  /** Says that the end of the stream has been reached. */
+  public markCaughtUp(): void {
+    if (!this.hasCaughtUp) this.startedWithGap = this.reader.hasGap;
+    this.hasCaughtUp = true;
+  }
+
   /** Reads one record and changes the state by it. */
   public feed(log: platformClient.LogRecord): ReadOutcome<Body> {
     const outcome = this.reader.feed(log);
--- a/packages/journal/src/StreamWriter.ts
+++ b/packages/journal/src/StreamWriter.ts
@@ -229,7 +229,8 @@
     const bodies = this.queue.unheldBodies();
     if (bodies.length === 0) return;
     const records = bodies.map((entry) => ({ id: this.queue.identify(entry), body: entry.body }));
-    const answer = await this.host.replicate(records);
+    // When a lost claim names another standby, the one known here may no longer be asked.
+    const answer = this.queue.mayHaveClaimed ? 'no-effect' : await this.host.replicate(records);
     if (this.ending.signal.aborted) return;
     bodies.filter((entry) => !entry.done).forEach((entry) => this.takeAnswer(entry, answer));
     this.queue.sweep();
--- a/packages/journal/src/WriterQueue.ts
+++ b/packages/journal/src/WriterQueue.ts
@@ -103,6 +103,11 @@
     );
   }
 
+  /** Whether a claim that may have taken effect is on its way. */
+  public get mayHaveClaimed(): boolean {
+    return this.entries.some((entry) => entry.kind === 'control' && entry.uncertain);
+  }
+
   /** Adds an entry at the end. */
   public push(entry: WriterEntry<Body>): void {
     this.entries.push(entry);
--- a/packages/journal/src/claimShard.ts
+++ b/packages/journal/src/claimShard.ts
@@ -1,25 +1,23 @@
-import type * as clock from '@limpettack/clock';
-import type * as platformClient from '@limpettack/platform-client';
-import type * as appendRate from './AppendRate.js';
-import type * as logStatus from './LogStatus.js';
+import type * as wire from '@limpettack/wire';
+import * as controlRecords from './controlRecords.js';
+import * as journalRecord from './JournalRecord.js';
+import type { RecordId } from './JournalRecord.js';
+import type * as shardStream from './ShardStream.js';
+import type * as streamWriter from './StreamWriter.js';
+import type { ShardHolder } from './Types.js';
 
 const RETRY_MS = 50;
 
-/** Where a claim is appended and read back. */
-export interface ClaimStream {
-  readonly name: string;
-  epoch(): number;
-  absorb(offset: number, payloads: readonly string[]): boolean;
-  readTo(offset: number): Promise<platformClient.PlatformFailure | undefined>;
-  catchUp(): Promise<platformClient.PlatformFailure | undefined>;
+/** What a claim says. */
+export interface ClaimContent {
+  readonly epoch: number;
+  readonly standby: ShardHolder | undefined;
 }
 
 /** What a claim needs from the process. */
-export interface ClaimCollaborators {
-  readonly log: platformClient.LogClient;
-  readonly clock: clock.Clock;
-  readonly status: logStatus.LogStatus;
-  readonly rate: appendRate.AppendRate;
+export interface ClaimCollaborators extends streamWriter.WriterCollaborators {
+  readonly self: wire.PeerIdentity;
+  createId(): RecordId;
 }
 
 /**
@@ -27,15 +25,16 @@
  * ours or another's, or when our claim surely had no effect. A claim whose answer was lost is seen
  * to its end: until then nobody here may vouch for the earlier owner.
  */
-export async function claimShard(
-  stream: ClaimStream,
-  epoch: number,
-  payload: string,
-  { log, clock: clockSource, status, rate }: ClaimCollaborators,
+export async function claimShard<State, Body>(
+  stream: shardStream.ShardStream<State, Body>,
+  { epoch, standby }: ClaimContent,
+  collaborators: ClaimCollaborators,
   signal: AbortSignal,
 ): Promise<void> {
+  const { log, clock: clockSource, status, rate } = collaborators;
+  const payload = encodeClaim(stream.shard, { epoch, standby }, collaborators);
   let mayCount = false;
-  while (stream.epoch() < epoch && !signal.aborted) {
+  while (stream.view.reader.epoch < epoch && !signal.aborted) {
     await rate.acquire(signal);
     const result = await log.append(stream.name, [payload]);
     if (result.isOk) {
@@ -47,6 +46,16 @@
       if (!mayCount) return;
       await stream.catchUp();
     }
-    if (stream.epoch() < epoch) await clockSource.sleep(RETRY_MS, signal);
+    if (stream.view.reader.epoch < epoch) await clockSource.sleep(RETRY_MS, signal);
   }
 }
+
+function encodeClaim(
+  shard: number,
+  { epoch, standby }: ClaimContent,
+  { self, createId }: ClaimCollaborators,
+): string {
+  const owner = controlRecords.holderOf(self);
+  const claim = controlRecords.makeClaim({ id: createId(), shard, epoch, owner, standby });
+  return journalRecord.encodeRecord(claim);
+}
--- a/packages/journal/src/servePeers.ts
+++ b/packages/journal/src/servePeers.ts
@@ -6,10 +6,7 @@
 import type * as shardSlot from './ShardSlot.js';
 
 /** The part of a slot that peers reach. */
-export type ServedShard = Pick<
-  shardSlot.ShardSlot<unknown, unknown>,
-  'vouch' | 'holdReplicas' | 'look' | 'acceptYield'
->;
+export type ServedShard = Pick<shardSlot.ShardSlot<unknown, unknown>, 'standbyDuty' | 'look'>;
 
 /** What answers the peers. */
 export interface PeerService {
@@ -30,13 +27,13 @@
   store.add(
     network.serve(peerMethods.authority, async ({ shard, epoch }) => {
       const slot = service.slot(shard);
-      return slot === undefined ? refuseUnknown() : slot.vouch(epoch);
+      return slot === undefined ? refuseUnknown() : slot.standbyDuty.vouch(epoch);
     }),
   );
   store.add(
     network.serve(peerMethods.replicate, async (request) => {
       const slot = service.slot(request.shard);
-      return slot === undefined ? refuseUnknown() : slot.holdReplicas(request);
+      return slot === undefined ? refuseUnknown() : slot.standbyDuty.hold(request);
     }),
   );
   store.add(
@@ -48,7 +45,7 @@
   );
   store.add(
     network.serve(peerMethods.yieldShard, async ({ shard, epoch }) => {
-      const answer = service.slot(shard)?.acceptYield(epoch) ?? refuseUnknown();
+      const answer = service.slot(shard)?.standbyDuty.acceptYield(epoch) ?? refuseUnknown();
       // The claim begins before the answer is sent, so nothing is granted to the owner after it.
       if (answer.isOk) service.supervise();
       return answer;
--- a/packages/journal/src/testing/MemoryNetworks.ts
+++ b/packages/journal/src/testing/MemoryNetworks.ts
@@ -34,13 +34,15 @@
       const handler = this.handlers.get(address)?.get(method.name);
       const isCut = this.cut.has(self.name) || this.cut.has(address);
       if (isCut || handler === undefined) return err({ kind: 'not-sent', message: 'cut' });
+      const answered = new AbortController();
       const tooLate = systemClock
-        .sleep(timeoutMs)
+        .sleep(timeoutMs, answered.signal)
         .then((): Answer => err({ kind: 'timed-out', message: 'late' }));
       const answer = await Promise.race([
         this.deliver(address, handler, structuredClone(message), self),
         tooLate,
       ]);
+      answered.abort();
       await this.paused.pass(self.name);
       return this.cut.has(address) ? err({ kind: 'lost', message: 'cut' }) : answer;
     };
