--- a/packages/journal/src/StreamWriter.ts
+++ b/packages/journal/src/StreamWriter.ts
@@ -207,7 +207,8 @@
     }
     if (failure.kind === 'lost') {
       batch.forEach(markUncertain);
-      this.lostInARow += 1;
+      // The records may have been read in the log before the loss of the answer was noticed.
+      if (batch.some((entry) => !entry.done)) this.lostInARow += 1;
       if (this.lostInARow >= LOST_LIMIT) status.markDown();
     }
     if (failure.kind === 'invalid') this.queue.refuseBatch(batch, failure.message);
@@ -228,7 +229,8 @@
     const bodies = this.queue.unheldBodies();
     if (bodies.length === 0) return;
     const records = bodies.map((entry) => ({ id: this.queue.identify(entry), body: entry.body }));
-    const answer = await this.host.replicate(records);
+    // When a lost claim names another standby, the one known here may no longer be asked.
+    const answer = this.queue.mayHaveClaimed ? 'no-effect' : await this.host.replicate(records);
     if (this.ending.signal.aborted) return;
     bodies.filter((entry) => !entry.done).forEach((entry) => this.takeAnswer(entry, answer));
     this.queue.sweep();
