--- a/packages/configuration/src/ConfigurationFollower.test.ts
+++ b/packages/configuration/src/ConfigurationFollower.test.ts
@@ -100,6 +100,18 @@
     expect(third.current().version).toBe(1);
   });
 
+  test('closes a gap from a peer when the log holds no snapshot', async () => {
+    const { log, start } = createFleet();
+    log.push(createTables.createEdit(0, createTables.createTablesChange()));
+    log.push(createTables.createEdit(1, { kind: 'removeRoute', name: 'info' }));
+    const first = start('one');
+    await waitUntil(() => first.isReady());
+    log.firstOffset = 2;
+    const second = start('two');
+    await waitUntil(() => second.isReady());
+    expect(second.current()).toEqual(first.current());
+  });
+
   test('renews the state before its records expire, so that a late starter has it', async () => {
     const { log, start } = createFleet();
     log.retentionMs = 2_000;
--- a/packages/configuration/src/ConfigurationFollower.ts
+++ b/packages/configuration/src/ConfigurationFollower.ts
@@ -7,15 +7,17 @@
 import type * as trueMyth from 'true-myth';
 import type {
   Caller,
-  ConfigurationSnapshot,
   ConfigurationState,
   ConfigurationView,
   Route,
+  StreamRecord,
 } from './Types.js';
 import * as configurationFold from './ConfigurationFold.js';
 import * as configurationStore from './ConfigurationStore.js';
 import * as parseRecord from './parseRecord.js';
 import * as peerExchange from './PeerExchange.js';
+import type * as peerMethods from './peerMethods.js';
+import * as recentEdits from './RecentEdits.js';
 import * as snapshotRenewal from './SnapshotRenewal.js';
 
 /** The stream that holds the configuration. */
@@ -58,6 +60,8 @@
 
   private readonly fold = new configurationFold.ConfigurationFold();
 
+  private readonly recent = new recentEdits.RecentEdits();
+
   private readonly store = new configurationStore.ConfigurationStore();
 
   private readonly exchange: peerExchange.PeerExchange;
@@ -198,11 +202,14 @@
       return;
     }
     this.renewal.note(parsed.value.record, logRecord.ageMs);
-    const result = this.fold.apply(parsed.value);
-    this.options.logger.debug('Read a record.', {
-      offset: logRecord.offset,
-      kind: result.outcome,
-    });
+    this.applyRecord(parsed.value);
+  }
+
+  private applyRecord(entry: StreamRecord): void {
+    const result = this.fold.apply(entry);
+    this.recent.note(entry, result, this.fold.state.version);
+    const { offset } = entry;
+    this.options.logger.debug('Read a record.', { offset, kind: result.outcome });
   }
 
   private skipExpired(firstOffset: number): void {
@@ -219,11 +226,22 @@
     this.readFailed = true;
   }
 
-  private takeSnapshot(snapshot: ConfigurationSnapshot): void {
-    this.fold.apply({ offset: snapshot.asOf - 1, record: snapshot });
+  private takeAnswer(answer: peerMethods.PullAnswer): void {
+    answer.records.forEach((entry) => this.applyRecord(entry));
+    // All records below the peer's offset that are not in its answer have no effect.
+    const isLevel = !this.fold.hasGap && this.fold.state.version === answer.version;
+    if (isLevel && answer.records.length > 0) this.fold.advanceTo(answer.offset);
     this.publishState();
   }
 
+  private recordsFor(request: peerMethods.PullRequest): readonly StreamRecord[] {
+    const { version } = this.fold.state;
+    const edits = request.hasGap ? undefined : this.recent.after(request.version, version);
+    if (edits) return edits;
+    const record = this.fold.snapshot();
+    return [{ offset: record.asOf - 1, record }];
+  }
+
   private publishState(): void {
     if (!this.store.take(this.fold.state)) return;
     const { version } = this.fold.state;
@@ -239,12 +257,13 @@
       random: this.random,
       position: () => ({
         version: this.fold.state.version,
-        offset: this.fold.hasGap ? 0 : this.fold.nextOffset,
+        offset: this.fold.nextOffset,
+        hasGap: this.fold.hasGap,
       }),
-      snapshot: () => this.fold.snapshot(),
+      recordsFor: (request) => this.recordsFor(request),
       isReady: () => this.store.isReady(),
       isLogEnough: () => this.isLogReachable() && !this.fold.hasGap,
-      take: (snapshot) => this.takeSnapshot(snapshot),
+      take: (answer) => this.takeAnswer(answer),
       completePull: () => {
         if (!this.fold.hasGap) this.store.markReady();
       },
--- a/packages/configuration/src/PeerExchange.ts
+++ b/packages/configuration/src/PeerExchange.ts
@@ -2,7 +2,7 @@
 import * as lifetime from '@limpettack/lifetime';
 import type * as wire from '@limpettack/wire';
 import * as trueMyth from 'true-myth';
-import type { ConfigurationSnapshot } from './Types.js';
+import type { StreamRecord } from './Types.js';
 import * as peerMethods from './peerMethods.js';
 
 /** How often a VM that cannot read the log asks its peers, in milliseconds, before jitter. */
@@ -22,13 +22,14 @@
   readonly peers: () => readonly string[];
   readonly clock: clock.Clock;
   readonly random: () => number;
-  /** How far this VM has read; offset 0 when it lacks records. */
-  readonly position: () => peerMethods.Announcement;
-  readonly snapshot: () => ConfigurationSnapshot;
+  /** How far this VM has read. */
+  readonly position: () => peerMethods.PullRequest;
+  /** The records that bring a peer from its position to this VM's. */
+  readonly recordsFor: (request: peerMethods.PullRequest) => readonly StreamRecord[];
   readonly isReady: () => boolean;
   /** False when the log cannot be read or lacks records that this VM needs. */
   readonly isLogEnough: () => boolean;
-  readonly take: (snapshot: ConfigurationSnapshot) => void;
+  readonly take: (answer: peerMethods.PullAnswer) => void;
   /** Called when all reachable peers were asked and one of them was ready. */
   readonly completePull: () => void;
 }
@@ -64,10 +65,10 @@
 
   /** Tells some peers how far this VM is. */
   public announce(): void {
-    const position = this.options.position();
+    const { version, offset } = this.options.position();
     this.somePeers().forEach((peer) => {
       this.options.network
-        .request(peer, peerMethods.ANNOUNCE, position, { timeoutMs: REQUEST_TIMEOUT_MS })
+        .request(peer, peerMethods.ANNOUNCE, { version, offset }, { timeoutMs: REQUEST_TIMEOUT_MS })
         .catch(() => undefined);
     });
   }
@@ -78,11 +79,12 @@
     await this.disposables.dispose();
   }
 
-  private answerPull(request: peerMethods.Announcement): peerMethods.PullAnswer {
+  private answerPull(request: peerMethods.PullRequest): peerMethods.PullAnswer {
     const ready = this.options.isReady();
-    const position = this.options.position();
-    if (position.offset <= request.offset) return { ready };
-    return { ready, snapshot: this.options.snapshot() };
+    const { version, offset, hasGap } = this.options.position();
+    const isAhead = !hasGap && (request.hasGap || offset > request.offset);
+    const records = isAhead ? [...this.options.recordsFor(request)] : [];
+    return { ready, version, offset, records };
   }
 
   private async fetchAnnounced(position: peerMethods.Announcement, from: string): Promise<void> {
@@ -108,7 +110,7 @@
       { timeoutMs: REQUEST_TIMEOUT_MS },
     );
     if (result.isErr) return undefined;
-    if (result.value.snapshot) this.options.take(result.value.snapshot);
+    this.options.take(result.value);
     return result.value;
   }
 
