--- /dev/null
+++ b/packages/journal/src/ShardSlot.ts
@@ -0,0 +1,321 @@
+import type * as clock from '@limpettack/clock';
+import type * as errors from '@limpettack/errors';
+import * as trueMyth from 'true-myth';
+import * as claimShard from './claimShard.js';
+import * as controlRecords from './controlRecords.js';
+import * as freshness from './Freshness.js';
+import * as journalRecord from './JournalRecord.js';
+import type { RecordId } from './JournalRecord.js';
+import * as ownerTerm from './OwnerTerm.js';
+import type * as pauseDetector from './PauseDetector.js';
+import type * as peerMethods from './peerMethods.js';
+import * as refusal from './refuse.js';
+import type { ReadOutcome } from './ShardReader.js';
+import * as shardStream from './ShardStream.js';
+import * as standbyRecords from './StandbyRecords.js';
+import type { ClaimListener, OwnedShard, Ownership, ShardHolder } from './Types.js';
+import type { AppendResult } from './WriterQueue.js';
+
+/** What a slot needs from the process. */
+export interface SlotCollaborators<State, Body>
+  extends shardStream.StreamCollaborators<State, Body>, ownerTerm.OwnerCollaborators<State, Body> {
+  readonly pauses: pauseDetector.PauseDetector;
+  readonly claimListener?: ClaimListener | undefined;
+}
+
+/** What a slot tells the journal. */
+export interface SlotListener<State, Body> {
+  onOwned(owned: OwnedShard<State>): void;
+  onLost(shard: number): void;
+  onOwnership(ownership: Ownership): void;
+  onGap(shard: number, firstOffset: number): void;
+  onRecord(shard: number, outcome: ReadOutcome<Body>): void;
+}
+
+type Answer<Value> = trueMyth.Result<Value, errors.Fault>;
+
+/** One shard as this process knows it: follows, owns or stands by for it as its claims say. */
+export class ShardSlot<State, Body> {
+  private readonly stream: shardStream.ShardStream<State, Body>;
+
+  private readonly fresh: freshness.Freshness;
+
+  private readonly replicas = new standbyRecords.StandbyRecords();
+
+  private readonly ending = new AbortController();
+
+  private latest: Ownership | undefined;
+
+  private term: ownerTerm.OwnerTerm<State, Body> | undefined;
+
+  private isClaiming = false;
+
+  private isGapReported = false;
+
+  public constructor(
+    public readonly shard: number,
+    private readonly collaborators: SlotCollaborators<State, Body>,
+    private readonly listener: SlotListener<State, Body>,
+  ) {
+    this.fresh = new freshness.Freshness(collaborators.clock, collaborators.pauses);
+    this.stream = new shardStream.ShardStream(shard, collaborators, {
+      onRecord: (outcome) => this.onRecord(outcome),
+      onTail: (startedAt) => this.onTail(startedAt),
+      onRestart: () => this.stopOwning(),
+    });
+  }
+
+  /** The latest claim known, read here or told by a peer. */
+  public get ownership(): Ownership | undefined {
+    return this.latest;
+  }
+
+  /** The shard, when it is owned here and its records have been replayed. */
+  public get owned(): OwnedShard<State> | undefined {
+    return this.term?.owned;
+  }
+
+  /** Whether the log names this process as the owner, replayed or not. */
+  public get isOwner(): boolean {
+    return this.term !== undefined;
+  }
+
+  /** Whether the latest claim names this process as the standby. */
+  public get isStandby(): boolean {
+    return this.isSelf(this.latest?.standby);
+  }
+
+  /** Whether a claim of this process is on its way. */
+  public get claiming(): boolean {
+    return this.isClaiming;
+  }
+
+  /** Whether the owner has given the shard up, as far as this process has read. */
+  public get released(): boolean {
+    return this.stream.view.caughtUp && this.reader.released;
+  }
+
+  /** The epoch in force at the end of what was read here; 0 before the first claim. */
+  public get epoch(): number {
+    return this.reader.epoch;
+  }
+
+  /** The VM that the owner named when it gave the shard up. */
+  public get successor(): string | undefined {
+    return this.reader.successor;
+  }
+
+  /** Takes a claim that a peer has seen. */
+  public learn(ownership: Ownership): void {
+    if (!this.noteClaim(ownership)) return;
+    if (this.isStandby || this.isSelf(ownership.owner)) this.stream.follow();
+    if (!this.isOwner || ownership.epoch <= this.reader.epoch) return;
+    this.fresh.revoke();
+    this.stream.catchUp().catch(() => undefined);
+  }
+
+  /** Reads the stream to its end once, to learn of its claim. True when the log answered. */
+  public async look(): Promise<boolean> {
+    const failure = await this.stream.catchUp();
+    return failure === undefined;
+  }
+
+  /** Stops following a shard that this process neither holds nor is about to claim. */
+  public leaveUnlessHeld(): void {
+    if (this.isOwner || this.isClaiming || this.isStandby) return;
+    if (this.isSelf(this.latest?.owner)) return;
+    if (this.released && this.successor === this.collaborators.self.name) return;
+    const isHeldByOthers = this.latest !== undefined;
+    if (isHeldByOthers && this.stream.hasRead) this.stream.unfollow();
+  }
+
+  /** Appends a body to the owned shard. */
+  public async append(body: Body, replicateInOutage: boolean): Promise<AppendResult> {
+    return this.term?.append(body, replicateInOutage) ?? refusal.refuse('not-owner');
+  }
+
+  /** The owner claims again with another standby. */
+  public async renewClaim(standby: ShardHolder | undefined): Promise<void> {
+    if (this.isClaiming) return;
+    this.isClaiming = true;
+    await this.term?.renewClaim(standby);
+    this.isClaiming = false;
+  }
+
+  /** The owner gives the shard up. Appends are refused from now on. */
+  public async release(successor: string | undefined): Promise<boolean> {
+    return this.term?.release(successor) ?? false;
+  }
+
+  /**
+   * Claims a shard that another process held under the given epoch. From the start of this call
+   * this process vouches for no earlier owner.
+   */
+  public async takeOver(expectedEpoch: number, standby: ShardHolder | undefined): Promise<void> {
+    if (this.isClaiming || this.isOwner) return;
+    this.isClaiming = true;
+    const failure = await this.stream.catchUp();
+    if (failure === undefined && this.epochForClaim() === expectedEpoch && !this.isOwner) {
+      await this.claim(expectedEpoch + 1, standby);
+    }
+    this.isClaiming = false;
+  }
+
+  /** Makes sure that this process still owned the shard at most `freshnessMs` ago. */
+  public async confirmAuthority(freshnessMs: clock.Milliseconds): Promise<Answer<Ownership>> {
+    const answer = await this.term?.confirmAuthority(freshnessMs);
+    if (answer === undefined) return refusal.refuse('not-owner');
+    const isOutdated = answer.isOk && answer.value.epoch < (this.latest?.epoch ?? 0);
+    return isOutdated ? refusal.refuse('not-owner') : answer;
+  }
+
+  /** Answers an owner that asks for this standby's word. */
+  public async vouch(epoch: number): Promise<Answer<object>> {
+    if (this.reader.epoch < epoch && !this.isClaiming) await this.stream.catchUp();
+    const reason = this.reasonToRefuse(epoch);
+    return reason === undefined ? trueMyth.Result.ok({}) : refusal.refuse(reason);
+  }
+
+  /** Holds records of the owner until they are read in the log. */
+  public async holdReplicas({
+    epoch,
+    records,
+  }: peerMethods.ReplicateRequest): Promise<Answer<object>> {
+    const reason = this.reasonToRefuse(epoch);
+    if (reason !== undefined) return refusal.refuse(reason);
+    const { body: schema } = this.collaborators.fold;
+    const checked = records.map(({ id, body }) => ({ id, epoch, parsed: schema.safeParse(body) }));
+    if (checked.some(({ parsed }) => !parsed.success)) return refusal.refuse('bad-request');
+    checked.forEach(({ id, parsed }) => {
+      if (!this.reader.hasCounted(id)) this.replicas.add({ id, epoch, body: parsed.data });
+    });
+    return trueMyth.Result.ok({});
+  }
+
+  /** Has the owner renew what is about to expire. */
+  public renewExpiring(): void {
+    this.term?.renewExpiring();
+  }
+
+  /** Ends all work on the shard. */
+  public stop(): void {
+    this.ending.abort();
+    this.term?.end();
+    this.term = undefined;
+    this.stream.unfollow();
+  }
+
+  private get reader() {
+    return this.stream.view.reader;
+  }
+
+  private isSelf(holder: ShardHolder | undefined): boolean {
+    return holder?.incarnation === this.collaborators.self.incarnation;
+  }
+
+  private reasonToRefuse(epoch: number): errors.ErrorKind | undefined {
+    const known = Math.max(this.latest?.epoch ?? 0, this.reader.epoch);
+    if (this.isClaiming || this.isOwner || this.released || known > epoch) return 'not-owner';
+    return known === epoch && this.isStandby ? undefined : 'not-ready';
+  }
+
+  /** The epoch that a claim follows. After a gap the peers may know of one that has expired. */
+  private epochForClaim(): number {
+    const { epoch, hasGap } = this.reader;
+    return hasGap ? Math.max(epoch, this.latest?.epoch ?? 0) : epoch;
+  }
+
+  private onRecord(outcome: ReadOutcome<Body>): void {
+    this.listener.onRecord(this.shard, outcome);
+    if (outcome.kind === 'body') this.onCounted(outcome.id, outcome);
+    if (outcome.kind === 'skipped' && outcome.id !== undefined) this.onCounted(outcome.id);
+    if (outcome.kind === 'claim') this.noteClaim(outcome.ownership);
+    // Roles are taken from the end of the stream only: claims met in a replay are long past.
+    const changes = outcome.kind === 'claim' || outcome.kind === 'release';
+    if (changes && this.stream.view.caughtUp) this.takeRole();
+  }
+
+  private onCounted(id: RecordId, outcome?: Extract<ReadOutcome<Body>, { kind: 'body' }>): void {
+    this.replicas.forget(id);
+    this.term?.settleRead(id, outcome?.position);
+  }
+
+  private noteClaim(ownership: Ownership): boolean {
+    if (ownership.epoch <= (this.latest?.epoch ?? 0)) return false;
+    this.latest = ownership;
+    this.listener.onOwnership(ownership);
+    return true;
+  }
+
+  private onTail(startedAt: clock.Milliseconds): void {
+    this.fresh.confirm(startedAt);
+    this.reportGap();
+    this.takeRole();
+  }
+
+  private reportGap(): void {
+    const { shard } = this;
+    const { firstOffset: offset } = this.stream.view;
+    if (!this.reader.hasGap || this.isGapReported) return;
+    this.isGapReported = true;
+    this.collaborators.logger.error('Records expired before they were read.', { shard, offset });
+    this.listener.onGap(shard, offset);
+  }
+
+  private takeRole(): void {
+    const { ownership, released } = this.reader;
+    const isOwner = !released && this.isSelf(ownership?.owner);
+    if (!isOwner) {
+      this.stopOwning();
+      this.dropReplicasBefore(ownership);
+    } else if (this.term === undefined) {
+      this.startOwning().catch(() => undefined);
+    }
+  }
+
+  private dropReplicasBefore(ownership: Ownership | undefined): void {
+    if (ownership === undefined) return;
+    // An owner appends what it replicated before it claims again, so nothing is lost by that.
+    const count = this.replicas.takeBefore(ownership.epoch).length;
+    if (count === 0) return;
+    const { shard, epoch } = ownership;
+    const fields = { shard, epoch, count };
+    this.collaborators.logger.warn('Replicated records were dropped at a foreign claim.', fields);
+  }
+
+  private async startOwning(): Promise<void> {
+    const term = new ownerTerm.OwnerTerm(this.stream, this.fresh, this.collaborators);
+    this.term = term;
+    this.stream.follow();
+    const canServe = await term.begin(this.replicas.takeBefore(this.reader.epoch));
+    if (canServe && term.owned !== undefined) this.listener.onOwned(term.owned);
+  }
+
+  private stopOwning(): void {
+    const { term } = this;
+    if (term === undefined) return;
+    const { isAhead } = this.stream.view;
+    this.term = undefined;
+    if (term.end()) this.listener.onLost(this.shard);
+    // The state holds records that no other reader will ever have.
+    if (isAhead) this.stream.reset();
+  }
+
+  private claim(epoch: number, standby: ShardHolder | undefined): Promise<void> {
+    const { stream, shard, collaborators } = this;
+    const owner = controlRecords.holderOf(collaborators.self);
+    const id = collaborators.createId();
+    const record = controlRecords.makeClaim({ id, shard, epoch, owner, standby });
+    const claimStream: claimShard.ClaimStream = {
+      shard: this.shard,
+      name: stream.name,
+      epoch: () => this.reader.epoch,
+      absorb: (offset, payloads) => stream.absorb(offset, payloads),
+      readTo: (offset) => stream.readTo(offset),
+      catchUp: () => stream.catchUp(),
+    };
+    const payload = journalRecord.encodeRecord(record);
+    const { signal } = this.ending;
+    return claimShard.claimShard(claimStream, epoch, payload, collaborators, signal);
+  }
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+/** Stand-ins for the platform and for targets, with faults, for tests and the demo. */
+export * from './Types.js';
+export * from './Outcomes.js';
+export * from './schemas.js';
+export * from './noFaults.js';
+export * from './generateText.js';
+export * from './PlatformServer.js';
+export * from './EngineServer.js';
+export * from './ServiceServer.js';
