--- a/packages/configuration/src/ConfigurationFollower.ts
+++ b/packages/configuration/src/ConfigurationFollower.ts
@@ -7,15 +7,17 @@
 import type * as trueMyth from 'true-myth';
 import type {
   Caller,
-  ConfigurationSnapshot,
   ConfigurationState,
   ConfigurationView,
   Route,
+  StreamRecord,
 } from './Types.js';
 import * as configurationFold from './ConfigurationFold.js';
 import * as configurationStore from './ConfigurationStore.js';
 import * as parseRecord from './parseRecord.js';
 import * as peerExchange from './PeerExchange.js';
+import type * as peerMethods from './peerMethods.js';
+import * as recentEdits from './RecentEdits.js';
 import * as snapshotRenewal from './SnapshotRenewal.js';
 
 /** The stream that holds the configuration. */
@@ -58,6 +60,8 @@
 
   private readonly fold = new configurationFold.ConfigurationFold();
 
+  private readonly recent = new recentEdits.RecentEdits();
+
   private readonly store = new configurationStore.ConfigurationStore();
 
   private readonly exchange: peerExchange.PeerExchange;
@@ -78,6 +82,9 @@
   /** Whether a read of the log has failed since the last one that succeeded. */
   private readFailed = false;
 
+  /** Whether the last page reached the tail, so that the next read may wait for a record. */
+  private hasTail = false;
+
   private unreadableCount = 0;
 
   public readonly onChange = this.store.onChange;
@@ -149,9 +156,7 @@
       if (signal.aborted) return;
       if (page.isOk) {
         this.takePage(page.value);
-      } else if (page.error.kind === platformClient.PLATFORM_FAILURES.EXPIRED) {
-        this.skipExpired(page.error.firstOffset ?? this.fold.nextOffset + 1);
-      } else {
+      } else if (!this.skipExpired(page.error)) {
         this.noteReadFailure(page.error);
         await this.options.clock.sleep(READ_RETRY_MS * (0.5 + this.random()), signal);
       }
@@ -171,7 +176,7 @@
       .catch(() => undefined);
     const page = await this.options.log.read(this.stream, this.fold.nextOffset, {
       limit: READ_LIMIT,
-      waitMs: this.store.isReady() ? this.pollWaitMs : 0,
+      waitMs: this.hasTail ? this.pollWaitMs : 0,
       signal: readSignal,
     });
     readEnd.abort();
@@ -182,8 +187,8 @@
     this.lastReadAt = this.options.clock.now();
     this.readFailed = false;
     page.records.forEach((record) => this.takeRecord(record));
-    const hasTail = this.fold.nextOffset >= page.tailOffset;
-    if (hasTail && !this.fold.hasGap) this.store.markReady();
+    this.hasTail = this.fold.nextOffset >= page.tailOffset;
+    if (this.hasTail && !this.fold.hasGap) this.store.markReady();
     this.publishState();
   }
 
@@ -198,18 +203,25 @@
       return;
     }
     this.renewal.note(parsed.value.record, logRecord.ageMs);
-    const result = this.fold.apply(parsed.value);
-    this.options.logger.debug('Read a record.', {
-      offset: logRecord.offset,
-      kind: result.outcome,
-    });
+    this.applyRecord(parsed.value);
+  }
+
+  private applyRecord(entry: StreamRecord): void {
+    const result = this.fold.apply(entry);
+    this.recent.note(entry, result, this.fold.state.version);
+    const { offset } = entry;
+    this.options.logger.debug('Read a record.', { offset, kind: result.outcome });
   }
 
-  private skipExpired(firstOffset: number): void {
+  /** Goes on after records that are no longer kept. False when that is not why a read failed. */
+  private skipExpired(failure: platformClient.PlatformFailure): boolean {
+    const { firstOffset } = failure;
+    if (firstOffset === undefined || firstOffset <= this.fold.nextOffset) return false;
     this.options.logger.error('Records expired before they were read; waiting for a snapshot.', {
       offset: firstOffset,
     });
     this.fold.skipTo(firstOffset);
+    return true;
   }
 
   private noteReadFailure(failure: platformClient.PlatformFailure): void {
@@ -219,11 +231,22 @@
     this.readFailed = true;
   }
 
-  private takeSnapshot(snapshot: ConfigurationSnapshot): void {
-    this.fold.apply({ offset: snapshot.asOf - 1, record: snapshot });
+  private takeAnswer(answer: peerMethods.PullAnswer): void {
+    answer.records.forEach((entry) => this.applyRecord(entry));
+    // All records below the peer's offset that are not in its answer have no effect.
+    const isLevel = !this.fold.hasGap && this.fold.state.version === answer.version;
+    if (isLevel && answer.records.length > 0) this.fold.advanceTo(answer.offset);
     this.publishState();
   }
 
+  private recordsFor(request: peerMethods.PullRequest): readonly StreamRecord[] {
+    const { version } = this.fold.state;
+    const edits = request.hasGap ? undefined : this.recent.after(request.version, version);
+    if (edits) return edits;
+    const record = this.fold.snapshot();
+    return [{ offset: record.asOf - 1, record }];
+  }
+
   private publishState(): void {
     if (!this.store.take(this.fold.state)) return;
     const { version } = this.fold.state;
@@ -239,12 +262,13 @@
       random: this.random,
       position: () => ({
         version: this.fold.state.version,
-        offset: this.fold.hasGap ? 0 : this.fold.nextOffset,
+        offset: this.fold.nextOffset,
+        hasGap: this.fold.hasGap,
       }),
-      snapshot: () => this.fold.snapshot(),
+      recordsFor: (request) => this.recordsFor(request),
       isReady: () => this.store.isReady(),
       isLogEnough: () => this.isLogReachable() && !this.fold.hasGap,
-      take: (snapshot) => this.takeSnapshot(snapshot),
+      take: (answer) => this.takeAnswer(answer),
       completePull: () => {
         if (!this.fold.hasGap) this.store.markReady();
       },
