--- a/packages/limits/src/FleetAdmission.property.test.ts
+++ b/packages/limits/src/FleetAdmission.property.test.ts
@@ -1,11 +1,16 @@
 import * as jestGlobals from '@jest/globals';
 import * as fastCheck from 'fast-check';
+import type { WorkspaceLimit } from './Types.js';
 import * as fakeFleet from './testing/FakeFleet.js';
 
 const { describe, test } = jestGlobals;
 
 const SIZE = 4;
-const LIMIT = { ratePerSecond: 40, burst: 6 };
+const LIMITS = [
+  { ratePerSecond: 1, burst: 5 },
+  { ratePerSecond: 40, burst: 6 },
+  { ratePerSecond: 150, burst: 12 },
+];
 const ROUNDING = 1e-6;
 
 interface Action {
@@ -14,7 +19,7 @@
 }
 
 interface Model {
-  requests: number;
+  readonly limit: WorkspaceLimit;
 }
 
 /** Runs an action, lets its effects come about, and checks the sum of all grants. */
@@ -28,7 +33,7 @@
   public async run(model: Model, fleet: fakeFleet.FakeFleet): Promise<void> {
     await this.action.run(fleet);
     await fleet.settle();
-    checkGrants(fleet.grants);
+    checkGrants(fleet.grants, model.limit);
   }
 
   public toString(): string {
@@ -37,11 +42,11 @@
 }
 
 /** Fails when an ideal bucket, full at first, would not have granted the same. */
-function checkGrants(grants: readonly number[]): void {
-  let level = LIMIT.burst;
+function checkGrants(grants: readonly number[], limit: WorkspaceLimit): void {
+  let level = limit.burst;
   let last = 0;
   grants.forEach((time) => {
-    level = Math.min(LIMIT.burst, level + ((time - last) * LIMIT.ratePerSecond) / 1_000);
+    level = Math.min(limit.burst, level + ((time - last) * limit.ratePerSecond) / 1_000);
     last = time;
     if (level < 1 - ROUNDING) throw new Error(`${grants.length} grants: ${grants.join(' ')}`);
     level -= 1;
@@ -60,6 +65,11 @@
   }
 }
 
+function indexOf(fleet: fakeFleet.FakeFleet, holder?: { readonly name: string }) {
+  const index = fleet.processes.findIndex(({ endpoint }) => endpoint.self.name === holder?.name);
+  return index < 0 ? undefined : index;
+}
+
 const VM = fastCheck.integer({ min: 0, max: SIZE - 1 });
 const STANDBY = fastCheck.option(VM, { freq: 8, nil: undefined });
 const PICK = fastCheck.nat(30);
@@ -109,13 +119,57 @@
   );
 const TAKE_OVER_BY_STANDBY = VM.map((vm) =>
   createCommand(`claimByStandby(${vm})`, (fleet) => {
-    const name = fleet.log.claims.at(-1)?.standby?.name;
-    const standby = fleet.processes.findIndex(({ endpoint }) => endpoint.self.name === name);
-    if (standby < 0) return;
+    const standby = indexOf(fleet, fleet.log.claims.at(-1)?.standby);
+    if (standby === undefined) return;
     fleet.claim(standby, vm === standby ? undefined : vm);
     fleet.read(standby);
   }),
 );
+/** The owner is paused with tokens to spend, and the next one grants all that it may. */
+const PAUSE_AND_TAKE_OVER = fastCheck
+  .tuple(VM, fastCheck.constantFrom(0, 5_000))
+  .map(([vm, span]) =>
+    createCommand(`pauseAndTakeOver(${vm}, ${span})`, async (fleet) => {
+      const claim = fleet.log.claims.at(-1)!;
+      const [owner, standby] = [claim.owner, claim.standby].map((holder) => indexOf(fleet, holder));
+      if (owner === undefined || standby === undefined) return;
+      ask(fleet, owner, 1, 30);
+      await fleet.run(4);
+      fleet.pause(owner);
+      fleet.claim(standby, vm === standby ? undefined : vm);
+      fleet.read(standby);
+      fleet.advance(span);
+      ask(fleet, standby, 12, 30);
+      await fleet.run(4);
+    }),
+  );
+/** One of the pair ends while the log is down, and the platform's list shows it. */
+const DIE_IN_OUTAGE = fastCheck.tuple(fastCheck.boolean(), VM).map(([isOwner, vm]) =>
+  createCommand(`dieInOutage(${isOwner}, ${vm})`, async (fleet) => {
+    const claim = fleet.log.claims.at(-1)!;
+    const index = indexOf(fleet, isOwner ? claim.owner : claim.standby);
+    if (index === undefined) return;
+    Object.assign(fleet.log, { isAvailable: false });
+    fleet.kill(index);
+    fleet.dropFromList(index);
+    ask(fleet, vm, 12, 2_000);
+    await fleet.run(200, 10);
+    ask(fleet, vm, 12, 2_000);
+    await fleet.run(40, 10);
+  }),
+);
+const ASK_AND_RUN = fastCheck.tuple(VM, fastCheck.constantFrom(4, 400)).map(([vm, span]) =>
+  createCommand(`askAndRun(${vm}, ${span})`, async (fleet) => {
+    ask(fleet, vm, 12, 2_000);
+    await fleet.run(span, span / 4);
+  }),
+);
+const WAKE_AND_ASK = VM.map((vm) =>
+  createCommand(`wakeAndAsk(${vm})`, (fleet) => {
+    fleet.resume(vm);
+    ask(fleet, vm, 12, 30);
+  }),
+);
 const READ = VM.map((vm) => createCommand(`read(${vm})`, (fleet) => fleet.read(vm)));
 const PAUSE = VM.map((vm) => createCommand(`pause(${vm})`, (fleet) => fleet.pause(vm)));
 const RESUME = VM.map((vm) => createCommand(`resume(${vm})`, (fleet) => fleet.resume(vm)));
@@ -128,28 +182,33 @@
   }),
 );
 
-const COMMANDS = fastCheck.commands(
-  [
-    ...[ASK, ASK, ASK, RUN, RUN, RUN, ADVANCE, DELIVER, DELIVER, DELIVER, DROP, CLAIM, READ],
-    ...[TAKE_OVER, TAKE_OVER_BY_STANDBY, TAKE_OVER_BY_STANDBY, PAUSE, RESUME, KILL, LIST],
-    ...[RESTART, OUTAGE],
-  ],
-  { size: '+2', maxCommands: 120 },
-);
+const ALL = [
+  ...[ASK, ASK, ASK, RUN, RUN, RUN, ADVANCE, DELIVER, DELIVER, DELIVER, DROP, CLAIM, READ],
+  ...[TAKE_OVER, TAKE_OVER_BY_STANDBY, TAKE_OVER_BY_STANDBY, PAUSE, RESUME, KILL, LIST],
+  ...[PAUSE_AND_TAKE_OVER, PAUSE_AND_TAKE_OVER, WAKE_AND_ASK, WAKE_AND_ASK, RESTART, OUTAGE],
+];
+const TAKEOVERS = [PAUSE_AND_TAKE_OVER, WAKE_AND_ASK, TAKE_OVER, RESTART, ASK_AND_RUN];
+const OUTAGES = [...TAKEOVERS, DIE_IN_OUTAGE, DIE_IN_OUTAGE, OUTAGE, LIST];
 
-const RUNS = Number(process.env.LIMITS_PROPERTY_RUNS ?? 300);
+const LIMIT = fastCheck.constantFrom(...LIMITS);
+const RUNS = Number(process.env.LIMITS_PROPERTY_RUNS ?? 200);
 const SEED = Number(process.env.LIMITS_PROPERTY_SEED ?? 20_261_204);
 
 describe('FleetAdmission', () => {
-  test('never grants more than burst and rate, whatever fails', async () => {
+  test.each([
+    { name: 'whatever fails', kinds: ALL, maxCommands: 100 },
+    { name: 'over takeovers in a row', kinds: TAKEOVERS, maxCommands: 20 },
+    { name: 'while the log is down', kinds: OUTAGES, maxCommands: 25 },
+  ])('never grants more than burst and rate, $name', async ({ kinds, maxCommands }) => {
+    const sequences = fastCheck.commands(kinds, { size: '+2', maxCommands });
     await fastCheck.assert(
-      fastCheck.asyncProperty(COMMANDS, async (commands) => {
-        const fleet = new fakeFleet.FakeFleet(SIZE, LIMIT);
+      fastCheck.asyncProperty(LIMIT, sequences, async (limit, commands) => {
+        const fleet = new fakeFleet.FakeFleet(SIZE, limit);
         fleet.claimAndRead(0, 1);
         await fleet.run(4);
-        await fastCheck.asyncModelRun(() => ({ model: { requests: 0 }, real: fleet }), commands);
+        await fastCheck.asyncModelRun(() => ({ model: { limit }, real: fleet }), commands);
       }),
-      { numRuns: RUNS, seed: SEED, endOnFailure: false },
+      { numRuns: RUNS, seed: SEED },
     );
   });
 });
