Let the survivor of a pair go on with tokens that were authorized already

Cause: a survivor that went on alone never granted what it had authorized and the standby had not acknowledged, and a state taken from an acknowledging survivor was emptied by the drop of its own entry. Both came up in focused tests of outages.

--- a/packages/limits/src/BucketOwner.ts
+++ b/packages/limits/src/BucketOwner.ts
@@ -168,6 +168,7 @@
     this.buckets.forEach((bucket, workspace) => {
       this.settled(workspace);
       if (emptyFirst) bucket.emptyLevel();
+      bucket.acknowledgeAll();
     });
     this.reviewAll();
   }
--- /dev/null
+++ b/packages/limits/src/FleetAdmission.test.ts
@@ -0,0 +1,233 @@
+import * as jestGlobals from '@jest/globals';
+import type * as errors from '@limpettack/errors';
+import * as fakeFleet from './testing/FakeFleet.js';
+
+const { describe, expect, test } = jestGlobals;
+
+const LIMIT = { ratePerSecond: 10, burst: 5 };
+
+interface Answer {
+  granted?: boolean;
+  fault?: errors.Fault;
+}
+
+/** Asks for admission and notes the answer when it comes. */
+function ask(fleet: fakeFleet.FakeFleet, vm: number, id: string, timeoutMs = 5_000): Answer {
+  const answer: Answer = {};
+  const request = { requestId: id, workspace: fakeFleet.WORKSPACE, timeoutMs };
+  fleet.processes[vm]!.admission.admit(request)
+    .then((result) => {
+      if (result.isOk) answer.granted = true;
+      else Object.assign(answer, { granted: false, fault: result.error });
+    })
+    .catch(() => undefined);
+  return answer;
+}
+
+function askMany(fleet: fakeFleet.FakeFleet, vm: number, prefix: string, count: number): Answer[] {
+  return Array.from({ length: count }, (unused, index) => ask(fleet, vm, `${prefix}-${index}`));
+}
+
+function countGranted(answers: readonly Answer[]): number {
+  return answers.filter((answer) => answer.granted).length;
+}
+
+/** A fleet of which the first VM owns the shard and the second is its standby. */
+async function createFleet(size = 4): Promise<fakeFleet.FakeFleet> {
+  const fleet = new fakeFleet.FakeFleet(size, LIMIT);
+  fleet.claimAndRead(0, 1);
+  await fleet.run(5);
+  return fleet;
+}
+
+describe('FleetAdmission', () => {
+  test('admits a burst from several VMs and says when a token will be there', async () => {
+    const fleet = await createFleet();
+    const answers = [...askMany(fleet, 2, 'first', 3), ...askMany(fleet, 3, 'second', 3)];
+    await fleet.run(10);
+    expect(countGranted(answers)).toBe(5);
+    const { fault } = answers.find((answer) => answer.granted === false)!;
+    expect(fault).toMatchObject({ kind: 'rate-limited', run: 'not-run' });
+    const early = ask(fleet, 2, 'early');
+    await fleet.run(10);
+    expect(early.granted).toBe(false);
+    await fleet.run(fault!.retryAfterMs - 10);
+    const late = ask(fleet, 2, 'late');
+    await fleet.run(10);
+    expect(late.granted).toBe(true);
+  });
+
+  test('answers a request asked again the same, and takes no second token', async () => {
+    const fleet = await createFleet();
+    const answers = [...askMany(fleet, 2, 'same', 1), ...askMany(fleet, 3, 'same', 1)];
+    await fleet.run(10);
+    expect(countGranted(answers)).toBe(2);
+    expect(fleet.grants).toHaveLength(1);
+  });
+
+  test('brings an edited limit into force without giving out the new rate for the past', async () => {
+    const fleet = await createFleet();
+    askMany(fleet, 2, 'drain', 5);
+    await fleet.run(10);
+    fleet.setLimit({ ratePerSecond: 1_000, burst: 50 });
+    const raised = askMany(fleet, 2, 'raised', 50);
+    await fleet.run(5);
+    expect(countGranted(raised)).toBeLessThan(10);
+    await fleet.run(100);
+    fleet.setLimit({ ratePerSecond: 1, burst: 2 });
+    const lowered = askMany(fleet, 2, 'lowered', 50);
+    await fleet.run(10);
+    expect(countGranted(lowered)).toBeLessThanOrEqual(2);
+  });
+
+  test('lets requests wait for a takeover, and counts what the old owner may still grant', async () => {
+    const fleet = await createFleet();
+    askMany(fleet, 0, 'before', 1);
+    await fleet.run(10);
+    fleet.pause(0);
+    const waiting = askMany(fleet, 2, 'waiting', 1);
+    await fleet.run(200);
+    expect(waiting[0]!.granted).toBeUndefined();
+    fleet.claimAndRead(1, 2);
+    await fleet.run(100);
+    expect(waiting[0]!.granted).toBe(true);
+    await fleet.run(1_000);
+    const held = askMany(fleet, 2, 'held', 5);
+    await fleet.run(10);
+    // Two tokens were authorized, and the standby has not heard that one of them was granted.
+    expect(countGranted(held)).toBe(3);
+    // The old owner acknowledges the new epoch, and the whole burst is there again.
+    fleet.resume(0);
+    await fleet.run(1_500);
+    const whole = askMany(fleet, 2, 'whole', 5);
+    await fleet.run(10);
+    expect(countGranted(whole)).toBe(5);
+  });
+
+  test('grants nothing as a third VM until the pair has ended, and then starts empty', async () => {
+    const fleet = await createFleet();
+    fleet.kill(0);
+    fleet.kill(1);
+    fleet.claimAndRead(2, 3);
+    fleet.dropFromList(0);
+    const before = ask(fleet, 3, 'before');
+    await fleet.run(1_000);
+    expect(before.granted).toBeUndefined();
+    fleet.dropFromList(1);
+    await fleet.run(1_000);
+    expect(before).toMatchObject({ granted: false, fault: { kind: 'rate-limited' } });
+    const after = ask(fleet, 3, 'after');
+    await fleet.run(10);
+    expect(after.granted).toBe(true);
+  });
+
+  test('takes the state from the standby when a third VM claims', async () => {
+    const fleet = await createFleet();
+    askMany(fleet, 0, 'before', 1);
+    await fleet.run(10);
+    fleet.pause(0);
+    fleet.claimAndRead(2, 3);
+    const answers = askMany(fleet, 3, 'after', 5);
+    await fleet.run(100);
+    expect(countGranted(answers)).toBe(3);
+  });
+
+  test('refuses a restarted standby that its claim does not name', async () => {
+    const fleet = await createFleet();
+    fleet.claim(1, 2);
+    [1, 2, 3].forEach((vm) => fleet.read(vm));
+    fleet.pause(0);
+    askMany(fleet, 3, 'new', 5);
+    await fleet.run(10);
+    fleet.restart(1);
+    fleet.resume(0);
+    // The old owner has not heard of the claim; only what the standby held is left to it.
+    const old = askMany(fleet, 0, 'old', 5);
+    fleet.exchange.deliverAll();
+    await fleet.settle();
+    fleet.exchange.deliverAll();
+    await fleet.settle();
+    expect(countGranted(old)).toBe(0);
+  });
+
+  test.each([
+    { survivor: 'owner', ended: 1, asked: 0 },
+    { survivor: 'standby', ended: 0, asked: 1 },
+  ])('goes on with the $survivor alone in an outage once the other has ended', async (each) => {
+    const fleet = await createFleet();
+    Object.assign(fleet.log, { isAvailable: false });
+    const pair = ask(fleet, 3, 'pair');
+    await fleet.run(10);
+    expect(pair.granted).toBe(true);
+    await fleet.run(1_000);
+    fleet.kill(each.ended);
+    const unproved = askMany(fleet, 3, 'unproved', 5);
+    await fleet.run(1_000);
+    expect(countGranted(unproved)).toBeLessThan(5);
+    fleet.dropFromList(each.ended);
+    // Another member that may know of a claim has to be asked first.
+    fleet.pause(2);
+    await fleet.run(3_000);
+    const undecided = ask(fleet, 3, 'undecided');
+    await fleet.run(500);
+    expect(undecided.granted).toBeUndefined();
+    fleet.resume(2);
+    await fleet.run(2_000);
+    const alone = ask(fleet, each.asked, 'alone');
+    await fleet.run(10);
+    expect(alone.granted).toBe(true);
+    // A VM without state takes over later and has to wait for the survivor.
+    Object.assign(fleet.log, { isAvailable: true });
+    fleet.pause(each.asked);
+    fleet.claimAndRead(2, 3);
+    const later = ask(fleet, 2, 'later');
+    await fleet.run(1_000);
+    expect(later.granted).toBeUndefined();
+    fleet.resume(each.asked);
+    await fleet.run(1_000);
+    expect(later.granted).toBe(true);
+  });
+
+  test('starts empty when the other of the pair may have granted before it ended', async () => {
+    const fleet = await createFleet();
+    fleet.claim(1, 2);
+    [1, 2, 3].forEach((vm) => fleet.read(vm));
+    fleet.pause(0);
+    const taken = askMany(fleet, 3, 'taken', 5);
+    await fleet.run(10);
+    expect(countGranted(taken)).toBe(5);
+    [1, 2, 3].forEach((vm) => fleet.kill(vm));
+    [1, 2, 3].forEach((vm) => fleet.dropFromList(vm));
+    Object.assign(fleet.log, { isAvailable: false });
+    fleet.resume(0);
+    const alone = askMany(fleet, 0, 'alone', 5);
+    await fleet.run(200);
+    expect(countGranted(alone)).toBeLessThanOrEqual(2);
+  });
+
+  test('waits for the survivor also with a state that came late', async () => {
+    const fleet = await createFleet(3);
+    // The standby takes over, and ends before its first message has arrived.
+    fleet.claim(1, 2);
+    fleet.read(1);
+    await fleet.settle();
+    const late = fleet.exchange.takeAll();
+    fleet.kill(1);
+    fleet.dropFromList(1);
+    Object.assign(fleet.log, { isAvailable: false });
+    ask(fleet, 0, 'first');
+    await fleet.run(3_000);
+    ask(fleet, 0, 'alone');
+    await fleet.run(10);
+    expect(fleet.grants).toHaveLength(1);
+    late.forEach((message) => fleet.exchange.send(message));
+    await fleet.run(10);
+    fleet.pause(0);
+    Object.assign(fleet.log, { isAvailable: true });
+    fleet.claimAndRead(2);
+    fleet.advance(5_000);
+    const held = ask(fleet, 2, 'held');
+    await fleet.run(1_000);
+    expect(held.granted).toBeUndefined();
+  });
+});
--- a/packages/limits/src/OwnedBucket.ts
+++ b/packages/limits/src/OwnedBucket.ts
@@ -99,9 +99,10 @@
     this.acknowledge(this.authorized);
   }
 
-  /** Starts again from nothing, keeping what the standby has acknowledged. */
+  /** Starts again from nothing but what the standby has acknowledged. */
   public emptyLevel(): void {
     this.bucket.empty();
+    this.authorized = this.acknowledged;
   }
 
   /** Answers all waiting requests that they must ask again. */
--- a/packages/limits/src/OwnerTask.ts
+++ b/packages/limits/src/OwnerTask.ts
@@ -114,7 +114,7 @@
     const { name, incarnation, knownEpoch, state } = result.value;
     limits.observe(knownEpoch);
     if (this.isOver || name !== holder.name || incarnation < holder.incarnation) return;
-    if (state) limits.adopt(state);
+    if (state) limits.adopt(state, holder);
     limits.dropHeld(holder);
   }
 
--- a/packages/limits/src/ShardLimits.ts
+++ b/packages/limits/src/ShardLimits.ts
@@ -107,13 +107,16 @@
     return this.startOwner(epoch, standby, { ...state, held: [...state.held, ...extra] });
   }
 
-  /** Takes the state that an earlier holder has given, while this owner knows none. */
-  public adopt(state: ShardState): void {
+  /** Takes the state of a holder that has acknowledged, while this owner knows none. */
+  public adopt(state: ShardState, from: Holder): void {
     const { owner } = this;
     if (!owner?.isResolving || state.epoch !== owner.epoch - 1) return;
     const extra = owner.standby ? [] : this.holdersToAsk(owner.epoch, state);
-    const held = [...state.held, ...extra].filter((entry) => !this.hasEnded(entry.holder));
-    owner.restart(this.withSurvivors({ ...state, held }));
+    const complete = this.withSurvivors({ ...state, held: [...state.held, ...extra] });
+    const held = complete.held.filter(
+      ({ holder }) => !this.hasEnded(holder) && !heldAmounts.isSameHolder(holder, from),
+    );
+    owner.restart({ ...complete, held });
   }
 
   /** Goes on as the owner in the standby's place, after the owner has ended and the log is down. */
--- a/packages/limits/src/testing/FakeExchange.ts
+++ b/packages/limits/src/testing/FakeExchange.ts
@@ -10,7 +10,8 @@
   isEnded: boolean;
 }
 
-interface Message {
+/** A message on its way. */
+export interface Message {
   readonly to: () => Endpoint | undefined;
   readonly arrive: (endpoint: Endpoint) => Promise<void>;
 }
@@ -44,6 +45,11 @@
     this.messages.splice(index, 1);
   }
 
+  /** Takes all messages off their way, to be sent later. */
+  public takeAll(): readonly Message[] {
+    return this.messages.splice(0);
+  }
+
   /** Delivers all that can be delivered now, in the order of sending. */
   public deliverAll(): void {
     const present = this.messages;
