Wake waiting reads by an event, and keep replies and fencing fields in one place

338 followers of 26 streams waited on one abort signal; the runtime warned of a leak at the eleventh. A typed event has no such bound.

The engine and the service stand-in each had their own reply and parsing of fencing fields; both now share them.

--- a/packages/stand-ins/src/EngineServer.ts
+++ b/packages/stand-ins/src/EngineServer.ts
@@ -1,18 +1,20 @@
 import * as crypto from 'node:crypto';
 
 import type * as clock from '@limpettack/clock';
-import * as lifetime from '@limpettack/lifetime';
+import type * as lifetime from '@limpettack/lifetime';
 
 import * as cacheEventFeed from './CacheEventFeed.js';
 import * as seededRandom from './createSeededRandom.js';
 import * as engineBatch from './EngineBatch.js';
 import * as engineCall from './EngineCall.js';
 import * as engineOrders from './EngineOrders.js';
+import * as fencing from './fencingOf.js';
 import * as fencingGuard from './FencingGuard.js';
 import * as messages from './httpMessages.js';
 import * as loadHistory from './LoadHistory.js';
 import * as outcomes from './Outcomes.js';
 import * as prefixCache from './PrefixCache.js';
+import * as replies from './reply.js';
 import * as schemas from './schemas.js';
 import * as targetHost from './TargetHost.js';
 import type { EngineSettings, Outcome } from './Types.js';
@@ -26,10 +28,6 @@
 const STREAM_PATH = /^\/v1\/calls\/([^/]+)\/stream$/;
 const SESSION_PATH = /^\/v1\/sessions\/([^/]+)$/;
 
-const FENCED_BODY = { error: { type: 'fenced' } };
-const INVALID_BODY = { error: { type: 'invalid' } };
-const NOT_FOUND_BODY = { error: { type: 'not-found' } };
-
 /** Settings that a caller may leave out. */
 export type EngineOptions = Partial<EngineSettings>;
 
@@ -123,32 +121,34 @@
     if (path === CHAT_PATH) return this.handleChat(exchange);
     const streamed = STREAM_PATH.exec(path)?.[1];
     if (streamed !== undefined) return this.handleResume(exchange, decodeURIComponent(streamed));
-    if (path === '/v1/calls') return reply(exchange, 200, { calls: this.listCalls(exchange) });
-    if (path === '/v1/load') return reply(exchange, 200, this.describeLoad());
+    if (path === '/v1/calls')
+      return replies.reply(exchange, 200, { calls: this.listCalls(exchange) });
+    if (path === '/v1/load') return replies.reply(exchange, 200, this.describeLoad());
     if (path === '/v1/cache/events') {
       const after = Number(url.searchParams.get('after') ?? 0);
-      return reply(exchange, 200, this.cacheEvents.read(after));
+      return replies.reply(exchange, 200, this.cacheEvents.read(after));
     }
-    if (path === '/v1/sessions') return reply(exchange, 200, { sessions: this.cache.list() });
+    if (path === '/v1/sessions')
+      return replies.reply(exchange, 200, { sessions: this.cache.list() });
     if (path === '/v1/orders') return this.handleOrder(exchange);
     if (path.startsWith('/v1/kv/')) return this.handleTransfer(exchange);
     if (request.method === 'DELETE') return this.handleDelete(exchange);
-    return reply(exchange, 404, NOT_FOUND_BODY);
+    return replies.reply(exchange, 404, replies.REFUSALS.NOT_FOUND);
   }
 
   private async handleChat(exchange: targetHost.TargetExchange): Promise<Outcome> {
     const body = messages.parseJson(schemas.CHAT_BODY, exchange.body);
-    if (body === undefined) return reply(exchange, 400, INVALID_BODY);
+    if (body === undefined) return replies.reply(exchange, 400, replies.REFUSALS.INVALID);
     const { request } = exchange;
-    const scope = messages.headerOf(request, 'limpettack-fencing-scope');
-    const fencingNumber = numberOf(messages.headerOf(request, 'limpettack-fencing-number'));
-    if (!this.fencing.admit(scope, fencingNumber)) return reply(exchange, 409, FENCED_BODY);
+    const { scope, fencingNumber } = fencing.fencingOf(request);
+    if (!this.fencing.admit(scope, fencingNumber))
+      return replies.reply(exchange, 409, replies.REFUSALS.FENCED);
     const call = new engineCall.EngineCall(this.time, {
       callId: messages.headerOf(request, 'limpettack-call') ?? crypto.randomUUID(),
       program: messages.headerOf(request, 'limpettack-program'),
       scope,
       fencingNumber,
-      priority: numberOf(messages.headerOf(request, 'limpettack-priority')) ?? 0,
+      priority: messages.numberOf(messages.headerOf(request, 'limpettack-priority')) ?? 0,
       model: this.orders.state.model,
       messages: body.messages,
       maximumTokens: body.max_completion_tokens ?? body.max_tokens,
@@ -225,7 +225,8 @@
   ): Promise<Outcome> {
     const call = this.calls.get(callId);
     const after = Number(exchange.url.searchParams.get('after') ?? 0);
-    if (call === undefined || Number.isNaN(after)) return reply(exchange, 404, NOT_FOUND_BODY);
+    if (call === undefined || Number.isNaN(after))
+      return replies.reply(exchange, 404, replies.REFUSALS.NOT_FOUND);
     await this.stream(call, after, exchange);
     return exchange.closed.aborted ? OUTCOMES.DROPPED : OUTCOMES.FINISHED;
   }
@@ -251,26 +252,26 @@
 
   private handleOrder(exchange: targetHost.TargetExchange): Outcome {
     const order = messages.parseJson(schemas.ORDER_BODY, exchange.body);
-    if (order === undefined) return reply(exchange, 400, INVALID_BODY);
+    if (order === undefined) return replies.reply(exchange, 400, replies.REFUSALS.INVALID);
     const isAdmitted = this.fencing.admit(order.scope, order.fencingNumber);
-    if (!isAdmitted) return reply(exchange, 409, FENCED_BODY);
+    if (!isAdmitted) return replies.reply(exchange, 409, replies.REFUSALS.FENCED);
     this.orders.take(order);
-    return reply(exchange, 204);
+    return replies.reply(exchange, 204);
   }
 
   private async handleTransfer(exchange: targetHost.TargetExchange): Promise<Outcome> {
     if (exchange.url.pathname === '/v1/kv/export') {
       const body = messages.parseJson(schemas.EXPORT_BODY, exchange.body);
       const exported = body && this.cache.export(body.program);
-      if (exported === undefined) return reply(exchange, 404, NOT_FOUND_BODY);
+      if (exported === undefined) return replies.reply(exchange, 404, replies.REFUSALS.NOT_FOUND);
       await this.time.sleep(exported.tokens * this.settings.transferMsPerToken);
-      return reply(exchange, 200, exported);
+      return replies.reply(exchange, 200, exported);
     }
     const body = messages.parseJson(schemas.IMPORT_BODY, exchange.body);
-    if (body === undefined) return reply(exchange, 400, INVALID_BODY);
+    if (body === undefined) return replies.reply(exchange, 400, replies.REFUSALS.INVALID);
     await this.time.sleep(body.tokens * this.settings.transferMsPerToken);
     this.cache.import(body.program, body.blob);
-    return reply(exchange, 204);
+    return replies.reply(exchange, 204);
   }
 
   private handleDelete(exchange: targetHost.TargetExchange): Outcome {
@@ -278,17 +279,7 @@
     const program = SESSION_PATH.exec(exchange.url.pathname)?.[1];
     if (callId !== undefined) this.calls.get(decodeURIComponent(callId))?.cancel();
     else if (program !== undefined) this.cache.release(decodeURIComponent(program));
-    else return reply(exchange, 404, NOT_FOUND_BODY);
-    return reply(exchange, 204);
+    else return replies.reply(exchange, 404, replies.REFUSALS.NOT_FOUND);
+    return replies.reply(exchange, 204);
   }
 }
-
-function reply(exchange: targetHost.TargetExchange, status: number, body?: unknown): Outcome {
-  messages.sendJson(exchange.response, status, body);
-  return status < 400 ? OUTCOMES.FINISHED : OUTCOMES.REFUSED;
-}
-
-function numberOf(text: string | undefined): number | undefined {
-  const value = text === undefined ? Number.NaN : Number(text);
-  return Number.isNaN(value) ? undefined : value;
-}
--- a/packages/stand-ins/src/PlatformServer.ts
+++ b/packages/stand-ins/src/PlatformServer.ts
@@ -10,6 +10,7 @@
 import * as laggingVmList from './LaggingVmList.js';
 import * as noFaults from './noFaults.js';
 import * as rateLimiter from './RateLimiter.js';
+import * as replies from './reply.js';
 import * as schemas from './schemas.js';
 import * as streamLog from './StreamLog.js';
 import type { PlatformFaultChanges, PlatformFaults, PlatformSettings, VmEntry } from './Types.js';
@@ -17,9 +18,6 @@
 const RECORDS_PATH = /^\/log\/streams\/([^/]+)\/records$/;
 const WEIGHTS_PATH = /^\/weights\/([^/]+)\/([^/]+)$/;
 
-const OUTAGE_BODY = { error: { type: 'unavailable' } };
-const INVALID_BODY = { error: { type: 'invalid' } };
-
 /** Stands in for the platform: its log, its list of VMs and its weight store. */
 export class PlatformServer implements lifetime.Disposable {
   private readonly store = new lifetime.DisposableStore();
@@ -40,8 +38,8 @@
 
   private random = seededRandom.createSeededRandom(this.faults.seed);
 
-  /** Aborts the waits of reads when an outage starts or the server stops. */
-  private waits = new AbortController();
+  /** Fires when the waits of reads must end, since an outage starts or the server stops. */
+  private readonly endOfWaits = new lifetime.Emitter<void>();
 
   public constructor(
     private readonly time: clock.Clock,
@@ -57,7 +55,7 @@
         this.handle(request, response),
       ),
     );
-    this.store.addCallback(() => this.waits.abort());
+    this.store.addCallback(() => this.endOfWaits.fire());
   }
 
   /** Where the server listens, as `host:port`. */
@@ -81,9 +79,7 @@
     this.faults = faults;
     if (changes.seed !== undefined) this.random = seededRandom.createSeededRandom(changes.seed);
     this.vmList.freeze(faults.vmListFrozen, this.vmListLagMs());
-    if (!faults.logOutage) return;
-    this.waits.abort();
-    this.waits = new AbortController();
+    if (faults.logOutage) this.endOfWaits.fire();
   }
 
   /** Sets the list of VMs. */
@@ -121,7 +117,7 @@
       return;
     }
     if (WEIGHTS_PATH.test(url.pathname)) this.handleWeights(response);
-    else messages.sendJson(response, 404, INVALID_BODY);
+    else messages.sendJson(response, 404, replies.REFUSALS.INVALID);
   }
 
   private handleAdmin(
@@ -146,7 +142,7 @@
       messages.sendJson(response, list === undefined ? 400 : 204);
       return;
     }
-    messages.sendJson(response, 404, INVALID_BODY);
+    messages.sendJson(response, 404, replies.REFUSALS.INVALID);
   }
 
   private async handleLog(
@@ -157,7 +153,7 @@
   ): Promise<void> {
     await this.time.sleep(this.faults.logDelayMs);
     if (this.faults.logOutage) {
-      messages.sendJson(response, 503, OUTAGE_BODY);
+      messages.sendJson(response, 503, replies.REFUSALS.UNAVAILABLE);
       return;
     }
     const stream = RECORDS_PATH.exec(url.pathname)?.[1];
@@ -168,14 +164,14 @@
     } else if (stream !== undefined && request.method === 'GET') {
       await this.handleRead(decodeURIComponent(stream), url, response);
     } else {
-      messages.sendJson(response, 404, INVALID_BODY);
+      messages.sendJson(response, 404, replies.REFUSALS.INVALID);
     }
   }
 
   private handleAppend(stream: string, body: string, response: http.ServerResponse): void {
     const parsed = messages.parseJson(schemas.APPEND_BODY, body);
     if (parsed === undefined) {
-      messages.sendJson(response, 400, INVALID_BODY);
+      messages.sendJson(response, 400, replies.REFUSALS.INVALID);
       return;
     }
     const retryAfterMs = this.appendLimiter.take();
@@ -200,18 +196,17 @@
   private async handleRead(stream: string, url: URL, response: http.ServerResponse): Promise<void> {
     const query = schemas.READ_QUERY.safeParse(Object.fromEntries(url.searchParams)).data;
     if (query === undefined) {
-      messages.sendJson(response, 400, INVALID_BODY);
+      messages.sendJson(response, 400, replies.REFUSALS.INVALID);
       return;
     }
     const { from, limit, waitMs } = query;
     let page = this.log.read(stream, from, limit);
     if (from >= page.tailOffset && waitMs > 0) {
-      const { signal } = this.waits;
-      await this.log.waitForAppend(stream, waitMs, signal);
+      await this.log.waitForAppend(stream, waitMs, this.endOfWaits.event);
       page = this.log.read(stream, from, limit);
     }
     if (this.faults.logOutage) {
-      messages.sendJson(response, 503, OUTAGE_BODY);
+      messages.sendJson(response, 503, replies.REFUSALS.UNAVAILABLE);
     } else if (from < page.firstOffset) {
       messages.sendJson(response, 410, { firstOffset: page.firstOffset });
     } else {
--- a/packages/stand-ins/src/ServiceServer.ts
+++ b/packages/stand-ins/src/ServiceServer.ts
@@ -2,9 +2,11 @@
 import type * as lifetime from '@limpettack/lifetime';
 
 import * as engineOrders from './EngineOrders.js';
+import * as fencing from './fencingOf.js';
 import * as fencingGuard from './FencingGuard.js';
 import * as messages from './httpMessages.js';
 import * as outcomes from './Outcomes.js';
+import * as replies from './reply.js';
 import * as schemas from './schemas.js';
 import * as targetHost from './TargetHost.js';
 import type { Outcome, ServiceSettings } from './Types.js';
@@ -14,9 +16,6 @@
 const OUTCOME_PATH = /^\/outcomes\/([^/]+)$/;
 const STATUS_PATH = '/limpettack/status';
 
-const FENCED_BODY = { error: { type: 'fenced' } };
-const NOT_FOUND_BODY = { error: { type: 'not-found' } };
-
 /** The answer of an execution. */
 export interface ExecutionAnswer {
   /** Counts the executions of the service from 1. */
@@ -97,7 +96,7 @@
   /** @inheritdoc */
   public async handle(exchange: targetHost.TargetExchange): Promise<Outcome> {
     const path = exchange.url.pathname;
-    if (path === STATUS_PATH) return reply(exchange, 200, { status: this.status() });
+    if (path === STATUS_PATH) return replies.reply(exchange, 200, { status: this.status() });
     const key = OUTCOME_PATH.exec(path)?.[1];
     if (key !== undefined) return this.handleOutcome(exchange, decodeURIComponent(key));
     return this.handleExecution(exchange);
@@ -111,19 +110,16 @@
   private handleOutcome(exchange: targetHost.TargetExchange, key: string): Outcome {
     const answer = this.answersByKey.get(key);
     return answer === undefined
-      ? reply(exchange, 404, NOT_FOUND_BODY)
-      : reply(exchange, 200, answer);
+      ? replies.reply(exchange, 404, replies.REFUSALS.NOT_FOUND)
+      : replies.reply(exchange, 200, answer);
   }
 
   private async handleExecution(exchange: targetHost.TargetExchange): Promise<Outcome> {
     const { request, response, body } = exchange;
-    const scope = messages.headerOf(request, 'limpettack-fencing-scope');
-    const fencingNumber = messages.headerOf(request, 'limpettack-fencing-number');
-    const isAdmitted = this.fencing.admit(
-      scope,
-      fencingNumber === undefined ? undefined : Number(fencingNumber),
-    );
-    if (!isAdmitted) return reply(exchange, 409, FENCED_BODY);
+    const { scope, fencingNumber } = fencing.fencingOf(request);
+    if (!this.fencing.admit(scope, fencingNumber)) {
+      return replies.reply(exchange, 409, replies.REFUSALS.FENCED);
+    }
     const key = messages.headerOf(request, 'idempotency-key');
     this.countExecution(key);
     const answer = {
@@ -138,7 +134,7 @@
       response.socket?.resetAndDestroy();
       return OUTCOMES.DROPPED;
     }
-    return reply(exchange, 200, answer);
+    return replies.reply(exchange, 200, answer);
   }
 
   private countExecution(key: string | undefined): void {
@@ -154,8 +150,3 @@
     return true;
   }
 }
-
-function reply(exchange: targetHost.TargetExchange, status: number, body?: unknown): Outcome {
-  messages.sendJson(exchange.response, status, body);
-  return status < 400 ? OUTCOMES.FINISHED : OUTCOMES.REFUSED;
-}
--- a/packages/stand-ins/src/StreamLog.ts
+++ b/packages/stand-ins/src/StreamLog.ts
@@ -1,4 +1,5 @@
 import type * as clock from '@limpettack/clock';
+import type * as lifetime from '@limpettack/lifetime';
 
 import * as logStream from './LogStream.js';
 import type { StreamCounts } from './LogStream.js';
@@ -50,19 +51,17 @@
     return { records, firstOffset: stream.firstOffset, tailOffset: stream.tailOffset };
   }
 
-  /** Resolves with the next append to a stream, after the span, or when the signal aborts. */
+  /** Resolves with the next append to a stream, after the span, or when the event fires. */
   public async waitForAppend(
     name: string,
     span: clock.Milliseconds,
-    signal: AbortSignal,
+    end: lifetime.Event<void>,
   ): Promise<void> {
     const wait = new AbortController();
     const wake = (): void => wait.abort();
-    const subscription = this.stream(name).onAppend.event(wake);
-    signal.addEventListener('abort', wake, { once: true });
+    const subscriptions = [this.stream(name).onAppend.event(wake), end(wake)];
     await this.time.sleep(span, wait.signal);
-    signal.removeEventListener('abort', wake);
-    await subscription.dispose();
+    await Promise.all(subscriptions.map((subscription) => subscription.dispose()));
   }
 
   /** Counts of each stream. */
--- a/packages/stand-ins/src/TargetHost.ts
+++ b/packages/stand-ins/src/TargetHost.ts
@@ -8,16 +8,13 @@
 import * as messages from './httpMessages.js';
 import * as noFaults from './noFaults.js';
 import * as outcomes from './Outcomes.js';
+import * as replies from './reply.js';
 import * as schemas from './schemas.js';
 import type { JournalEntry, Outcome, TargetFaultChanges, TargetFaults } from './Types.js';
 import * as untilAborted from './untilAborted.js';
 
 const { OUTCOMES } = outcomes;
 
-const NOT_FOUND_BODY = { error: { type: 'not-found' } };
-const FAULT_BODY = { error: { type: 'fault' } };
-const INVALID_BODY = { error: { type: 'invalid' } };
-
 /** A request on its way through a target. */
 export interface TargetExchange {
   readonly request: http.IncomingMessage;
@@ -158,7 +155,7 @@
       return OUTCOMES.DROPPED;
     }
     if (status !== null) {
-      messages.sendJson(exchange.response, status, FAULT_BODY);
+      messages.sendJson(exchange.response, status, replies.REFUSALS.FAULT);
       return OUTCOMES.REFUSED;
     }
     return this.behaviour.handle(exchange);
@@ -181,11 +178,19 @@
     if (url.pathname === '/admin/journal') {
       const query = schemas.JOURNAL_QUERY.safeParse(Object.fromEntries(url.searchParams)).data;
       const entries = query && this.journal(query.after, query.pathPrefix);
-      messages.sendJson(response, entries ? 200 : 400, entries ? { entries } : INVALID_BODY);
+      messages.sendJson(
+        response,
+        entries ? 200 : 400,
+        entries ? { entries } : replies.REFUSALS.INVALID,
+      );
       return;
     }
     const description = this.behaviour.describe(url.pathname);
     const isKnown = description !== undefined;
-    messages.sendJson(response, isKnown ? 200 : 404, isKnown ? description : NOT_FOUND_BODY);
+    messages.sendJson(
+      response,
+      isKnown ? 200 : 404,
+      isKnown ? description : replies.REFUSALS.NOT_FOUND,
+    );
   }
 }
--- a/packages/stand-ins/src/httpMessages.ts
+++ b/packages/stand-ins/src/httpMessages.ts
@@ -37,3 +37,9 @@
   const value = request.headers[name];
   return Array.isArray(value) ? value[0] : value;
 }
+
+/** The number that a field holds, or undefined when it holds none. */
+export function numberOf(text: string | undefined): number | undefined {
+  const value = text === undefined ? Number.NaN : Number(text);
+  return Number.isNaN(value) ? undefined : value;
+}
