--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,3 +1,6 @@
 /** Messages and streams between VM processes, over one WebSocket link a pair. */
 export * from './Types.js';
 export * from './PeerFailures.js';
+export * from './FleetNetwork.js';
+export { FAULT } from './frames.js';
+export { STREAM_WINDOW_ITEMS } from './PeerLink.js';
