--- a/packages/targets/src/Types.ts
+++ b/packages/targets/src/Types.ts
@@ -37,6 +37,7 @@
 /** A model call as it goes to an engine. */
 export interface ModelCall {
   readonly callId: string;
+  /** Empty for a call outside a program, for which the engine keeps nothing. */
   readonly program: string;
   readonly pool: string;
   readonly target: string;
--- a/packages/targets/src/headers.ts
+++ b/packages/targets/src/headers.ts
@@ -38,7 +38,7 @@
     'content-type': 'application/json',
     accept: 'text/event-stream',
     'limpettack-call': call.callId,
-    'limpettack-program': call.program,
+    ...(call.program === '' ? {} : { 'limpettack-program': call.program }),
     'limpettack-priority': String(call.priority),
     ...fencingHeaders(call.fencing),
   };
