--- a/packages/test-kit/src/index.ts
+++ b/packages/test-kit/src/index.ts
@@ -7,3 +7,4 @@
 export * from './PlatformProcess.js';
 export * from './TargetProcess.js';
 export * from './waitFor.js';
+export * from './Caller.js';
