--- a/packages/journal/src/OwnerTerm.ts
+++ b/packages/journal/src/OwnerTerm.ts
@@ -68,12 +68,15 @@
     return true;
   }
 
-  /** Ends the term. True when the shard had been served. */
-  public end(): boolean {
+  /**
+   * Ends the term. Fenced says that a later claim, or the release, has been read. True when the
+   * shard had been served.
+   */
+  public end(isFenced: boolean): boolean {
     const { isServing } = this;
     this.isEnded = true;
     this.isServing = false;
-    this.writer.stop();
+    this.writer.stop(isFenced);
     this.collaborators.logger.info('This VM no longer owns the shard.', {
       shard: this.stream.shard,
     });
--- a/packages/journal/src/ShardBalancer.ts
+++ b/packages/journal/src/ShardBalancer.ts
@@ -48,13 +48,12 @@
     }
   }
 
-  /** Hands over the shard that was prepared in the step before, or prepares another one. */
+  /** Hands over the shard that was prepared in the step before, and prepares another one. */
   public async step(): Promise<void> {
     const { moving } = this;
     this.moving = undefined;
     if (moving !== undefined && standbyOf(moving.slot) === moving.receiver) {
       await moving.slot.release(moving.receiver);
-      return;
     }
     const owned = this.slots.filter((slot) => slot.owned !== undefined);
     if (owned.length <= this.share() + TOLERANCE) return;
--- a/packages/journal/src/ShardSlot.ts
+++ b/packages/journal/src/ShardSlot.ts
@@ -57,7 +57,7 @@
     this.stream = new shardStream.ShardStream(shard, collaborators, {
       onRecord: (outcome) => this.onRecord(outcome),
       onTail: (startedAt) => this.onTail(startedAt),
-      onRestart: () => this.stopOwning(),
+      onRestart: () => this.stopOwning(false),
     });
     this.duty = new standbyDuty.StandbyDuty(this.createFacts());
   }
@@ -192,7 +192,7 @@
   /** Ends all work on the shard. */
   public stop(): void {
     this.ending.abort();
-    this.term?.end();
+    this.term?.end(false);
     this.term = undefined;
     this.stream.unfollow();
   }
@@ -266,10 +266,13 @@
     const { ownership, released } = this.reader;
     const isOwner = !released && this.isSelf(ownership?.owner);
     if (!isOwner) {
-      this.stopOwning();
+      this.stopOwning(true);
       this.dropReplicasBefore(ownership);
     } else if (this.term === undefined) {
-      this.startOwning().catch(() => undefined);
+      this.startOwning().catch((cause: unknown) => {
+        const fields = { shard: this.shard, reason: String(cause) };
+        this.collaborators.logger.error('Starting to own the shard failed.', fields);
+      });
     }
   }
 
@@ -291,12 +294,12 @@
     if (canServe && term.owned !== undefined) this.listener.onOwned(term.owned);
   }
 
-  private stopOwning(): void {
+  private stopOwning(isFenced: boolean): void {
     const { term } = this;
     if (term === undefined) return;
     const { isAhead } = this.stream.view;
     this.term = undefined;
-    if (term.end()) this.listener.onLost(this.shard);
+    if (term.end(isFenced)) this.listener.onLost(this.shard);
     // The state holds records that no other reader will ever have.
     if (isAhead) this.stream.reset();
   }
--- a/packages/journal/src/ShardStream.ts
+++ b/packages/journal/src/ShardStream.ts
@@ -1,4 +1,5 @@
 import type * as clock from '@limpettack/clock';
+import type * as logging from '@limpettack/logging';
 import type * as platformClient from '@limpettack/platform-client';
 import type * as logStatus from './LogStatus.js';
 import type { ReadOutcome } from './ShardReader.js';
@@ -23,6 +24,7 @@
   readonly clock: clock.Clock;
   readonly fold: ShardFold<State, Body>;
   readonly status: logStatus.LogStatus;
+  readonly logger: logging.Logger;
   /** How long the log keeps records; nothing while that is unknown. */
   retentionMs(): clock.Milliseconds | undefined;
   /** The name of a shard's stream. */
@@ -78,7 +80,10 @@
     if (this.following !== undefined) return;
     const controller = new AbortController();
     this.following = controller;
-    this.followUntil(controller.signal).catch(() => undefined);
+    this.followUntil(controller.signal).catch((cause: unknown) => {
+      const fields = { shard: this.shard, reason: String(cause) };
+      this.collaborators.logger.error('Following the stream failed.', fields);
+    });
   }
 
   /** Stops following and forgets the state. */
--- a/packages/journal/src/StreamWriter.ts
+++ b/packages/journal/src/StreamWriter.ts
@@ -115,11 +115,11 @@
     this.queue.settleRead(id, position);
   }
 
-  /** Ends the writer because the shard is lost, or the process ends. */
-  public stop(): void {
+  /** Ends the writer. Fenced says that a later claim, or the release, has been read. */
+  public stop(isFenced: boolean): void {
     this.ending.abort();
     this.notify();
-    this.queue.refuseAll();
+    this.queue.refuseAll(isFenced);
   }
 
   private push(
@@ -153,15 +153,17 @@
     const batch = this.queue.nextBatch();
     if (batch.length === 0) return;
     const startedAt = this.collaborators.clock.now();
+    const untouched = batch.filter((entry) => !entry.uncertain);
+    batch.forEach((entry) => setUncertain(entry, true));
     const payloads = batch.map((entry) => this.queue.encode(entry));
     const result = await this.appendWithPatience(payloads);
     if (this.ending.signal.aborted) return;
     if (result.isErr) {
+      if (result.error.kind !== 'lost') untouched.forEach((entry) => setUncertain(entry, false));
       await this.handleFailure(result.error, batch);
       return;
     }
     this.lostInARow = 0;
-    batch.forEach(markUncertain);
     this.collaborators.status.markUp();
     const isRead = await this.host.absorb(result.value, payloads);
     if (!isRead || this.ending.signal.aborted) return;
@@ -206,7 +208,6 @@
       await clockSource.sleep(failure.retryAfterMs ?? RETRY_MS, this.ending.signal);
     }
     if (failure.kind === 'lost') {
-      batch.forEach(markUncertain);
       // The records may have been read in the log before the loss of the answer was noticed.
       if (batch.some((entry) => !entry.done)) this.lostInARow += 1;
       if (this.lostInARow >= LOST_LIMIT) status.markDown();
@@ -242,7 +243,7 @@
       return;
     }
     const kind = answer === 'refused' ? 'not-owner' : 'log-unavailable';
-    if (answer === 'unknown') markUncertain(entry);
+    if (answer === 'unknown') Object.assign(entry, { uncertain: true, shared: true });
     if (!entry.uncertain) this.queue.finish(entry, refusal.refuse(kind));
     else if (!entry.isAdopted) writerQueue.settle(entry, refusal.refuse(kind, undefined, true));
   }
@@ -250,7 +251,7 @@
   private hold(entry: BodyEntry<Body>): void {
     // A fold may change what it is given, and the body is still to be appended.
     this.host.applyAhead(this.queue.identify(entry), structuredClone(entry.body));
-    Object.assign(entry, { held: true, uncertain: true });
+    Object.assign(entry, { held: true, shared: true, uncertain: true });
     const isPromised = entry.replicateInOutage;
     const receipt = writerQueue.replicated(this.host.epoch());
     const refused = refusal.refuse<never>('log-unavailable', undefined, true);
@@ -258,6 +259,6 @@
   }
 }
 
-function markUncertain<Body>(entry: WriterEntry<Body>): void {
-  Object.assign(entry, { uncertain: true });
+function setUncertain<Body>(entry: WriterEntry<Body>, uncertain: boolean): void {
+  Object.assign(entry, { uncertain });
 }
--- a/packages/journal/src/WriterQueue.ts
+++ b/packages/journal/src/WriterQueue.ts
@@ -35,6 +35,8 @@
   readonly isAdopted: boolean;
   /** Given when it is first sent anywhere. */
   id?: RecordId | undefined;
+  /** The standby may hold it, and a later owner may append it. */
+  shared: boolean;
   /** The standby holds it, and the state has it. */
   held: boolean;
 }
@@ -66,7 +68,7 @@
 ): BodyEntry<Body> {
   const characters = JSON.stringify(body).length;
   const purpose = { replicateInOutage: false, isAdopted: false, isRenewal: false };
-  const progress = { uncertain: false, held: false, done: false };
+  const progress = { uncertain: false, shared: false, held: false, done: false };
   return { kind: 'body', body, characters, ...purpose, ...progress, ...options };
 }
 
@@ -212,13 +214,18 @@
     });
   }
 
-  /** Ends all entries because the shard is lost. */
-  public refuseAll(): void {
+  /**
+   * Ends all entries. When a later claim has been read, whatever was sent to the log alone is void,
+   * since it would have been read before the claim.
+   */
+  public refuseAll(isFenced: boolean): void {
     const { entries } = this;
     this.entries = [];
     this.sent.clear();
     entries.forEach((entry) => {
-      settle(entry, refusal.refuse('not-owner', undefined, entry.uncertain));
+      const isShared = entry.kind === 'body' && entry.shared;
+      const mayCount = isShared || (entry.uncertain && !isFenced);
+      settle(entry, refusal.refuse('not-owner', undefined, mayCount));
     });
   }
 
--- a/packages/journal/src/journalFaults.test.ts
+++ b/packages/journal/src/journalFaults.test.ts
@@ -8,12 +8,13 @@
 const { systemClock, until, wordsOf } = testFixtures;
 
 const NAMES = ['a', 'b', 'c'];
+const OPTIONS = { suspicionMs: 50, authorityWindowMs: 40 };
 const FAULTS = 14;
 const SEED = Number(process.env.JOURNAL_SEED ?? 20_261_204);
 
 /** One fault of a process and one of the log, at the same time. */
 const faultArbitrary = fastCheck.record({
-  process: fastCheck.constantFrom('none', 'pause', 'cut', 'cut-from-log'),
+  process: fastCheck.constantFrom('none', 'pause', 'cut', 'cut-from-log', 'restart'),
   log: fastCheck.constantFrom('none', 'none', 'outage', 'lose-answers', 'lose-requests'),
   victim: fastCheck.constantFrom('owner', 'owner', 'standby'),
   holdMs: fastCheck.integer({ min: 50, max: 800 }),
@@ -37,6 +38,8 @@
 describe('ShardJournal under faults', () => {
   let world: ReturnType<typeof testFixtures.createWorld>;
 
+  let restarts = 0;
+
   beforeEach(() => {
     world = testFixtures.createWorld();
   });
@@ -48,9 +51,19 @@
     return (role === 'owner' ? ownership?.owner.name : ownership?.standby?.name) ?? 'a';
   }
 
+  /** Ends a process at once and starts another one on its VM. */
+  async function restart(name: string) {
+    await world.journals.get(name)?.dispose();
+    restarts += 1;
+    const start = world.start(name, OPTIONS, `${name}-1-${restarts}`);
+    // A start may wait for a paused or lost log; the faults go on meanwhile.
+    start.catch(() => undefined);
+  }
+
   function setFault({ process: kind, log: logKind, victim: role }: FaultCase) {
     const victim = pickVictim(role);
     const { log, members, networks, paused, cutFromLog } = world;
+    if (kind === 'restart') restart(victim).catch(() => undefined);
     const isAway = kind === 'pause' || kind === 'cut';
     if (isAway) members.set(victim, { state: 'suspected' });
     if (kind === 'pause') paused.pause(victim);
@@ -73,7 +86,7 @@
   }
 
   test('what was promised holds, and what was refused never counts', async () => {
-    for (const name of NAMES) await world.start(name, { suspicionMs: 50, authorityWindowMs: 40 });
+    for (const name of NAMES) await world.start(name, OPTIONS);
     const results = new Map<string, AppendResult>();
     const pending = new Set<Promise<void>>();
     const breaches: string[] = [];
