--- a/packages/journal/src/RetentionWatch.ts
+++ b/packages/journal/src/RetentionWatch.ts
@@ -22,14 +22,16 @@
   /** Calls back several times within each retention until the signal aborts. */
   public async run(check: () => void, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.known === undefined) await this.ask();
+      await this.ask();
       const span = this.known === undefined ? RETRY_MS : this.known / CHECKS;
       await this.clockSource.sleep(span, signal);
       if (!signal.aborted && this.known !== undefined) check();
     }
   }
 
-  private async ask(): Promise<void> {
+  /** Asks the log, unless it is known already. */
+  public async ask(): Promise<void> {
+    if (this.known !== undefined) return;
     const answer = await this.log.retention();
     if (answer.isOk) this.known = answer.value;
   }
--- a/packages/journal/src/ShardJournal.ts
+++ b/packages/journal/src/ShardJournal.ts
@@ -20,6 +20,7 @@
 import * as servePeers from './servePeers.js';
 import * as shardBalancer from './ShardBalancer.js';
 import * as shardSlot from './ShardSlot.js';
+import type { SlotCollaborators, SlotListener } from './SlotTypes.js';
 import * as standbyLink from './StandbyLink.js';
 import type {
   AppendOptions,
@@ -212,7 +213,7 @@
   ): readonly shardSlot.ShardSlot<State, Body>[] {
     const { options, status } = this;
     const { log, clock: clockSource, fold, network, logger } = options;
-    const collaborators: shardSlot.SlotCollaborators<State, Body> = {
+    const collaborators: SlotCollaborators<State, Body> = {
       ...{ log, clock: clockSource, fold, logger, status, streamName, pauses },
       self: network.self,
       link: new standbyLink.StandbyLink(network, clockSource),
@@ -228,7 +229,7 @@
     );
   }
 
-  private createSlotListener(): shardSlot.SlotListener<State, Body> {
+  private createSlotListener(): SlotListener<State, Body> {
     return {
       onOwned: (owned) => this.ownedEmitter.fire(owned),
       onLost: (shard) => this.lostEmitter.fire(shard),
@@ -258,7 +259,7 @@
 
   private async begin(): Promise<void> {
     this.serve();
-    await this.exchange.compareWithSome();
+    await Promise.all([this.exchange.compareWithSome(), this.retention.ask()]);
     const unknown = this.slots.filter((slot) => slot.ownership === undefined);
     await Promise.all(unknown.map((slot) => slot.look()));
     const { signal } = this.ending;
--- a/packages/journal/src/ShardSlot.ts
+++ b/packages/journal/src/ShardSlot.ts
@@ -4,30 +4,16 @@
 import * as claimShard from './claimShard.js';
 import * as freshness from './Freshness.js';
 import type { RecordId } from './JournalRecord.js';
+import * as latestClaim from './LatestClaim.js';
 import * as ownerTerm from './OwnerTerm.js';
-import type * as pauseDetector from './PauseDetector.js';
 import * as refusal from './refuse.js';
 import type { ReadOutcome } from './ShardReader.js';
 import * as shardStream from './ShardStream.js';
 import * as standbyDuty from './StandbyDuty.js';
+import type { SlotCollaborators, SlotListener } from './SlotTypes.js';
 import type { OwnedShard, Ownership, ShardHolder } from './Types.js';
 import type { AppendResult } from './WriterQueue.js';
 
-/** What a slot needs from the process. */
-export interface SlotCollaborators<State, Body>
-  extends shardStream.StreamCollaborators<State, Body>, ownerTerm.OwnerCollaborators<State, Body> {
-  readonly pauses: pauseDetector.PauseDetector;
-}
-
-/** What a slot tells the journal. */
-export interface SlotListener<State, Body> {
-  onOwned(owned: OwnedShard<State>): void;
-  onLost(shard: number): void;
-  onOwnership(ownership: Ownership): void;
-  onGap(shard: number, firstOffset: number): void;
-  onRecord(shard: number, outcome: ReadOutcome<Body>): void;
-}
-
 type Answer<Value> = trueMyth.Result<Value, errors.Fault>;
 
 /** One shard as this process knows it: follows, owns or stands by for it as its claims say. */
@@ -40,7 +26,7 @@
 
   private readonly ending = new AbortController();
 
-  private latest: Ownership | undefined;
+  private readonly claims: latestClaim.LatestClaim;
 
   private term: ownerTerm.OwnerTerm<State, Body> | undefined;
 
@@ -59,6 +45,8 @@
       onTail: (startedAt) => this.onTail(startedAt),
       onRestart: () => this.stopOwning(false),
     });
+    const { incarnation } = collaborators.self;
+    this.claims = new latestClaim.LatestClaim(incarnation, (claim) => listener.onOwnership(claim));
     this.duty = new standbyDuty.StandbyDuty(this.createFacts());
   }
 
@@ -69,7 +57,7 @@
 
   /** The latest claim known, read here or told by a peer. */
   public get ownership(): Ownership | undefined {
-    return this.latest;
+    return this.claims.ownership;
   }
 
   /** The shard, when it is owned here and its records have been replayed. */
@@ -84,7 +72,7 @@
 
   /** Whether the latest claim names this process as the standby. */
   public get isStandby(): boolean {
-    return this.isSelf(this.latest?.standby);
+    return this.claims.namesStandby;
   }
 
   /** Whether a claim of this process is on its way. */
@@ -114,8 +102,9 @@
 
   /** Takes a claim that a peer has seen. */
   public learn(ownership: Ownership): void {
-    if (!this.noteClaim(ownership)) return;
-    if (this.isStandby || this.isSelf(ownership.owner)) this.stream.follow();
+    if (!this.claims.note(ownership)) return;
+    this.claims.announce();
+    if (this.isStandby || this.claims.isSelf(ownership.owner)) this.stream.follow();
     if (!this.isOwner || ownership.epoch <= this.reader.epoch) return;
     this.fresh.revoke();
     this.stream.catchUp().catch(() => undefined);
@@ -130,23 +119,28 @@
   /** Stops following a shard that this process neither holds nor is about to claim. */
   public leaveUnlessHeld(): void {
     if (this.isOwner || this.isClaiming || this.isStandby) return;
-    if (this.isSelf(this.latest?.owner)) return;
+    if (this.claims.namesOwner) return;
     if (this.released && this.successor === this.collaborators.self.name) return;
-    const isHeldByOthers = this.latest !== undefined;
+    const isHeldByOthers = this.claims.epoch > 0;
     if (isHeldByOthers && this.stream.hasRead) this.stream.unfollow();
   }
 
   /** Appends a body to the owned shard. */
   public async append(body: Body, replicateInOutage: boolean): Promise<AppendResult> {
-    return this.term?.append(body, replicateInOutage) ?? refusal.refuse('not-owner');
+    // A peer may have told of a later claim while the log cannot be read here.
+    if (this.term === undefined || this.isOutdated) return refusal.refuse('not-owner');
+    return this.term.append(body, replicateInOutage);
   }
 
   /** The owner claims again with another standby. */
   public async renewClaim(standby: ShardHolder | undefined): Promise<void> {
     if (this.isClaiming) return;
     this.isClaiming = true;
-    await this.term?.renewClaim(standby);
-    this.isClaiming = false;
+    try {
+      await this.term?.renewClaim(standby);
+    } finally {
+      this.isClaiming = false;
+    }
   }
 
   /** The owner gives the shard up. Appends are refused from now on. */
@@ -161,14 +155,12 @@
   public async takeOver(expectedEpoch: number, standby: ShardHolder | undefined): Promise<void> {
     if (this.isClaiming || this.isOwner) return;
     this.isClaiming = true;
-    const failure = await this.stream.catchUp();
-    if (failure === undefined && this.epochForClaim() === expectedEpoch && !this.isOwner) {
-      const content = { epoch: expectedEpoch + 1, standby };
-      const { signal } = this.ending;
-      await claimShard.claimShard(this.stream, content, this.collaborators, signal);
+    try {
+      await this.claimAfter(expectedEpoch, standby);
+    } finally {
+      this.isClaiming = false;
+      this.duty.clearYield();
     }
-    this.isClaiming = false;
-    this.duty.clearYield();
   }
 
   /** The owner asks its standby to claim, since it cannot reach the log itself. */
@@ -179,9 +171,8 @@
   /** Makes sure that this process still owned the shard at most `freshnessMs` ago. */
   public async confirmAuthority(freshnessMs: clock.Milliseconds): Promise<Answer<Ownership>> {
     const answer = await this.term?.confirmAuthority(freshnessMs);
-    if (answer === undefined) return refusal.refuse('not-owner');
-    const isOutdated = answer.isOk && answer.value.epoch < (this.latest?.epoch ?? 0);
-    return isOutdated ? refusal.refuse('not-owner') : answer;
+    if (answer === undefined || this.isOutdated) return refusal.refuse('not-owner');
+    return answer;
   }
 
   /** Has the owner renew what is about to expire. */
@@ -197,12 +188,12 @@
     this.stream.unfollow();
   }
 
-  private get reader() {
-    return this.stream.view.reader;
+  private get isOutdated(): boolean {
+    return this.claims.epoch > this.reader.epoch;
   }
 
-  private isSelf(holder: ShardHolder | undefined): boolean {
-    return holder?.incarnation === this.collaborators.self.incarnation;
+  private get reader() {
+    return this.stream.view.reader;
   }
 
   private createFacts(): standbyDuty.StandbyFacts<Body> {
@@ -210,7 +201,7 @@
     return {
       body: fold.body,
       status,
-      latestEpoch: () => this.latest?.epoch ?? 0,
+      latestEpoch: () => this.claims.epoch,
       readEpoch: () => this.reader.epoch,
       isStandby: () => this.isStandby,
       isPastOwner: () => this.isClaiming || this.isOwner || this.released,
@@ -219,20 +210,29 @@
     };
   }
 
+  private async claimAfter(expectedEpoch: number, standby: ShardHolder | undefined) {
+    const failure = await this.stream.catchUp();
+    if (failure !== undefined || this.isOwner || this.epochForClaim() !== expectedEpoch) return;
+    const content = { epoch: expectedEpoch + 1, standby };
+    await claimShard.claimShard(this.stream, content, this.collaborators, this.ending.signal);
+  }
+
   /** The epoch that a claim follows. After a gap the peers may know of one that has expired. */
   private epochForClaim(): number {
     const { epoch, hasGap } = this.reader;
-    return hasGap ? Math.max(epoch, this.latest?.epoch ?? 0) : epoch;
+    return hasGap ? Math.max(epoch, this.claims.epoch) : epoch;
   }
 
   private onRecord(outcome: ReadOutcome<Body>): void {
     this.listener.onRecord(this.shard, outcome);
     if (outcome.kind === 'body') this.onCounted(outcome.id, outcome);
     if (outcome.kind === 'skipped' && outcome.id !== undefined) this.onCounted(outcome.id);
-    if (outcome.kind === 'claim') this.noteClaim(outcome.ownership);
+    if (outcome.kind === 'claim') this.claims.note(outcome.ownership);
     // Roles are taken from the end of the stream only: claims met in a replay are long past.
     const changes = outcome.kind === 'claim' || outcome.kind === 'release';
-    if (changes && this.stream.view.caughtUp) this.takeRole();
+    if (!changes || !this.stream.view.caughtUp) return;
+    this.claims.announce();
+    this.takeRole();
   }
 
   private onCounted(id: RecordId, outcome?: Extract<ReadOutcome<Body>, { kind: 'body' }>): void {
@@ -240,15 +240,9 @@
     this.term?.settleRead(id, outcome?.position);
   }
 
-  private noteClaim(ownership: Ownership): boolean {
-    if (ownership.epoch <= (this.latest?.epoch ?? 0)) return false;
-    this.latest = ownership;
-    this.listener.onOwnership(ownership);
-    return true;
-  }
-
   private onTail(startedAt: clock.Milliseconds): void {
     this.fresh.confirm(startedAt);
+    this.claims.announce();
     this.reportGap();
     this.takeRole();
   }
@@ -264,7 +258,7 @@
 
   private takeRole(): void {
     const { ownership, released } = this.reader;
-    const isOwner = !released && this.isSelf(ownership?.owner);
+    const isOwner = !released && this.claims.isSelf(ownership?.owner);
     if (!isOwner) {
       this.stopOwning(true);
       this.dropReplicasBefore(ownership);
--- /dev/null
+++ b/packages/journal/src/SlotTypes.ts
@@ -0,0 +1,20 @@
+import type * as ownerTerm from './OwnerTerm.js';
+import type * as pauseDetector from './PauseDetector.js';
+import type { ReadOutcome } from './ShardReader.js';
+import type * as shardStream from './ShardStream.js';
+import type { OwnedShard, Ownership } from './Types.js';
+
+/** What a slot needs from the process. */
+export interface SlotCollaborators<State, Body>
+  extends shardStream.StreamCollaborators<State, Body>, ownerTerm.OwnerCollaborators<State, Body> {
+  readonly pauses: pauseDetector.PauseDetector;
+}
+
+/** What a slot tells the journal. */
+export interface SlotListener<State, Body> {
+  onOwned(owned: OwnedShard<State>): void;
+  onLost(shard: number): void;
+  onOwnership(ownership: Ownership): void;
+  onGap(shard: number, firstOffset: number): void;
+  onRecord(shard: number, outcome: ReadOutcome<Body>): void;
+}
