--- a/packages/journal/src/LogStatus.ts
+++ b/packages/journal/src/LogStatus.ts
@@ -3,7 +3,7 @@
 import type * as platformClient from '@limpettack/platform-client';
 
 /** Time between two attempts to reach a log that is down. */
-const PROBE_INTERVAL_MS = 200;
+const PROBE_INTERVAL_MS = 100;
 const FIRST_PROBE_MS = 20;
 
 /**
