--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+/** The callers' HTTP interface. */
+export * from './Types.js';
+export * from './CallGate.js';
+export * from './ChatHandler.js';
+export * from './EntryServer.js';
+export * from './HomeClient.js';
+export * from './ProgramsHandler.js';
+export * from './ServiceHandler.js';
+export * from './readBody.js';
+export * from './respond.js';
--- /dev/null
+++ b/packages/journal/src/claimShard.ts
@@ -0,0 +1,66 @@
+import type * as wire from '@limpettack/wire';
+import * as controlRecords from './controlRecords.js';
+import * as journalRecord from './JournalRecord.js';
+import type { RecordId } from './JournalRecord.js';
+import type * as shardStream from './ShardStream.js';
+import type * as streamWriter from './StreamWriter.js';
+import type { ClaimListener, ShardHolder } from './Types.js';
+
+const RETRY_MS = 50;
+
+/** What a claim says. */
+export interface ClaimContent {
+  readonly epoch: number;
+  readonly standby: ShardHolder | undefined;
+}
+
+/** What a claim needs from the process. */
+export interface ClaimCollaborators extends streamWriter.WriterCollaborators {
+  readonly self: wire.PeerIdentity;
+  readonly claimListener?: ClaimListener | undefined;
+  createId(): RecordId;
+}
+
+/**
+ * Appends a claim for an epoch and returns when the stream has shown a valid claim of that epoch,
+ * ours or another's, or when our claim surely had no effect. A claim whose answer was lost is seen
+ * to its end: until then nobody here may vouch for the earlier owner.
+ */
+export async function claimShard<State, Body>(
+  stream: shardStream.ShardStream<State, Body>,
+  { epoch, standby }: ClaimContent,
+  collaborators: ClaimCollaborators,
+  signal: AbortSignal,
+): Promise<void> {
+  const { log, clock: clockSource, status, rate, claimListener } = collaborators;
+  const payload = encodeClaim(stream.shard, { epoch, standby }, collaborators);
+  let mayCount = false;
+  while (stream.view.reader.epoch < epoch && !signal.aborted) {
+    await rate.acquire(signal);
+    claimListener?.beforeClaim(stream.shard);
+    const result = await log.append(stream.name, [payload]);
+    if (result.isOk) {
+      mayCount = true;
+      if (!stream.absorb(result.value, [payload])) await stream.readTo(result.value + 1);
+    } else {
+      if (result.error.kind === 'unavailable') status.markDown();
+      if (result.error.kind === 'lost') mayCount = true;
+      if (!mayCount) {
+        claimListener?.claimAbandoned(stream.shard);
+        return;
+      }
+      await stream.catchUp();
+    }
+    if (stream.view.reader.epoch < epoch) await clockSource.sleep(RETRY_MS, signal);
+  }
+}
+
+function encodeClaim(
+  shard: number,
+  { epoch, standby }: ClaimContent,
+  { self, createId }: ClaimCollaborators,
+): string {
+  const owner = controlRecords.holderOf(self);
+  const claim = controlRecords.makeClaim({ id: createId(), shard, epoch, owner, standby });
+  return journalRecord.encodeRecord(claim);
+}
--- a/packages/limits/src/FleetAdmission.ts
+++ b/packages/limits/src/FleetAdmission.ts
@@ -150,7 +150,10 @@
   private follow(): void {
     const { journal: journalView, configuration: view } = this.options;
     this.store.add(
-      journalView.onOwnershipChange((ownership) => this.limitsOf(ownership.shard).learn(ownership)),
+      journalView.onOwnershipChange((ownership) => {
+        this.limitsOf(ownership.shard).learn(ownership);
+        this.ownRenewed(ownership);
+      }),
     );
     this.store.add(journalView.onOwned((owned) => this.own(owned.ownership)));
     // Shards that were owned before this part was made.
@@ -161,6 +164,13 @@
     this.store.add(view.onChange(() => this.shards.forEach((limits) => limits.updateLimits())));
   }
 
+  /** Goes on under a new epoch when this process has renewed its own claim. */
+  private ownRenewed(ownership: journal.Ownership): void {
+    const { network, journal: journalView } = this.options;
+    const isOwn = ownership.owner.incarnation === network.self.incarnation;
+    if (isOwn && journalView.owned(ownership.shard) !== undefined) this.own(ownership);
+  }
+
   /** Asks the owner, and gives up on the answer when another claim is seen. */
   private async ask(shard: number, item: GrantItem): Promise<GrantAnswer> {
     const address = this.route.addressOf(shard);
