--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -20,7 +20,7 @@
   shard: SHARD,
   epoch: EPOCH,
   owner: HOLDER,
-  standby: HOLDER.exactOptional(),
+  standby: HOLDER.optional(),
 });
 
 const HELD_ENTRY = zod.object({
