--- /dev/null
+++ b/packages/control/src/results.ts
@@ -0,0 +1,65 @@
+import type * as configuration from '@limpettack/configuration';
+import type * as platformClient from '@limpettack/platform-client';
+import type { CommandResult, ExitCode } from './Types.js';
+import * as describeChange from './describeChange.js';
+import * as exitCodes from './ExitCodes.js';
+
+const { EXIT_CODES } = exitCodes;
+
+/** A result of a command that succeeded. */
+export function succeeded(text: string, data: unknown): CommandResult {
+  return { exitCode: EXIT_CODES.OK, text, data };
+}
+
+/** A result of a command that did not succeed. */
+export function failed(exitCode: ExitCode, message: string, details = {}): CommandResult {
+  return { exitCode, text: message, data: { error: message, ...details } };
+}
+
+/** Tells that the platform gave no answer. */
+export function platformFailed(failure: platformClient.PlatformFailure): CommandResult {
+  const message = `The platform gave no answer: ${failure.message}`;
+  return failed(EXIT_CODES.UNAVAILABLE, message, { kind: failure.kind });
+}
+
+/** Tells that nothing is known of an edit, and how to find out. */
+export function publishFailed(
+  failure: configuration.PublishFailure,
+  id: string,
+  advice: string,
+): CommandResult {
+  const state = failure.maybeApplied ? `It may have taken effect; ${advice}` : 'It has no effect.';
+  const message = `The edit was not confirmed: ${failure.message} ${state}`;
+  return failed(EXIT_CODES.UNAVAILABLE, message, { id, maybeApplied: failure.maybeApplied });
+}
+
+/** Tells that an edit or file does not pass the checks. */
+export function invalid(problems: readonly string[]): CommandResult {
+  return failed(EXIT_CODES.INVALID, problems.join('\n'), { problems });
+}
+
+/** Tells which edits came first. */
+export function conflict(
+  outcome: Extract<configuration.PublishOutcome, { kind: 'conflict' }>,
+  basedOn: number,
+): CommandResult {
+  const earlier = outcome.earlier.map(
+    (entry) =>
+      `  version ${entry.version} by ${entry.edit.author}: ${describeChange.describeChange(entry.edit.change)}`,
+  );
+  const message = [
+    `The edit is based on version ${basedOn}, but version ${outcome.version} is in force:`,
+    ...earlier,
+    'Nothing was changed. Look at the difference and publish again.',
+  ].join('\n');
+  return failed(EXIT_CODES.CONFLICT, message, {
+    basedOn,
+    version: outcome.version,
+    earlier: outcome.earlier.map((entry) => ({
+      version: entry.version,
+      author: entry.edit.author,
+      id: entry.edit.id,
+      change: entry.edit.change,
+    })),
+  });
+}
