Bound the whole exchange with a peer, the opening of its link included

Cause: a home paused with SIGSTOP was never followed. Its port still accepted connections, so each probe waited a second for the handshake whatever its time limit, and the indirect probes of other VMs came too late to confirm that the owner was out of reach. Ruled out: the platform's list, the standby's claim, the limits.

--- a/packages/wire/src/FleetNetwork.test.ts
+++ b/packages/wire/src/FleetNetwork.test.ts
@@ -1,3 +1,4 @@
+import * as net from 'node:net';
 import * as clockPackage from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
 import * as lifetime from '@limpettack/lifetime';
@@ -118,6 +119,21 @@
     expect(values.at(-1)).toBe(999);
   });
 
+  test('gives up in time on a peer that accepts connections and stays silent', async () => {
+    const { network } = await startNetwork('a');
+    const silent = net.createServer();
+    await new Promise<void>((resolve) => {
+      silent.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = silent.address() as net.AddressInfo;
+    const startedAt = performance.now();
+    const request = { value: 1 };
+    const result = await network.request(`127.0.0.1:${port}`, DOUBLE, request, { timeoutMs: 200 });
+    expect(performance.now() - startedAt).toBeLessThan(600);
+    expect(result.isErr && result.error.kind).toBe(peerFailures.PEER_FAILURES.NOT_SENT);
+    silent.close();
+  });
+
   test('tells that a message was lost when the peer goes while it works', async () => {
     const first = await startNetwork('a');
     const second = await startNetwork('b');
--- a/packages/wire/src/FleetNetwork.ts
+++ b/packages/wire/src/FleetNetwork.ts
@@ -114,7 +114,7 @@
   ): Promise<PeerResult<Response>> {
     if (address === this.self.address) return this.requestOwn(method, request);
     const startedAt = this.options.clock.now();
-    const link = await this.usableLink(address);
+    const link = await this.usableLinkWithin(address, options.timeoutMs);
     if (link === undefined) return failed(PEER_FAILURES.NOT_SENT, `No link to ${address}.`);
     const remaining = options.timeoutMs - (this.options.clock.now() - startedAt);
     if (remaining <= 0) return failed(PEER_FAILURES.NOT_SENT, `No link to ${address} in time.`);
@@ -201,6 +201,20 @@
     return queue;
   }
 
+  /** A link, or nothing when none can be had in time. */
+  private async usableLinkWithin(
+    address: string,
+    timeoutMs: clockTypes.Milliseconds,
+  ): Promise<peerLink.PeerLink | undefined> {
+    const waiting = new AbortController();
+    const link = await Promise.race([
+      this.usableLink(address),
+      this.options.clock.sleep(timeoutMs, waiting.signal).then(() => undefined),
+    ]);
+    waiting.abort();
+    return link;
+  }
+
   private async usableLink(address: string): Promise<peerLink.PeerLink | undefined> {
     const link = this.links.get(address);
     if (link === undefined || link.isClosed) return this.dial(address);
