Probe quiet streams of a target that does not answer

Cause: a stream of a target that went away without a word was waited for until its time limit, 5 s between tokens and 15 s for the first, although the status had shown after 1 s that the target does not answer. The directory now tells the client, which takes a quiet stream as stalled at once and probes. Streams that bring chunks are left alone, so a slow status alone ends nothing. A stream that the target itself ended early is 'broken', no longer 'timed-out'.

--- a/packages/targets/src/EventStream.ts
+++ b/packages/targets/src/EventStream.ts
@@ -56,6 +56,8 @@
 
   private readonly cancelled: Promise<LostStep>;
 
+  private abandoned = false;
+
   public constructor(
     url: string,
     connectMs: clock.Milliseconds,
@@ -95,6 +97,12 @@
     return answer === limits.LIMIT_PASSED ? '' : answer;
   }
 
+  /** Takes the connection as stalled at once, without waiting for a time limit. */
+  public abandon(): void {
+    this.abandoned = true;
+    this.connection.close();
+  }
+
   /** Closes the connection. */
   public close(): void {
     this.connection.close();
@@ -104,8 +112,7 @@
     limitMs: clock.Milliseconds,
     work: Promise<Step>,
   ): Promise<Step | LostStep> {
-    const broken: LostStep = { kind: BROKEN };
-    const settled = work.catch(() => broken);
+    const settled = work.catch((): LostStep => ({ kind: this.abandoned ? STALLED : BROKEN }));
     const step = await limits.within(this.time, limitMs, Promise.race([this.cancelled, settled]));
     return step === limits.LIMIT_PASSED ? { kind: STALLED } : step;
   }
--- a/packages/targets/src/HttpTargetClient.ts
+++ b/packages/targets/src/HttpTargetClient.ts
@@ -63,6 +63,8 @@
   readonly logger: logging.Logger;
   /** Asked just before each call is sent; a target that may not take work fails as not sent. */
   readonly mayTakeWork?: (target: string) => boolean;
+  /** Fires with a target that does not answer, so that quiet streams from it are not waited for. */
+  readonly onUnreachable?: lifetime.Event<string>;
 }
 
 interface Place {
@@ -103,9 +105,13 @@
     };
     const linked = new linkedSignals.LinkedSignal([signal, this.stop.signal]);
     linked.signal.addEventListener('abort', onAbort, { once: true });
+    const watch = this.options.onUnreachable?.((target) => {
+      if (target === call.target) run.noteUnreachable();
+    });
     try {
       yield* run.run(linked.signal);
     } finally {
+      await watch?.dispose();
       linked.dispose();
       if (run.mayBeRunning) cancelOnce();
     }
@@ -250,6 +256,7 @@
         if (done.isOk) return;
         await this.options.clock.sleep(CANCEL_INTERVAL_MS, this.stop.signal);
       }
+      if (this.stop.signal.aborted) return;
       this.options.logger.warn('A call could not be cancelled.', { target });
     };
     attempt().catch(() => undefined);
--- a/packages/targets/src/MemoryReleaser.test.ts
+++ b/packages/targets/src/MemoryReleaser.test.ts
@@ -6,17 +6,11 @@
 import * as failures from './failures.js';
 import * as releasers from './MemoryReleaser.js';
 import * as retryBudgets from './RetryBudget.js';
+import * as fixtures from './targetFixtures.js';
 import type { EngineHolding, RunningCall, TargetResult } from './Types.js';
 
 const { describe, expect, test } = jestGlobals;
 
-const SILENT_LOGGER = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 class FakeEngine {
   public isReachable = true;
 
@@ -56,7 +50,7 @@
     client: engine,
     engines: () => ['one'],
     clock: time,
-    logger: SILENT_LOGGER,
+    logger: fixtures.SILENT_LOGGER,
     random: () => 1,
   });
   return { engine, releaser, time };
--- a/packages/targets/src/ModelRun.ts
+++ b/packages/targets/src/ModelRun.ts
@@ -15,6 +15,7 @@
   ANSWERED,
   BROKEN: BROKEN_STEP,
   CANCELLED: CANCELLED_STEP,
+  ENDED: ENDED_STEP,
   EVENT,
 } = eventStreams.STREAM_STEPS;
 
@@ -29,6 +30,9 @@
 const MAXIMUM_SILENCES = 2;
 const PROBE_INTERVAL_MS = 50;
 
+/** A stream without a chunk for so long is quiet. */
+const QUIET_MS = 300;
+
 /** Fresh connections in a row that may be answered and bring no chunk. */
 const MAXIMUM_IDLE_RESUMES = 1;
 
@@ -63,17 +67,26 @@
   /** Whether the connection broke in the middle of the answer; it may also have just ended. */
   private cutOff = false;
 
+  /** Whether the target itself ended the answer, without its last event. */
+  private endedEarly = false;
+
   private sent = false;
 
   private completed = false;
 
   private readonly endsAt: clock.Milliseconds;
 
+  /** The connection that may be abandoned; none while a fresh one is being tried. */
+  private stream: eventStreams.EventStream | undefined;
+
+  private lastChunkAt: clock.Milliseconds;
+
   public constructor(
     private readonly call: ModelCall,
     private readonly options: ModelRunOptions,
   ) {
     this.received = call.resumeAfter ?? 0;
+    this.lastChunkAt = options.clock.now();
     this.endsAt = options.clock.now() + options.pool.timeLimits.totalMs;
   }
 
@@ -82,6 +95,12 @@
     return this.sent && !this.completed;
   }
 
+  /** Notes that the target did not answer when it was asked: a quiet connection is not waited for. */
+  public noteUnreachable(): void {
+    if (this.options.clock.now() - this.lastChunkAt < QUIET_MS) return;
+    this.stream?.abandon();
+  }
+
   /** Runs the call; ends after the last chunk or with one failure. */
   public async *run(signal: AbortSignal): AsyncGenerator<TargetResult<ModelChunk>> {
     let isResume = this.call.resumeAfter !== undefined;
@@ -89,7 +108,9 @@
     for (;;) {
       const stream = this.createStream(signal);
       try {
+        this.stream = isResume ? undefined : stream;
         const opening = await this.open(stream, isResume);
+        this.stream = stream;
         const lost = opening.isOpen ? yield* this.relay(stream) : undefined;
         if (this.completed && !opening.failure) return;
         const failure = opening.failure ?? this.judgeLoss(lost);
@@ -98,6 +119,7 @@
           return;
         }
       } finally {
+        this.stream = undefined;
         stream.close();
       }
       isResume = true;
@@ -171,6 +193,7 @@
       const step = await stream.next(this.chunkLimit());
       if (step.kind === CANCELLED_STEP) return CANCELLED;
       this.cutOff = step.kind === BROKEN_STEP;
+      this.endedEarly = step.kind === ENDED_STEP;
       if (step.kind !== EVENT) return BROKEN;
       if (step.event.data === chunks.END_OF_STREAM) {
         this.completed = true;
@@ -183,6 +206,7 @@
       if (chunk.value.index > this.received) return BROKEN;
       this.received += 1;
       this.idleResumes = 0;
+      this.lastChunkAt = this.options.clock.now();
       yield chunk;
     }
   }
@@ -195,6 +219,7 @@
     if (this.silences > 0) return undefined;
     this.idleResumes += 1;
     if (this.idleResumes <= MAXIMUM_IDLE_RESUMES) return undefined;
+    if (this.endedEarly) return failures.failed(BROKEN, 'The target has ended the call early.');
     return failures.failed(TIMED_OUT, 'The target sends no further chunk.');
   }
 
--- a/packages/targets/src/PoolTargetDirectory.test.ts
+++ b/packages/targets/src/PoolTargetDirectory.test.ts
@@ -1,24 +1,17 @@
 import * as jestGlobals from '@jest/globals';
 import * as clock from '@limpettack/clock';
 import type * as configuration from '@limpettack/configuration';
-import * as schemas from '@limpettack/configuration';
 import * as lifetime from '@limpettack/lifetime';
 import type * as scheduling from '@limpettack/scheduling';
 import * as trueMyth from 'true-myth';
 import type * as zod from 'zod';
 import * as failures from './failures.js';
+import * as fixtures from './targetFixtures.js';
 import * as directories from './PoolTargetDirectory.js';
 import type { TargetReader, TargetResult } from './Types.js';
 
 const { describe, expect, test } = jestGlobals;
 
-const SILENT_LOGGER = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 interface FakeEngine {
   answers: boolean;
   load: { running: number; waiting: number; ageMs: number; status: string };
@@ -54,36 +47,20 @@
   }
 }
 
-function createState(targets: readonly string[]): configuration.ConfigurationState {
-  const pool = schemas.POOL.parse({
-    name: 'pool',
-    kind: 'model',
-    targets: targets.map((name) => ({ name, url: 'http://127.0.0.1:1', failureDomain: 'kochi' })),
-  });
-  return {
-    version: 1,
-    routes: new Map(),
-    pools: new Map([['pool', pool]]),
-    workspaces: new Map(),
-    keys: new Map(),
-    withdrawn: new Set(),
-  };
-}
-
 async function createDirectory() {
   const engines = { one: createEngine(), two: createEngine() };
   const time = new clock.ManualClock();
   const changes = new lifetime.Emitter<configuration.ConfigurationState>();
-  let state = createState(['one', 'two']);
+  let state = fixtures.createState(['one', 'two']);
   const directory = new directories.PoolTargetDirectory({
     configuration: { current: () => state, onChange: changes.event },
     reader: new FakeReader(engines),
     clock: time,
-    logger: SILENT_LOGGER,
+    logger: fixtures.SILENT_LOGGER,
     random: () => 0.5,
   });
   const configure = (targets: readonly string[]): void => {
-    state = createState(targets);
+    state = fixtures.createState(targets);
     changes.fire(state);
   };
   await settle();
--- a/packages/targets/src/PoolTargetDirectory.ts
+++ b/packages/targets/src/PoolTargetDirectory.ts
@@ -32,11 +32,17 @@
 
   private readonly room = new lifetime.Emitter<string>();
 
+  private readonly unreachable = new lifetime.Emitter<string>();
+
   /** @inheritdoc */
   public readonly onRoom = this.room.event;
 
+  /** @inheritdoc */
+  public readonly onUnreachable = this.unreachable.event;
+
   public constructor(private readonly options: PoolTargetDirectoryOptions) {
     this.owned.add(this.room);
+    this.owned.add(this.unreachable);
     this.owned.addCallback(() => this.members.forEach((member) => member.follower.dispose()));
     this.owned.add(options.configuration.onChange(() => this.follow()));
     this.follow();
@@ -138,6 +144,7 @@
       logger,
       random,
       onRoom: () => this.fireRoomOf(target.name),
+      onUnreachable: () => this.unreachable.fire(target.name),
     });
     this.members.set(target.name, { tracker, follower, url: target.url, kind: pool.kind });
   }
--- a/packages/targets/src/TargetFollower.ts
+++ b/packages/targets/src/TargetFollower.ts
@@ -64,6 +64,8 @@
   readonly random: () => number;
   /** Called when the target may have room. */
   readonly onRoom: () => void;
+  /** Called when the target did not answer. */
+  readonly onUnreachable: () => void;
 }
 
 /** Keeps what is known of one target up to date until disposed of. */
@@ -119,6 +121,7 @@
       tracker.health.noteUnreachable();
       // It may come back as a new process that counts its events anew and holds nothing.
       tracker.cache.forget();
+      this.options.onUnreachable();
       return;
     }
     tracker.learnStatus(report.value, askedAt);
--- a/packages/targets/src/Types.ts
+++ b/packages/targets/src/Types.ts
@@ -158,6 +158,8 @@
   /** Notes that a call starts; dispose of the result when it ends. */
   begin(call: scheduling.CallDescription, target: string): lifetime.Disposable;
   report(report: CallReport): void;
+  /** Fires with the name of a target that did not answer when it was asked for its status. */
+  readonly onUnreachable: lifetime.Event<string>;
   /** Notes that a target now holds the prompt of a program of so many tokens. */
   noteCached(target: string, program: string, tokens: number): void;
 }
