--- a/packages/journal/src/OwnerTerm.ts
+++ b/packages/journal/src/OwnerTerm.ts
@@ -47,9 +47,10 @@
 
   /** The shard, once all that counted before the claim has been applied, and until it is lost. */
   public get owned(): OwnedShard<State> | undefined {
-    const { ownership, hasGap } = this.reader;
+    const { ownership } = this.reader;
     if (!this.isServing || ownership === undefined) return undefined;
-    return { ownership, state: this.stream.view.state, hasGap };
+    const { state, hasGap } = this.stream.view;
+    return { ownership, state, hasGap };
   }
 
   /** Appends what the earlier owner replicated here. True when the shard can then be served. */
@@ -67,12 +68,15 @@
     return true;
   }
 
-  /** Ends the term. True when the shard had been served. */
-  public end(): boolean {
+  /**
+   * Ends the term. Fenced says that a later claim, or the release, has been read. True when the
+   * shard had been served.
+   */
+  public end(isFenced: boolean): boolean {
     const { isServing } = this;
     this.isEnded = true;
     this.isServing = false;
-    this.writer.stop();
+    this.writer.stop(isFenced);
     this.collaborators.logger.info('This VM no longer owns the shard.', {
       shard: this.stream.shard,
     });
@@ -109,6 +113,15 @@
     return result.isOk || this.isEnded;
   }
 
+  /** Asks the standby to claim the shard, since the log cannot be reached from here. */
+  public async yieldToStandby(): Promise<void> {
+    const { owned } = this;
+    if (owned === undefined) return;
+    const answer = await this.collaborators.link.yieldShard(owned.ownership);
+    // Once the standby may claim, an earlier confirmation says nothing any more.
+    if (answer.kind !== 'no-effect') this.fresh.revoke();
+  }
+
   /** Renews what is about to expire. */
   public renewExpiring(): void {
     this.writer.renew();
--- a/packages/journal/src/ShardStream.ts
+++ b/packages/journal/src/ShardStream.ts
@@ -1,4 +1,5 @@
 import type * as clock from '@limpettack/clock';
+import type * as logging from '@limpettack/logging';
 import type * as platformClient from '@limpettack/platform-client';
 import type * as logStatus from './LogStatus.js';
 import type { ReadOutcome } from './ShardReader.js';
@@ -12,12 +13,18 @@
 /** Lost answers in a row that count as an outage. */
 const LOST_LIMIT = 2;
 
+const NO_PROGRESS: platformClient.PlatformFailure = {
+  kind: 'invalid',
+  message: 'The log returns no records before its tail.',
+};
+
 /** What a stream needs from the process. */
 export interface StreamCollaborators<State, Body> {
   readonly log: platformClient.LogClient;
   readonly clock: clock.Clock;
   readonly fold: ShardFold<State, Body>;
   readonly status: logStatus.LogStatus;
+  readonly logger: logging.Logger;
   /** How long the log keeps records; nothing while that is unknown. */
   retentionMs(): clock.Milliseconds | undefined;
   /** The name of a shard's stream. */
@@ -73,7 +80,10 @@
     if (this.following !== undefined) return;
     const controller = new AbortController();
     this.following = controller;
-    this.followUntil(controller.signal).catch(() => undefined);
+    this.followUntil(controller.signal).catch((cause: unknown) => {
+      const fields = { shard: this.shard, reason: String(cause) };
+      this.collaborators.logger.error('Following the stream failed.', fields);
+    });
   }
 
   /** Stops following and forgets the state. */
@@ -141,8 +151,10 @@
     status.markUp();
     page.value.records.forEach((record) => this.feed(view, record));
     if (view !== this.current) return 'more';
-    if (view.reader.nextOffset < page.value.tailOffset) return 'more';
-    view.caughtUp = true;
+    if (view.reader.nextOffset < page.value.tailOffset) {
+      return page.value.records.length > 0 ? 'more' : NO_PROGRESS;
+    }
+    view.markCaughtUp();
     this.listener.onTail(startedAt);
     return 'tail';
   }
