Predict the length of calls from what calls have generated

Cause: callers may allow hundreds of tokens and get ten; with the allowance as the estimate, a short queue already seemed to miss deadlines and calls within their rate would have been refused. The smoothed count of a target's generated tokens bounds the estimate now.

--- a/packages/scheduling/src/Types.ts
+++ b/packages/scheduling/src/Types.ts
@@ -12,7 +12,7 @@
   readonly program: string;
   /** Estimated tokens of the prompt. */
   readonly promptTokens: number;
-  /** Estimated tokens to generate. */
+  /** Tokens to generate, estimated, or the most that may be. */
   readonly expectedTokens: number;
   /** Service that the program has had so far, in seconds of a target's slot. */
   readonly attainedSeconds: number;
@@ -44,6 +44,8 @@
   readonly prefillMsPerToken: number;
   /** Smoothed time to generate one token, in milliseconds. */
   readonly decodeMsPerToken: number;
+  /** Smoothed tokens that calls generate there, when it is known. */
+  readonly typicalTokens?: number;
   /** Smoothed time of a call that its tokens do not account for, such as that of a service. */
   readonly callMs?: clock.Milliseconds;
 }
--- a/packages/scheduling/src/choices.ts
+++ b/packages/scheduling/src/choices.ts
@@ -58,7 +58,7 @@
   ownFailureDomain: string,
 ): clock.Milliseconds {
   const distanceMs = candidate.failureDomain === ownFailureDomain ? 0 : DISTANCE_MS;
-  const decodeMs = call.expectedTokens * candidate.decodeMsPerToken;
+  const decodeMs = predictions.decodeMs(call, candidate);
   const slowdownMs = decodeMs * BATCH_SLOWDOWN * room.utilisation(candidate);
   const waitMs = predictions.slotWaitMs(call, candidate);
   return waitMs + predictions.prefillMs(call, candidate) + slowdownMs + distanceMs;
--- a/packages/scheduling/src/decisions.test.ts
+++ b/packages/scheduling/src/decisions.test.ts
@@ -91,8 +91,8 @@
 });
 
 describe('refusals', () => {
-  const backlog = (workspace: string, count: number) =>
-    Array.from({ length: count }, () => call({ workspace }));
+  const backlog = (workspace: string, count: number, expectedTokens = 100) =>
+    Array.from({ length: count }, () => call({ workspace, expectedTokens }));
   const full = candidate({ ownInFlight: 4 });
 
   test('a backlog of one workspace refuses its own calls, not those of others', () => {
@@ -112,6 +112,14 @@
     expect(refusals.refuseEarly(call(), waiting, [full], 0)).toBeUndefined();
   });
 
+  test('calls that mostly generate less than they may are predicted by what they generate', () => {
+    const waiting = backlog('quito', 100, 1_000);
+    const due = call({ deadline: 30_000, expectedTokens: 1_000 });
+    const fast = { ...full, prefillMsPerToken: 0.1 };
+    expect(refusals.refuseEarly(due, waiting, [fast], 0)?.kind).toBe('deadline-unreachable');
+    expect(refusals.refuseEarly(due, waiting, [{ ...fast, typicalTokens: 20 }], 0)).toBeUndefined();
+  });
+
   test('a guess about the call itself refuses nothing while there is room', () => {
     const slow = call({ deadline: 1 });
     expect(refusals.refuseEarly(slow, [], [candidate()], 0)).toBeUndefined();
--- a/packages/scheduling/src/predictions.ts
+++ b/packages/scheduling/src/predictions.ts
@@ -8,10 +8,18 @@
   return uncached * candidate.prefillMsPerToken;
 }
 
+/**
+ * Time to generate the answer. Callers often allow far more tokens than come, so what calls
+ * generate on the target bounds the estimate.
+ */
+export function decodeMs(call: CallDescription, candidate: TargetCandidate): clock.Milliseconds {
+  const tokens = Math.min(call.expectedTokens, candidate.typicalTokens ?? Infinity);
+  return tokens * candidate.decodeMsPerToken;
+}
+
 /** Time that a call takes on a target once it runs. */
 export function serviceMs(call: CallDescription, candidate: TargetCandidate): clock.Milliseconds {
-  const decodeMs = call.expectedTokens * candidate.decodeMsPerToken;
-  return prefillMs(call, candidate) + decodeMs + (candidate.callMs ?? 0);
+  return prefillMs(call, candidate) + decodeMs(call, candidate) + (candidate.callMs ?? 0);
 }
 
 /** Time until a slot of a target is free, when its calls resemble this one; 0 when one is. */
--- a/packages/targets/src/CallRates.ts
+++ b/packages/targets/src/CallRates.ts
@@ -24,6 +24,8 @@
 
   private call = 0;
 
+  private generated: number | undefined;
+
   /** Time to prefill a token, in milliseconds. */
   public get prefillMsPerToken(): number {
     return this.prefill;
@@ -34,6 +36,11 @@
     return this.decode;
   }
 
+  /** Tokens that calls generate; nothing before the first. */
+  public get typicalTokens(): number | undefined {
+    return this.generated;
+  }
+
   /** Time of a whole call that has no tokens. */
   public get callMs(): clock.Milliseconds {
     return this.call;
@@ -50,6 +57,7 @@
     const expectedMs = uncached * this.prefill;
     const isDelayed = firstTokenMs > Math.max(LEAST_DELAY_MS, expectedMs * DELAY_FACTOR);
     this.prefill = smooth(this.prefill, firstTokenMs / uncached);
+    this.generated = smooth(this.generated ?? usage.generatedTokens, usage.generatedTokens);
     if (usage.generatedTokens > 1) {
       this.decode = smooth(this.decode, (totalMs - firstTokenMs) / (usage.generatedTokens - 1));
     }
--- a/packages/targets/src/TargetTracker.ts
+++ b/packages/targets/src/TargetTracker.ts
@@ -86,6 +86,7 @@
 
   /** The target as the scheduler sees it for a call. */
   public candidate(call: scheduling.CallDescription): scheduling.TargetCandidate {
+    const { typicalTokens } = this.rates;
     return {
       name: this.target.name,
       failureDomain: this.target.failureDomain,
@@ -97,6 +98,7 @@
       prefillMsPerToken: this.rates.prefillMsPerToken,
       decodeMsPerToken: this.rates.decodeMsPerToken,
       callMs: this.rates.callMs,
+      ...(typicalTokens === undefined ? {} : { typicalTokens }),
     };
   }
 }
