Start whole fleets of real processes for tests

startFleet starts the platform stand-in, targets and VM processes, each link through a fault proxy where wanted, publishes tables and keys, and waits until every VM is ready and knows an owner of each shard.

The first run left the test runner spinning at its exit: the runtime cannot reset a socket whose writing side has been ended, and waits for its handle for ever.

--- a/packages/stand-ins/src/HttpListener.ts
+++ b/packages/stand-ins/src/HttpListener.ts
@@ -3,6 +3,8 @@
 
 import type * as lifetime from '@limpettack/lifetime';
 
+import * as resetSocket from './resetSocket.js';
+
 /** Answers one request. A rejection destroys the connection. */
 export type RequestListener = (
   request: http.IncomingMessage,
@@ -50,7 +52,7 @@
 
   /** Destroys all open connections. */
   public destroyConnections(): void {
-    this.sockets.forEach((socket) => socket.resetAndDestroy());
+    this.sockets.forEach(resetSocket.resetSocket);
   }
 
   /** Refuses new connections and destroys the open ones. */
--- a/packages/stand-ins/src/PlatformServer.ts
+++ b/packages/stand-ins/src/PlatformServer.ts
@@ -11,6 +11,7 @@
 import * as noFaults from './noFaults.js';
 import * as rateLimiter from './RateLimiter.js';
 import * as replies from './reply.js';
+import * as resetSocket from './resetSocket.js';
 import * as schemas from './schemas.js';
 import * as streamLog from './StreamLog.js';
 import type { PlatformFaultChanges, PlatformFaults, PlatformSettings, VmEntry } from './Types.js';
@@ -180,7 +181,7 @@
       return;
     }
     const firstOffset = this.log.append(stream, parsed.payloads);
-    if (this.losesAnswer()) response.socket?.resetAndDestroy();
+    if (this.losesAnswer()) resetSocket.resetResponse(response);
     else messages.sendJson(response, 200, { firstOffset });
   }
 
--- a/packages/stand-ins/src/ServiceServer.ts
+++ b/packages/stand-ins/src/ServiceServer.ts
@@ -7,6 +7,7 @@
 import * as messages from './httpMessages.js';
 import * as outcomes from './Outcomes.js';
 import * as replies from './reply.js';
+import * as resetSocket from './resetSocket.js';
 import * as schemas from './schemas.js';
 import * as targetHost from './TargetHost.js';
 import type { Outcome, ServiceSettings } from './Types.js';
@@ -131,7 +132,7 @@
     await this.time.sleep(this.settings.serviceTimeMs);
     if (key !== undefined) this.answersByKey.set(key, answer);
     if (await this.losesAnswer()) {
-      response.socket?.resetAndDestroy();
+      resetSocket.resetResponse(response);
       return OUTCOMES.DROPPED;
     }
     return replies.reply(exchange, 200, answer);
--- a/packages/test-kit/src/ProxiedConnection.ts
+++ b/packages/test-kit/src/ProxiedConnection.ts
@@ -2,6 +2,7 @@
 
 import type * as clock from '@limpettack/clock';
 import * as lifetime from '@limpettack/lifetime';
+import * as standIns from '@limpettack/stand-ins';
 
 import * as directions from './Directions.js';
 import type { ConnectionFaults, Direction } from './Types.js';
@@ -43,8 +44,8 @@
   /** Closes both sides with a reset. */
   public reset(): void {
     this.isClosed = true;
-    this.client.resetAndDestroy();
-    this.server.resetAndDestroy();
+    standIns.resetSocket(this.client);
+    standIns.resetSocket(this.server);
     this.resume();
   }
 
--- a/packages/test-kit/src/index.ts
+++ b/packages/test-kit/src/index.ts
@@ -1,4 +1,4 @@
-/** A fault-injecting proxy and real processes for tests. */
+/** A fault-injecting proxy, real processes and whole fleets of them, for tests. */
 export * from './Types.js';
 export * from './Directions.js';
 export * from './FaultProxy.js';
@@ -6,4 +6,9 @@
 export * from './startProcess.js';
 export * from './PlatformProcess.js';
 export * from './TargetProcess.js';
+export * from './fleetTables.js';
+export * from './FleetTarget.js';
+export * from './FleetVm.js';
+export * from './Fleet.js';
+export * from './startFleet.js';
 export * from './waitFor.js';
--- a/packages/test-kit/src/startProcess.ts
+++ b/packages/test-kit/src/startProcess.ts
@@ -4,7 +4,8 @@
 
 import * as runningProcess from './RunningProcess.js';
 
-const DEFAULT_START_TIMEOUT_MS = 10_000;
+/** Time until a process must have said where it listens, in milliseconds. */
+export const DEFAULT_START_TIMEOUT_MS = 10_000;
 
 /** How a process is started. */
 export interface ProcessOptions {
