--- a/packages/node/src/VmProcess.ts
+++ b/packages/node/src/VmProcess.ts
@@ -26,6 +26,8 @@
 /** Peers that the configuration is passed on to at a time. */
 const CONFIGURATION_PEERS = 4;
 
+const NOTHING_TO_DISPOSE: lifetime.Disposable = { dispose: () => undefined };
+
 /** Secrets of the settings, read from where they are kept. */
 export interface NodeSecrets {
   readonly peers: string;
@@ -68,6 +70,8 @@
 
   private entryServer: entry.EntryServer | undefined;
 
+  private directory: targets.TargetDirectory | undefined;
+
   private takeoverHook: limits.TakeoverHook | undefined;
 
   private isDraining = false;
@@ -96,6 +100,7 @@
     const lookup = new targets.ConfigurationLookup(this.configuration);
     const client = this.store.add(this.createTargetClient(lookup));
     const directory = this.store.add(this.createDirectory(client));
+    this.directory = directory;
     const scheduler = this.store.add(this.createScheduler(directory));
     const shards = await this.startShards();
     const admission = this.store.add(this.createAdmission(shards));
@@ -194,6 +199,9 @@
       ...this.parts('targets'),
       lookup,
       credentials: this.secrets.credentials,
+      // The directory reads through this client, so it is made after it.
+      mayTakeWork: (target) => this.directory?.mayTakeWork(target) ?? false,
+      onUnreachable: (listener) => this.directory?.onUnreachable(listener) ?? NOTHING_TO_DISPOSE,
     });
   }
 
