Generate open-loop load and judge its outcome from outside

Cause: the decisions need measuring. Scenarios, seeded arrivals, callers that resend, an ideal bucket, and executions set against answers; experiments over policies in one run order.

--- /dev/null
+++ b/packages/load/src/experimentTable.ts
@@ -0,0 +1,96 @@
+import type { RunSummary } from './Types.js';
+import type { ExperimentRun } from './runExperiment.js';
+import type { Scenario } from './scenarios.js';
+
+const BASELINE = 'round-robin-fifo';
+const POLICY_WIDTH = 30;
+const COLUMN_WIDTH = 20;
+const PERCENT = 100;
+
+interface Column {
+  readonly title: string;
+  readonly digits: number;
+  readonly value: (run: ExperimentRun, baseline: ExperimentRun) => number;
+}
+
+const COLUMNS: readonly Column[] = [
+  { title: 'median ms', digits: 0, value: ({ summary }) => summary.medianMs },
+  { title: 'p95 ms', digits: 0, value: ({ summary }) => summary.p95Ms },
+  {
+    title: 'p95 / round robin',
+    digits: 2,
+    value: (run, baseline) => run.summary.p95Ms / baseline.summary.p95Ms,
+  },
+  { title: 'worst / alone', digits: 2, value: (run) => run.worstAgainstAlone },
+  { title: 'wasted tokens', digits: 0, value: ({ summary }) => summary.wastedTokens },
+  {
+    title: 'wasted / round robin',
+    digits: 2,
+    value: (run, baseline) => run.summary.wastedTokens / baseline.summary.wastedTokens,
+  },
+  {
+    title: 'refused in rate, %',
+    digits: 2,
+    value: ({ summary }) => (summary.refusedWithinRate / summary.withinRate) * PERCENT,
+  },
+];
+
+/** The table of an experiment: the median over the seeds with the least and the most. */
+export function experimentTable(scenario: Scenario, runs: readonly ExperimentRun[]): string {
+  const policies = [...new Set(runs.map(({ policy }) => policy))];
+  const seeds = new Set(runs.map(({ seed }) => seed)).size;
+  const loads = runs.map(({ summary }) => summary.offeredLoad);
+  const breaches = runs.flatMap(({ summary }) => summary.breaches);
+  const head = ['policy'.padEnd(POLICY_WIDTH), ...COLUMNS.map(({ title }) => pad(title))].join('');
+  const rows = policies.map((policy) => row(policy, runs));
+  return [
+    `${scenario.name}: ${seeds} seeds, ${scenario.durationMs} ms of arrivals a run, ` +
+      `offered load ${spread(loads, 2)} of the engines`,
+    'Each figure is the median over the seeds (least to most).',
+    '',
+    head,
+    ...rows,
+    '',
+    `Breaches of promises over all runs: ${breaches.length}`,
+    ...breaches.map(({ detail, promise }) => `  ${promise}: ${detail}`),
+    '',
+  ].join('\n');
+}
+
+/** One line on a run that has ended. */
+export function progressLine(policy: string, seed: number, summary: RunSummary): string {
+  const { medianMs, p95Ms, states, wastedTokens } = summary;
+  const slowdown = summary.slowdowns[summary.worstWorkspace] ?? NaN;
+  return (
+    `seed ${seed} ${policy}: median ${medianMs} ms, p95 ${p95Ms} ms, wasted ${wastedTokens}, ` +
+    `worst ${summary.worstWorkspace} ${slowdown.toFixed(2)}, ${JSON.stringify(states)} ` +
+    `${JSON.stringify(summary.refusals)} load ${summary.offeredLoad.toFixed(2)}`
+  );
+}
+
+function row(policy: string, runs: readonly ExperimentRun[]): string {
+  const cells = COLUMNS.map(({ digits, value }) => {
+    const values = runs
+      .filter((run) => run.policy === policy)
+      .map((run) => value(run, baselineOf(run, runs)));
+    return pad(spread(values, digits));
+  });
+  return [policy.padEnd(POLICY_WIDTH), ...cells].join('');
+}
+
+/** The run of the baseline with the same seed. */
+function baselineOf(run: ExperimentRun, runs: readonly ExperimentRun[]): ExperimentRun {
+  return runs.find(({ policy, seed }) => policy === BASELINE && seed === run.seed) ?? run;
+}
+
+function spread(values: readonly number[], digits: number): string {
+  const sorted = [...values].sort((left, right) => left - right);
+  const middle = sorted[Math.floor((sorted.length - 1) / 2)] ?? NaN;
+  const [least = NaN] = sorted;
+  const most = sorted.at(-1) ?? NaN;
+  return `${middle.toFixed(digits)} (${least.toFixed(digits)}-${most.toFixed(digits)})`;
+}
+
+function pad(text: string): string {
+  return text.padStart(COLUMN_WIDTH + 2);
+}
--- /dev/null
+++ b/packages/load/src/runScenario.ts
@@ -0,0 +1,112 @@
+import * as clock from '@limpettack/clock';
+import * as testKit from '@limpettack/test-kit';
+
+import type { Arrival, RunRecord } from './Types.js';
+import * as checkOutcomes from './checkOutcomes.js';
+import * as drawing from './drawArrivals.js';
+import * as fleets from './fleetOf.js';
+import * as idealTimes from './idealTimes.js';
+import * as faults from './injectFaults.js';
+import * as programCallers from './ProgramCaller.js';
+import * as randomDraws from './RandomDraws.js';
+import * as runRecorder from './RunRecorder.js';
+import type { Scenario } from './scenarios.js';
+import * as workspaceCallers from './WorkspaceCaller.js';
+
+/** Time after the last arrival in which programs may end. */
+const DRAIN_MS = 30_000;
+
+/** How a scenario is run. */
+export interface RunOptions {
+  readonly policy: string;
+  readonly seed: number;
+  /** Runs only the programs of this workspace. */
+  readonly onlyWorkspace?: string;
+}
+
+/** Starts the fleet of a scenario, runs all its programs and takes the fleet down. */
+export async function runScenario(scenario: Scenario, options: RunOptions): Promise<RunRecord> {
+  const fleet = await fleets.startFleetOf(scenario, options.policy);
+  try {
+    return await runOn(fleet, scenario, options);
+  } finally {
+    await fleet.dispose();
+  }
+}
+
+async function runOn(
+  fleet: testKit.Fleet,
+  scenario: Scenario,
+  options: RunOptions,
+): Promise<RunRecord> {
+  const time = new clock.SystemClock();
+  const recorder = new runRecorder.RunRecorder();
+  const startedAt = time.now();
+  const endsAt = startedAt + scenario.durationMs + DRAIN_MS;
+  const resendDraws = new randomDraws.RandomDraws(options.seed);
+  const pickVm = createPicker(fleet);
+  const callers = new Map(
+    scenario.workspaces.map(({ name }) => {
+      const caller = new testKit.Caller(fleets.keyOf(name), scenario.routes.models);
+      return [
+        name,
+        new workspaceCallers.WorkspaceCaller(
+          caller,
+          name,
+          pickVm,
+          recorder,
+          time,
+          startedAt,
+          endsAt,
+        ),
+      ];
+    }),
+  );
+  const runArrival = async (arrival: Arrival): Promise<void> => {
+    const caller = callers.get(arrival.workspace);
+    if (caller === undefined) return;
+    await time.sleep(arrival.atMs);
+    const arrivedAt = time.now();
+    const program = new programCallers.ProgramCaller(
+      {
+        scenario,
+        caller,
+        recorder,
+        clock: time,
+        resends: () => resendDraws.chance(scenario.resendShare),
+      },
+      arrival,
+    );
+    const end = await program.run();
+    const latencyMs = time.now() - arrivedAt;
+    recorder.addProgram({
+      arrival,
+      ...end,
+      latencyMs,
+      idealMs: idealTimes.idealMs(scenario, arrival.steps),
+    });
+  };
+  const faulting = faults.injectFaults(scenario, fleet, time);
+  await Promise.all(arrivalsOf(scenario, options).map(runArrival));
+  await faulting;
+  await checkOutcomes.checkExecutions(fleet, recorder);
+  return recorder;
+}
+
+/** The programs that a run sends. */
+export function arrivalsOf(scenario: Scenario, options: RunOptions): readonly Arrival[] {
+  const { onlyWorkspace } = options;
+  return drawing
+    .drawArrivals(scenario, options.seed)
+    .filter(({ workspace }) => onlyWorkspace === undefined || workspace === onlyWorkspace);
+}
+
+/** Picks the VMs that run in turn, as the platform's balancer does. */
+function createPicker(fleet: testKit.Fleet): () => testKit.CallerEndpoint {
+  let next = 0;
+  return () => {
+    const running = fleet.vms.filter((vm) => vm.process.isRunning);
+    next += 1;
+    return running[next % running.length] ?? fleet.vm(0);
+  };
+}
