--- a/packages/load/src/fleetOf.ts
+++ b/packages/load/src/fleetOf.ts
@@ -21,7 +21,10 @@
     services: fleet.services,
     engineOptions: fleet.engineOptions,
     serviceOptions: fleet.serviceOptions,
-    settings: { journal: { shardCount: fleet.shardCount }, scheduling: { policy } },
+    settings: {
+      journal: { shardCount: fleet.shardCount, appendsPerSecond: fleet.appendsPerSecond },
+      scheduling: { policy },
+    },
     tables: (targets) => tablesOf(scenario, targets),
     keys: Object.fromEntries(workspaces.map(({ name }) => [name, [keyOf(name)]])),
   });
--- a/packages/load/src/runScenario.ts
+++ b/packages/load/src/runScenario.ts
@@ -16,6 +16,9 @@
 /** Time after the last arrival in which programs may end. */
 const DRAIN_MS = 30_000;
 
+/** How often the start of a fleet is tried. */
+const MAXIMUM_STARTS = 3;
+
 /** How a scenario is run. */
 export interface RunOptions {
   readonly policy: string;
@@ -26,7 +29,7 @@
 
 /** Starts the fleet of a scenario, runs all its programs and takes the fleet down. */
 export async function runScenario(scenario: Scenario, options: RunOptions): Promise<RunRecord> {
-  const fleet = await fleets.startFleetOf(scenario, options.policy);
+  const fleet = await startFleet(scenario, options.policy);
   try {
     return await runOn(fleet, scenario, options);
   } finally {
@@ -34,6 +37,17 @@
   }
 }
 
+/** Starts again when a process ends early, as when another has taken its free port. */
+async function startFleet(scenario: Scenario, policy: string): Promise<testKit.Fleet> {
+  for (let starts = 1; ; starts += 1) {
+    try {
+      return await fleets.startFleetOf(scenario, policy);
+    } catch (error) {
+      if (starts === MAXIMUM_STARTS) throw error;
+    }
+  }
+}
+
 async function runOn(
   fleet: testKit.Fleet,
   scenario: Scenario,
--- a/packages/load/src/scenarios.ts
+++ b/packages/load/src/scenarios.ts
@@ -76,6 +76,8 @@
     engineOptions: OPTIONS.prefault({}),
     serviceOptions: OPTIONS.prefault({}),
     shardCount: zod.int().min(1),
+    /** Appends that each VM may send to the log, a second. */
+    appendsPerSecond: zod.number().positive(),
   }),
   routes: zod.strictObject({ models: NAME, reads: NAME, orders: NAME }),
   programs: zod.record(NAME, PROGRAM_KIND),
--- a/packages/scheduling/src/PoolScheduler.ts
+++ b/packages/scheduling/src/PoolScheduler.ts
@@ -59,6 +59,9 @@
   /** Since when waiting calls have had no target at all. */
   private readonly unavailableSince = new Map<WaitingCall, clock.Milliseconds>();
 
+  /** Since when waiting calls have left room to others, by the object of the call. */
+  private readonly heldBackSince = new Map<WaitingCall, clock.Milliseconds>();
+
   private readonly ledger: usageLedger.UsageLedger;
 
   private readonly held = new heldSlots.HeldSlots();
@@ -138,6 +141,7 @@
         settled.abort();
         queue.delete(call);
         this.unavailableSince.delete(call);
+        this.heldBackSince.delete(call);
         resolve(result);
       };
       const giveUp = (): void => settle(refusal('deadline-exceeded', 'The caller gave up.'));
@@ -194,17 +198,25 @@
       waiting = waiting.filter((other) => other !== call);
       const candidates = this.candidates(call, expected);
       const { ownFailureDomain, policy } = this.options;
-      const choice = policy.choose(call, candidates, ownFailureDomain, now);
+      const choice = policy.choose(this.withHeldBack(call), candidates, ownFailureDomain, now);
       if (choice && room.hasRoom(choice)) {
         this.grant(call, choice);
         continue;
       }
       passedOver += 1;
+      if (candidates.some(room.hasRoom) && !this.heldBackSince.has(call)) {
+        this.heldBackSince.set(call, now);
+      }
       // Later calls see that this one waits for the target too, so that not all wait for it.
       if (choice) expected.set(choice.name, (expected.get(choice.name) ?? 0) + 1);
     }
   }
 
+  private withHeldBack(call: WaitingCall): WaitingCall {
+    const heldBackSince = this.heldBackSince.get(call);
+    return heldBackSince === undefined ? call : { ...call, heldBackSince };
+  }
+
   /** Whether any call can go; saves the ordering of a long queue when all targets are full. */
   private mayFindRoom(waiting: readonly WaitingCall[]): boolean {
     if (waiting.length === 0) return false;
--- a/packages/scheduling/src/Types.ts
+++ b/packages/scheduling/src/Types.ts
@@ -25,6 +25,8 @@
 /** A waiting call as a policy sees it. */
 export interface WaitingCall extends CallDescription {
   readonly waitingSince: clock.Milliseconds;
+  /** Since when the call has left targets with room to others, to wait for a better one. */
+  readonly heldBackSince?: clock.Milliseconds;
 }
 
 /** A target that may take a call, as a policy sees it. */
--- a/packages/scheduling/src/choices.ts
+++ b/packages/scheduling/src/choices.ts
@@ -19,8 +19,9 @@
   const best = cheapest(candidates, cost);
   if (!open || !best || room.hasRoom(best)) return open;
   const savedMs = cost(open) * WAITING_MARGIN - cost(best);
-  // The wait is worth no more than what it saves, so a call that has waited so long moves.
-  const mayWait = savedMs > 0 && now - call.waitingSince < savedMs;
+  // The wait is worth no more than what it saves, so a call that has been held back so long moves.
+  // Time in which no target had room does not count: the call could not have gone anywhere.
+  const mayWait = now - (call.heldBackSince ?? now) < savedMs;
   return mayWait ? best : open;
 };
 
--- a/packages/scheduling/src/room.ts
+++ b/packages/scheduling/src/room.ts
@@ -1,15 +1,22 @@
 import type { TargetCandidate } from './Types.js';
 
+/**
+ * Calls beyond the slots that may be sent to a target, as a share of the slots. What is known of the
+ * calls of other processes is old, so without it a slot that another process has left would stay
+ * empty until the next report. The target's own queue holds these calls, in the order of priority.
+ */
+const QUEUED_SHARE = 0.5;
+
 /**
  * Tells whether a target may take one more call of this process. A process that runs nothing on a
- * target may always start one call there, so that the others can never shut it out; the engine's
- * own queue holds it.
+ * target may always start one call there, so that the others can never shut it out.
  */
 export function hasRoom(candidate: TargetCandidate): boolean {
   const limit = Math.min(candidate.concurrencyLimit, candidate.slots);
   if (candidate.ownInFlight >= limit) return false;
   if (candidate.ownInFlight === 0) return true;
-  return candidate.ownInFlight + candidate.otherInFlight < candidate.slots;
+  const queued = candidate.otherInFlight > 0 ? Math.ceil(candidate.slots * QUEUED_SHARE) : 0;
+  return candidate.ownInFlight + candidate.otherInFlight < candidate.slots + queued;
 }
 
 /** How full a target is: 0 when idle, 1 when all slots are taken, more when calls wait there. */
--- a/packages/targets/src/CallRates.ts
+++ b/packages/targets/src/CallRates.ts
@@ -4,6 +4,9 @@
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.2;
 const INITIAL_DECODE_MS_PER_TOKEN = 10;
 
+/** Tokens whose prefill the initial rate counts for. */
+const INITIAL_UNCACHED_TOKENS = 64;
+
 /** Weight of a new value in a smoothed one. */
 const SMOOTHING = 0.1;
 
@@ -18,7 +21,10 @@
 
 /** Smoothed times of a target's calls. */
 export class CallRates {
-  private prefill = INITIAL_PREFILL_MS_PER_TOKEN;
+  /** Smoothed uncached tokens of a prompt, and the smoothed time to prefill them. */
+  private uncachedTokens = INITIAL_UNCACHED_TOKENS;
+
+  private prefillMs = INITIAL_UNCACHED_TOKENS * INITIAL_PREFILL_MS_PER_TOKEN;
 
   private decode = INITIAL_DECODE_MS_PER_TOKEN;
 
@@ -28,7 +34,7 @@
 
   /** Time to prefill a token, in milliseconds. */
   public get prefillMsPerToken(): number {
-    return this.prefill;
+    return this.prefillMs / this.uncachedTokens;
   }
 
   /** Time to generate a token, in milliseconds. */
@@ -36,6 +42,11 @@
     return this.decode;
   }
 
+  /** Whether any call has shown how fast the target is. */
+  public get isLearned(): boolean {
+    return this.generated !== undefined;
+  }
+
   /** Tokens that calls generate; nothing before the first. */
   public get typicalTokens(): number | undefined {
     return this.generated;
@@ -54,9 +65,12 @@
       return false;
     }
     const uncached = Math.max(LEAST_UNCACHED_TOKENS, usage.promptTokens - usage.cachedTokens);
-    const expectedMs = uncached * this.prefill;
+    const expectedMs = uncached * this.prefillMsPerToken;
     const isDelayed = firstTokenMs > Math.max(LEAST_DELAY_MS, expectedMs * DELAY_FACTOR);
-    this.prefill = smooth(this.prefill, firstTokenMs / uncached);
+    // The two are smoothed apart, since short prompts would else count as much as long ones, and
+    // the first token is itself generated after the prefill.
+    this.prefillMs = smooth(this.prefillMs, Math.max(0, firstTokenMs - this.decode));
+    this.uncachedTokens = smooth(this.uncachedTokens, uncached);
     this.generated = smooth(this.generated ?? usage.generatedTokens, usage.generatedTokens);
     if (usage.generatedTokens > 1) {
       this.decode = smooth(this.decode, (totalMs - firstTokenMs) / (usage.generatedTokens - 1));
--- a/packages/targets/src/PoolTargetDirectory.ts
+++ b/packages/targets/src/PoolTargetDirectory.ts
@@ -65,11 +65,14 @@
 
   /** @inheritdoc */
   public candidates(call: scheduling.CallDescription): readonly scheduling.TargetCandidate[] {
-    const ready = this.ofPool(call.pool).flatMap((target) => {
-      if (call.excluded.has(target.name)) return [];
+    const trackers = this.ofPool(call.pool).flatMap((target) => {
       const tracker = this.members.get(target.name)?.tracker;
-      return tracker?.mayTakeWork ? [tracker.candidate(call)] : [];
+      return tracker?.mayTakeWork ? [tracker] : [];
     });
+    const similar = trackers.find((tracker) => tracker.learnedRates)?.learnedRates;
+    const ready = trackers
+      .filter((tracker) => !call.excluded.has(tracker.target.name))
+      .map((tracker) => tracker.candidate(call, similar));
     return rotated(ready, call.callId);
   }
 
--- a/packages/targets/src/TargetTracker.ts
+++ b/packages/targets/src/TargetTracker.ts
@@ -84,9 +84,21 @@
     return this.health.noteFailure(weight);
   }
 
-  /** The target as the scheduler sees it for a call. */
-  public candidate(call: scheduling.CallDescription): scheduling.TargetCandidate {
-    const { typicalTokens } = this.rates;
+  /** Times of the target's calls; nothing before the first. */
+  public get learnedRates(): callRates.CallRates | undefined {
+    return this.rates.isLearned ? this.rates : undefined;
+  }
+
+  /**
+   * The target as the scheduler sees it for a call. A target that has run nothing is taken to be as
+   * fast as another one, if given, so that it does not seem cheap for want of experience.
+   */
+  public candidate(
+    call: scheduling.CallDescription,
+    similar?: callRates.CallRates,
+  ): scheduling.TargetCandidate {
+    const rates = this.learnedRates ?? similar ?? this.rates;
+    const { typicalTokens } = rates;
     return {
       name: this.target.name,
       failureDomain: this.target.failureDomain,
@@ -95,8 +107,8 @@
       otherInFlight: this.load.otherInFlight,
       concurrencyLimit: this.limit.current,
       cachedTokens: Math.min(call.promptTokens, this.cache.cachedTokens(call.program)),
-      prefillMsPerToken: this.rates.prefillMsPerToken,
-      decodeMsPerToken: this.rates.decodeMsPerToken,
+      prefillMsPerToken: rates.prefillMsPerToken,
+      decodeMsPerToken: rates.decodeMsPerToken,
       callMs: this.rates.callMs,
       ...(typicalTokens === undefined ? {} : { typicalTokens }),
     };
