--- a/packages/load/src/ProgramCaller.ts
+++ b/packages/load/src/ProgramCaller.ts
@@ -9,6 +9,10 @@
 const DIGEST_PATTERN = /^digest=([0-9a-f]{16});/;
 const STATUS_OK = 200;
 const STATUS_CREATED = 201;
+/** Calls that a sub-agent may make, and tokens that it may generate. */
+const CHILD_CALLS = 30;
+const CHILD_TOKENS = 2_000;
+
 const BUDGET_KIND = 'budget-exhausted';
 
 /** How a program or a part of it ended. */
@@ -89,9 +93,7 @@
     const body = {
       route: scenario.routes.models,
       ...(this.parent === undefined ? {} : { parent: this.parent }),
-      ...(this.arrival.budgetCalls === undefined
-        ? {}
-        : { budget: { calls: this.arrival.budgetCalls } }),
+      ...this.budget(),
     };
     // A client that is told at the door that its house is over its rate goes away.
     const answer = await this.send('POST', '/v1/programs', body, this.parent === undefined);
@@ -100,6 +102,15 @@
     return undefined;
   }
 
+  /** A sub-agent's budget is taken from its parent's, so that it says how little it needs. */
+  private budget(): { readonly budget?: Readonly<Record<string, number>> } {
+    if (this.parent !== undefined) {
+      return { budget: { calls: CHILD_CALLS, tokens: CHILD_TOKENS } };
+    }
+    const { budgetCalls } = this.arrival;
+    return budgetCalls === undefined ? {} : { budget: { calls: budgetCalls } };
+  }
+
   private send(
     method: 'POST' | 'DELETE',
     path: string,
--- a/packages/load/src/Types.ts
+++ b/packages/load/src/Types.ts
@@ -96,5 +96,7 @@
   readonly refusals: Readonly<Record<string, number>>;
   /** Ideal slot time of all arrivals over the slot time of the engines. */
   readonly offeredLoad: number;
+  /** Processes that wanted a core of the machine over the last minute, for each core. */
+  readonly machineLoad: number;
   readonly breaches: readonly Breach[];
 }
--- /dev/null
+++ b/packages/load/src/countWithinRate.test.ts
@@ -0,0 +1,74 @@
+import * as jestGlobals from '@jest/globals';
+
+import type { CallRecord } from './Types.js';
+import * as counting from './countWithinRate.js';
+import * as drawing from './drawArrivals.js';
+import * as scenarios from './scenarios.js';
+
+const { describe, expect, test } = jestGlobals;
+
+function createScenario(): scenarios.Scenario {
+  return scenarios.SCENARIO.parse({
+    name: 'small',
+    durationMs: 20_000,
+    callDeadlineMs: 1_000,
+    fleet: {
+      vms: 1,
+      failureDomains: ['kochi'],
+      engines: 1,
+      services: 1,
+      shardCount: 1,
+      appendsPerSecond: 30,
+    },
+    routes: { models: 'models', reads: 'reads', orders: 'orders' },
+    programs: {
+      question: {
+        turns: [1, 3],
+        firstPromptTokens: [10, 20],
+        promptTokens: [5, 10],
+        generatedTokens: [1, 4],
+        pauseMs: [0, 10],
+      },
+    },
+    workspaces: ['parish', 'family'].map((name) => ({
+      name,
+      programsPerSecond: 10,
+      ratePerSecond: 2,
+      burst: 3,
+      mix: { question: 1 },
+    })),
+    burst: { workspace: 'family', factor: 5, fromMs: 0, untilMs: 10_000 },
+  });
+}
+
+function createCall(sentAtMs: number, refusal?: string): CallRecord {
+  const status = refusal === undefined ? 200 : 429;
+  return { workspace: 'parish', sentAtMs, status, ...(refusal === undefined ? {} : { refusal }) };
+}
+
+describe('countWithinRate', () => {
+  test('counts what an ideal bucket admits and how many fewer were taken in', () => {
+    const calls = [
+      ...[0, 0, 0].map((at) => createCall(at)),
+      // The bucket is empty, so this refusal is right; half a second later one token is back.
+      createCall(0, 'rate-limited'),
+      createCall(500, 'overloaded'),
+    ];
+    const counted = counting.countWithinRate(createScenario(), calls);
+    expect(counted).toEqual({ admittedByIdeal: 4, refused: 1 });
+  });
+});
+
+describe('drawArrivals', () => {
+  test('gives the same programs for a seed, others for another, and a burst its factor', () => {
+    const scenario = createScenario();
+    const first = drawing.drawArrivals(scenario, 1);
+    expect(drawing.drawArrivals(scenario, 1)).toEqual(first);
+    expect(drawing.drawArrivals(scenario, 2)).not.toEqual(first);
+    const count = (workspace: string) =>
+      first.filter((arrival) => arrival.workspace === workspace).length;
+    expect(count('parish')).toBeGreaterThan(140);
+    expect(count('parish')).toBeLessThan(260);
+    expect(count('family')).toBeGreaterThan(2 * count('parish'));
+  });
+});
--- a/packages/load/src/experimentTable.ts
+++ b/packages/load/src/experimentTable.ts
@@ -39,6 +39,7 @@
 export function experimentTable(scenario: Scenario, runs: readonly ExperimentRun[]): string {
   const policies = [...new Set(runs.map(({ policy }) => policy))];
   const seeds = new Set(runs.map(({ seed }) => seed)).size;
+  const machine = runs.map(({ summary }) => summary.machineLoad);
   const loads = runs.map(({ summary }) => summary.offeredLoad);
   const breaches = runs.flatMap(({ summary }) => summary.breaches);
   const head = ['policy'.padEnd(POLICY_WIDTH), ...COLUMNS.map(({ title }) => pad(title))].join('');
@@ -46,6 +47,7 @@
   return [
     `${scenario.name}: ${seeds} seeds, ${scenario.durationMs} ms of arrivals a run, ` +
       `offered load ${spread(loads, 2)} of the engines`,
+    `load of the machine for each core ${spread(machine, 2)}; above 1 the runs disturb each other`,
     'Each figure is the median over the seeds (least to most).',
     '',
     head,
--- a/packages/load/src/summarize.ts
+++ b/packages/load/src/summarize.ts
@@ -1,3 +1,5 @@
+import * as os from 'node:os';
+
 import * as hdr from 'hdr-histogram-js';
 
 import type { Arrival, ProgramRecord, ProgramState, RunRecord, RunSummary } from './Types.js';
@@ -18,9 +20,7 @@
 ): RunSummary {
   // Programs that the budget stops measure the budget and not the latency.
   const measured = record.programs.filter(({ state }) => state === 'completed');
-  const quiet = measured.filter(
-    ({ arrival }) => arrival.workspace !== scenario.burst?.workspace,
-  );
+  const quiet = measured.filter(({ arrival }) => arrival.workspace !== scenario.burst?.workspace);
   const histogram = histogramOf(quiet);
   const slowdowns = slowdownsOf(measured);
   const rate = countWithinRate.countWithinRate(scenario, record.calls);
@@ -39,6 +39,7 @@
     refusedWithinRate: rate.refused,
     refusals: countRefusals(record),
     offeredLoad: idealTimes.offeredLoad(scenario, arrivals),
+    machineLoad: (os.loadavg()[0] ?? NaN) / os.availableParallelism(),
     breaches: record.breaches,
   };
 }
