--- /dev/null
+++ b/packages/report/src/formatSpan.ts
@@ -0,0 +1,12 @@
+const UNITS = [
+  ['d', 86_400_000],
+  ['h', 3_600_000],
+  ['min', 60_000],
+  ['s', 1_000],
+] as const;
+
+/** Writes a span in milliseconds with the largest unit that gives a whole number. */
+export function formatSpan(spanMs: number): string {
+  const unit = UNITS.find(([, length]) => spanMs % length === 0);
+  return unit ? `${spanMs / unit[1]} ${unit[0]}` : `${spanMs} ms`;
+}
--- /dev/null
+++ b/packages/report/src/formatText.ts
@@ -0,0 +1,47 @@
+import type { BurnReport, ObjectiveReport, WindowBurn } from './Types.js';
+import * as formatSpan from './formatSpan.js';
+
+const PERCENT = 100;
+
+/** Writes the report as text for a terminal. */
+export function formatText(report: BurnReport): string {
+  const from = new Date(report.from).toISOString();
+  const to = new Date(report.to).toISOString();
+  const failed = report.failedSamples === 0 ? '' : `, ${report.failedSamples} samples failed`;
+  return [
+    `Service-level burn of ${report.service}`,
+    `${from} to ${to}, ${report.vms.length} VMs${failed}`,
+    ...report.objectives.flatMap(formatObjective),
+    '',
+  ].join('\n');
+}
+
+function formatObjective(objective: ObjectiveReport): readonly string[] {
+  return [
+    '',
+    `${objective.name}: ${objective.status}`,
+    `  ${objective.description}`,
+    `  error budget left: ${formatBudget(objective.budgetLeft)} (${formatCount(objective.period)})`,
+    ...objective.windows.map((window) => `  ${formatWindow(window)}`),
+  ];
+}
+
+function formatWindow(window: WindowBurn): string {
+  const span = formatSpan.formatSpan(window.spanMs).padEnd(7);
+  return `${span} burn ${formatBurn(window.burnRate).padStart(6)}  ${formatCount(window)}`;
+}
+
+function formatCount({ good, total, subject }: WindowBurn): string {
+  const name = subject === undefined ? '' : `, workspace ${subject}`;
+  return `${good} of ${total} good${name}`;
+}
+
+/** Writes the part of an error budget that is left. */
+export function formatBudget(budgetLeft: number | undefined): string {
+  return budgetLeft === undefined ? 'no data' : `${(budgetLeft * PERCENT).toFixed(1)}%`;
+}
+
+/** Writes a burn rate. */
+export function formatBurn(burnRate: number | undefined): string {
+  return burnRate === undefined ? 'none' : burnRate.toFixed(2);
+}
