--- a/packages/node/src/VmProcess.ts
+++ b/packages/node/src/VmProcess.ts
@@ -26,6 +26,8 @@
 /** Peers that the configuration is passed on to at a time. */
 const CONFIGURATION_PEERS = 4;
 
+const NOTHING_TO_DISPOSE: lifetime.Disposable = { dispose: () => undefined };
+
 /** Secrets of the settings, read from where they are kept. */
 export interface NodeSecrets {
   readonly peers: string;
@@ -58,14 +60,22 @@
 
   private readonly log: platformClient.HttpLogClient;
 
-  private readonly members: membership.ProbingMembership;
+  private readonly vmList: platformClient.HttpVmListClient;
+
+  private members!: membership.ProbingMembership;
 
-  private readonly configuration: configuration.ConfigurationFollower;
+  private configuration!: configuration.ConfigurationFollower;
 
   private shards: Shards | undefined;
 
   private entryServer: entry.EntryServer | undefined;
 
+  private directory: targets.TargetDirectory | undefined;
+
+  private takeoverHook: limits.TakeoverHook | undefined;
+
+  private isDraining = false;
+
   public constructor(
     private readonly settings: nodeSettings.NodeSettings,
     private readonly secrets: NodeSecrets,
@@ -76,19 +86,21 @@
       requestTimeoutMs: settings.platform.requestTimeoutMs,
     };
     this.log = this.store.add(new platformClient.HttpLogClient(this.clock, platformOptions));
-    const vmList = this.store.add(new platformClient.HttpVmListClient(this.clock, platformOptions));
-    this.members = this.store.add(this.createMembership(vmList));
-    this.configuration = this.store.add(this.createConfiguration());
+    this.vmList = this.store.add(new platformClient.HttpVmListClient(this.clock, platformOptions));
   }
 
   /** Starts all parts. Resolves with the addresses; readiness comes when the state is read. */
   public async start(): Promise<ListeningAddresses> {
+    // The address is known only now, and all other parts take their identity from it.
     await this.network.listen();
+    this.members = this.store.add(this.createMembership());
+    this.configuration = this.store.add(this.createConfiguration());
     await this.members.start();
     this.configuration.start();
     const lookup = new targets.ConfigurationLookup(this.configuration);
     const client = this.store.add(this.createTargetClient(lookup));
     const directory = this.store.add(this.createDirectory(client));
+    this.directory = directory;
     const scheduler = this.store.add(this.createScheduler(directory));
     const shards = await this.startShards();
     const admission = this.store.add(this.createAdmission(shards));
@@ -140,8 +152,6 @@
     return this.store.dispose();
   }
 
-  private isDraining = false;
-
   private parts(part: string): { clock: clockPackage.Clock; logger: logging.Logger } {
     return { clock: this.clock, logger: new logging.PartLogger(part) };
   }
@@ -160,12 +170,12 @@
     });
   }
 
-  private createMembership(vmList: platformClient.VmListClient): membership.ProbingMembership {
+  private createMembership(): membership.ProbingMembership {
     return new membership.ProbingMembership({
       ...this.parts('membership'),
       ...this.settings.membership,
       network: this.network,
-      vmList,
+      vmList: this.vmList,
       random: this.random,
       seeds: this.settings.peers.seeds,
     });
@@ -189,6 +199,9 @@
       ...this.parts('targets'),
       lookup,
       credentials: this.secrets.credentials,
+      // The directory reads through this client, so it is made after it.
+      mayTakeWork: (target) => this.directory?.mayTakeWork(target) ?? false,
+      onUnreachable: (listener) => this.directory?.onUnreachable(listener) ?? NOTHING_TO_DISPOSE,
     });
   }
 
@@ -229,8 +242,6 @@
     return shards;
   }
 
-  private takeoverHook: limits.TakeoverHook | undefined;
-
   private createAdmission(shards: Shards): limits.FleetAdmission {
     const admission = new limits.FleetAdmission({
       ...this.parts('limits'),
