--- a/packages/configuration/src/ConfigurationFollower.test.ts
+++ b/packages/configuration/src/ConfigurationFollower.test.ts
@@ -24,7 +24,7 @@
   const start = (address: string) => {
     addresses.push(address);
     const follower = new configurationFollower.ConfigurationFollower({
-      log: log.createClient(() => cutOff.has(address)),
+      log: log.createClient(() => cutOff.has(address), address),
       network: network.createPeer(address),
       peers: () => addresses.filter((other) => other !== address),
       clock: new clock.SystemClock(),
@@ -72,16 +72,20 @@
     expect(follower.unreadableRecords()).toBe(1);
   });
 
-  test('learns from peers within 5 s when cut off from the log', async () => {
-    const { log, cutOff, start } = createFleet();
-    const followers = ['one', 'two', 'three', 'four', 'five'].map(start);
-    await waitUntil(() => followers.every((follower) => follower.isReady()));
-    ['two', 'three', 'four', 'five'].forEach((address) => cutOff.add(address));
-    const startedAt = performance.now();
-    log.push(createTables.createEdit(0, createTables.createTablesChange()));
-    await waitUntil(() => followers.every((follower) => follower.current().version === 1));
-    expect(performance.now() - startedAt).toBeLessThan(5_000);
-  });
+  test.each(['cut off', 'silent'])(
+    'learns from peers within 5 s when the log is %s',
+    async (state) => {
+      const { log, cutOff, start } = createFleet();
+      const followers = ['one', 'two', 'three', 'four', 'five'].map(start);
+      await waitUntil(() => followers.every((follower) => follower.isReady()));
+      if (state === 'silent') log.isSilent = (client) => client !== 'one';
+      else ['two', 'three', 'four', 'five'].forEach((address) => cutOff.add(address));
+      const startedAt = performance.now();
+      log.push(createTables.createEdit(0, createTables.createTablesChange()));
+      await waitUntil(() => followers.every((follower) => follower.current().version === 1));
+      expect(performance.now() - startedAt).toBeLessThan(5_000);
+    },
+  );
 
   test('starts in an outage from a ready peer, and not without one', async () => {
     const { log, network, cutOff, start } = createFleet();
--- a/packages/configuration/src/testing/FakeLog.ts
+++ b/packages/configuration/src/testing/FakeLog.ts
@@ -17,6 +17,9 @@
   /** How many of the next appends lose their answer after they took effect. */
   public answersToLose = 0;
 
+  /** While set, reads get no answer, as over a connection that has gone silent. */
+  public isSilent: (client: string) => boolean = () => false;
+
   private waiters: (() => void)[] = [];
 
   /** Puts a payload at the tail. */
@@ -27,7 +30,7 @@
   }
 
   /** A client that fails while it is cut off. */
-  public createClient(isCutOff: () => boolean = () => false): platformClient.LogClient {
+  public createClient(isCutOff: () => boolean = () => false, name = ''): platformClient.LogClient {
     const failure = { kind: PLATFORM_FAILURES.UNAVAILABLE, message: 'cut off' };
     return {
       append: async (_stream, payloads) => {
@@ -40,6 +43,7 @@
       },
       read: async (_stream, from, options) => {
         if (isCutOff()) return trueMyth.Result.err(failure);
+        if (this.isSilent(name)) await untilAborted(options.signal);
         if (from >= this.payloads.length && options.waitMs > 0) await this.waitForRecord(options);
         if (isCutOff() || options.signal?.aborted) return trueMyth.Result.err(failure);
         return this.page(from, options.limit);
@@ -72,3 +76,9 @@
     return trueMyth.Result.ok({ records, firstOffset, tailOffset: this.payloads.length });
   }
 }
+
+function untilAborted(signal: AbortSignal | undefined): Promise<void> {
+  return new Promise((resolve) => {
+    signal?.addEventListener('abort', () => resolve(), { once: true });
+  });
+}
--- a/packages/control/src/results.ts
+++ b/packages/control/src/results.ts
@@ -1,5 +1,5 @@
 import type * as configuration from '@limpettack/configuration';
-import type * as platformClient from '@limpettack/platform-client';
+import * as platformClient from '@limpettack/platform-client';
 import type { CommandResult, ExitCode } from './Types.js';
 import * as describeChange from './describeChange.js';
 import * as exitCodes from './ExitCodes.js';
@@ -16,10 +16,13 @@
   return { exitCode, text: message, data: { error: message, ...details } };
 }
 
-/** Tells that the platform gave no answer. */
+/** Tells that the configuration cannot be read. */
 export function platformFailed(failure: platformClient.PlatformFailure): CommandResult {
-  const message = `The platform gave no answer: ${failure.message}`;
-  return failed(EXIT_CODES.UNAVAILABLE, message, { kind: failure.kind });
+  const { UNAVAILABLE, LOST, RATE_LIMITED } = platformClient.PLATFORM_FAILURES;
+  const { kind } = failure;
+  const isOutage = kind === UNAVAILABLE || kind === LOST || kind === RATE_LIMITED;
+  const exitCode = isOutage ? EXIT_CODES.UNAVAILABLE : EXIT_CODES.FAILED;
+  return failed(exitCode, `The configuration cannot be read: ${failure.message}`, { kind });
 }
 
 /** Tells that nothing is known of an edit, and how to find out. */
