--- a/packages/clock/src/ManualClock.ts
+++ b/packages/clock/src/ManualClock.ts
@@ -28,8 +28,12 @@
         resolve();
         return;
       }
-      this.sleepers.push({ wakeAt: this.reading + span, wake: resolve });
-      signal?.addEventListener('abort', () => resolve(), { once: true });
+      const wake = (): void => {
+        signal?.removeEventListener('abort', wake);
+        resolve();
+      };
+      this.sleepers.push({ wakeAt: this.reading + span, wake });
+      signal?.addEventListener('abort', wake, { once: true });
     });
   }
 
--- a/packages/node/src/NodeSettings.ts
+++ b/packages/node/src/NodeSettings.ts
@@ -52,7 +52,7 @@
   /** Appends a second that this VM sends at most; over all VMs below the log's rate. */
   appendsPerSecond: zod.number().positive().default(30),
   /** How long a holder is out of reach before its shard is claimed. */
-  suspicionMs: SPAN_MS.default(2_000),
+  suspicionMs: SPAN_MS.default(1_500),
   /** How long a confirmation of ownership is relied on; below the suspicion time. */
   authorityWindowMs: SPAN_MS.default(1_000),
 });
@@ -60,7 +60,7 @@
 const MEMBERSHIP = zod.strictObject({
   probeIntervalMs: SPAN_MS.default(500),
   probeTimeoutMs: SPAN_MS.default(400),
-  suspicionMs: SPAN_MS.default(1_500),
+  suspicionMs: SPAN_MS.default(800),
   listIntervalMs: SPAN_MS.default(2_000),
 });
 
--- a/packages/node/src/QuarantineExchange.ts
+++ b/packages/node/src/QuarantineExchange.ts
@@ -74,6 +74,11 @@
     this.options.members.available().forEach((peer) => this.tell(peer.address, news));
   }
 
+  /** @inheritdoc */
+  public noteCompleted(fingerprint: string): void {
+    this.options.crashes.noteCompleted(fingerprint);
+  }
+
   /** Takes over what the journal says. */
   public learn(fingerprints: Iterable<string>): void {
     [...fingerprints].forEach((fingerprint) => {
--- a/packages/node/src/VmProcess.ts
+++ b/packages/node/src/VmProcess.ts
@@ -23,9 +23,18 @@
 import * as quarantineExchange from './QuarantineExchange.js';
 import * as usageExchange from './UsageExchange.js';
 
+/** Retries for each call, and how many may come at once. */
+const RETRY_BUDGET = { fraction: 0.2, burst: 20 };
+
+/** The longest wait at the start for the listed VMs to be met, in milliseconds. */
+const SETTLE_LIMIT_MS = 1_500;
+const SETTLE_INTERVAL_MS = 20;
+
 /** Peers that the configuration is passed on to at a time. */
 const CONFIGURATION_PEERS = 4;
 
+const { AVAILABLE } = membership.MEMBER_STATES;
+
 const NOTHING_TO_DISPOSE: lifetime.Disposable = { dispose: () => undefined };
 
 /** Secrets of the settings, read from where they are kept. */
@@ -96,6 +105,7 @@
     this.members = this.store.add(this.createMembership());
     this.configuration = this.store.add(this.createConfiguration());
     await this.members.start();
+    await this.settle();
     this.configuration.start();
     const lookup = new targets.ConfigurationLookup(this.configuration);
     const client = this.store.add(this.createTargetClient(lookup));
@@ -134,6 +144,21 @@
     return this.listen(shards, admission, calls);
   }
 
+  /**
+   * Waits until the listed VMs have been met, or a moment has passed. A VM that sees only itself
+   * would claim every shard and then have to hand most of them over.
+   */
+  private async settle(): Promise<void> {
+    const deadline = this.clock.now() + SETTLE_LIMIT_MS;
+    while (this.clock.now() < deadline) {
+      const unmet = this.members
+        .members()
+        .filter((member) => member.state === AVAILABLE && member.incarnation === '');
+      if (unmet.length === 0) return;
+      await this.clock.sleep(SETTLE_INTERVAL_MS);
+    }
+  }
+
   /** Ends in order: nothing new, what runs is finished, the shards are handed over. */
   public async shutDown(): Promise<void> {
     const { drainDelayMs, handOverTimeoutMs } = this.settings.shutdown;
@@ -272,7 +297,9 @@
     scheduler: scheduling.Scheduler,
     crashes: programs.CrashRecord,
   ): programs.HomeCalls {
-    const shared = { scheduler, client, directory, crashes, clock: this.clock };
+    const retries = new targets.RetryBudget(RETRY_BUDGET);
+    const { clock, random } = this;
+    const shared = { scheduler, client, directory, crashes, retries, clock, random };
     const services = new programs.ServiceCaller(shared);
     return new programs.HomeCalls({
       shards,
@@ -322,12 +349,16 @@
         clock: this.clock,
       }),
     );
-    this.store.add(
-      shards.onOwned((owned) => {
-        quarantine.learn(owned.state.quarantined);
-        orphans.cancel(owned.ownership);
-      }),
-    );
+    const follow = (owned: journal.OwnedShard<programs.ShardState>): void => {
+      quarantine.learn(owned.state.quarantined);
+      orphans.cancel(owned.ownership);
+    };
+    this.store.add(shards.onOwned(follow));
+    // Shards that were claimed while the other parts were made.
+    ownedShards(shards).forEach((shard) => {
+      const owned = shards.owned(shard);
+      if (owned !== undefined) follow(owned);
+    });
   }
 
   private async listen(
--- a/packages/programs/src/KeyedCaller.ts
+++ b/packages/programs/src/KeyedCaller.ts
@@ -41,6 +41,9 @@
  * in the life of that claim, and nothing else ever does.
  */
 export class KeyedCaller {
+  /** Keys whose intent was refused but may count, with nothing sent. */
+  private readonly neverSent = new Set<string>();
+
   public constructor(private readonly options: KeyedCallerOptions) {}
 
   /** Runs the call, or answers what is known of it. Faults: see the at-most-once page. */
@@ -62,6 +65,7 @@
     }
     if (known.answer !== undefined) return trueMyth.Result.ok(known.answer);
     if (known.outcome === records.RESOLUTIONS.RAN) return trueMyth.Result.err(resolvedAsRan());
+    if (this.neverSent.has(keyed.callKey)) return this.startAfresh(keyed);
     return this.resolveByQuery(keyed, known.target);
   }
 
@@ -74,6 +78,17 @@
     return trueMyth.Result.err(errors.createFault('target-unavailable'));
   }
 
+  /**
+   * An intent of this process that was refused, and counted all the same, was never dispatched and
+   * never will be; only this process knows that, so it alone may withdraw it.
+   */
+  private async startAfresh(keyed: PreparedKeyedCall): Promise<Outcome<RecordedAnswer>> {
+    const withdrawn = await this.withdraw(keyed, errors.createFault('log-unavailable'));
+    if (!this.isKeyFree(keyed)) return withdrawn;
+    this.neverSent.delete(keyed.callKey);
+    return this.start(keyed);
+  }
+
   /** One intent and one dispatch; nothing when nothing was sent and another target may be tried. */
   private async attempt(
     keyed: PreparedKeyedCall,
@@ -117,7 +132,9 @@
       },
       { replicateInOutage: false },
     );
-    return result.isErr ? faults.withSent(result.error, false) : undefined;
+    if (result.isOk) return undefined;
+    if (result.error.details?.mayCount === true) this.neverSent.add(keyed.callKey);
+    return faults.withSent(result.error, false);
   }
 
   private async conclude(
--- a/packages/programs/src/ModelCaller.ts
+++ b/packages/programs/src/ModelCaller.ts
@@ -4,6 +4,7 @@
 import * as targets from '@limpettack/targets';
 import * as trueMyth from 'true-myth';
 import type * as answerBuffer from './AnswerBuffer.js';
+import * as backOff from './backOff.js';
 import * as faults from './faults.js';
 import * as messages from './messages.js';
 import type { CallRequest, ChatMessage, CrashRecord, Outcome, RunningCall } from './Types.js';
@@ -69,7 +70,10 @@
   readonly client: targets.TargetClient;
   readonly directory: targets.TargetDirectory;
   readonly crashes: CrashRecord;
+  readonly retries: targets.RetryBudget;
   readonly clock: clockTypes.Clock;
+  /** Between 0 and 1, for jitter. */
+  readonly random: () => number;
 }
 
 /** Runs a model call on a target, and on another one when the first fails. */
@@ -85,6 +89,7 @@
       wasSent: false,
       abandonedTokens: 0,
     };
+    this.options.retries.noteCall();
     const result = await this.runUntilEnded(prepared, attempts);
     const { wasSent, abandonedTokens } = attempts;
     if (result.isOk) return { result, wasSent, abandonedTokens };
@@ -103,9 +108,9 @@
       const ended = await this.attempt(prepared, attempts);
       if (ended !== undefined) return ended;
       attempts.count += 1;
-      if (attempts.count >= MAXIMUM_ATTEMPTS) {
-        return trueMyth.Result.err(errors.createFault('target-failed'));
-      }
+      const mayRetry = attempts.count < MAXIMUM_ATTEMPTS && this.options.retries.tryRetry();
+      if (!mayRetry) return trueMyth.Result.err(errors.createFault('target-failed'));
+      await backOff.backOff(attempts.count, this.options, prepared.call.signal);
     }
   }
 
@@ -177,6 +182,7 @@
       }
     }
     const totalMs = this.options.clock.now() - startedAt;
+    this.options.crashes.noteCompleted(prepared.fingerprint);
     const counted = usage ?? estimateUsage(prepared, attempts);
     this.options.directory.report({
       target: slot.target,
@@ -207,7 +213,12 @@
       attempts.abandonedTokens += prepared.maximumTokens;
       return trueMyth.Result.err(faults.faultOfAbort(prepared.call.signal, true));
     }
-    this.options.directory.report({ target: slot.target, failure: failure.kind, totalMs });
+    this.options.directory.report({
+      target: slot.target,
+      failure: failure.kind,
+      totalMs,
+      ...(failure.status === undefined ? {} : { status: failure.status }),
+    });
     if (failure.kind === TARGET_FAILURES.NOT_SENT) return undefined;
     attempts.wasSent = true;
     if (failure.kind === TARGET_FAILURES.FENCED) {
--- a/packages/programs/src/ProgramsFold.ts
+++ b/packages/programs/src/ProgramsFold.ts
@@ -15,7 +15,12 @@
 
   /** @inheritdoc */
   public createState(): ShardState {
-    return { programs: new Map(), keyedCalls: new Map(), quarantined: new Set() };
+    return {
+      ownerIncarnation: undefined,
+      programs: new Map(),
+      keyedCalls: new Map(),
+      quarantined: new Set(),
+    };
   }
 
   /** @inheritdoc */
@@ -48,8 +53,11 @@
   }
 
   /** What an earlier owner had reserved and not settled may have been spent, so it counts as it. */
-  public applyClaim(state: ShardState, _ownership: journal.Ownership, handedOver: boolean): void {
-    if (handedOver) return;
+  public applyClaim(state: ShardState, ownership: journal.Ownership, handedOver: boolean): void {
+    const { incarnation } = ownership.owner;
+    const isRenewal = state.ownerIncarnation === incarnation;
+    state.ownerIncarnation = incarnation;
+    if (handedOver || isRenewal) return;
     state.programs.forEach((program) => {
       program.spent = amounts.add(program.spent, program.reserved);
       program.reserved = amounts.NO_AMOUNT;
@@ -60,13 +68,14 @@
   public renew(state: ShardState, expiringBelow: number): readonly JournalBody[] {
     const bodies: JournalBody[] = [];
     [...state.programs.values()]
-      .filter((program) => program.oldestOffset >= 0 && program.oldestOffset < expiringBelow)
+      // What was applied ahead of the log has no offset of its own, so it is renewed as the oldest.
+      .filter((program) => program.oldestOffset < expiringBelow)
       .forEach((program) => {
         if (isForgettable(program)) state.programs.delete(program.program);
         else bodies.push(this.snapshotProgram(program));
       });
     [...state.keyedCalls.values()]
-      .filter((call) => call.oldestOffset >= 0 && call.oldestOffset < expiringBelow)
+      .filter((call) => call.oldestOffset < expiringBelow)
       .forEach((call) => {
         if (call.outcome === undefined) bodies.push(snapshotCall(call));
         else state.keyedCalls.delete(call.callKey);
--- a/packages/programs/src/ServiceCaller.ts
+++ b/packages/programs/src/ServiceCaller.ts
@@ -3,6 +3,7 @@
 import type * as scheduling from '@limpettack/scheduling';
 import * as targets from '@limpettack/targets';
 import * as trueMyth from 'true-myth';
+import * as backOff from './backOff.js';
 import * as faults from './faults.js';
 import type { CallRequest, CrashRecord, Outcome, RunningCall } from './Types.js';
 
@@ -35,7 +36,10 @@
   readonly client: targets.TargetClient;
   readonly directory: targets.TargetDirectory;
   readonly crashes: CrashRecord;
+  readonly retries: targets.RetryBudget;
   readonly clock: clockTypes.Clock;
+  /** Between 0 and 1, for jitter. */
+  readonly random: () => number;
 }
 
 /** Sends service calls to targets. */
@@ -48,6 +52,7 @@
   ): Promise<Outcome<targets.ServiceAnswer>> {
     const excluded = new Set<string>();
     let wasSent = false;
+    this.options.retries.noteCall();
     for (let count = 0; count < MAXIMUM_ATTEMPTS; count += 1) {
       const place = await this.acquire(prepared, excluded);
       if (place.isErr) return trueMyth.Result.err(faults.withSent(place.error, wasSent));
@@ -61,6 +66,8 @@
         return trueMyth.Result.err(faults.faultOfAbort(prepared.call.signal, wasSent));
       }
       excluded.add(place.value.target);
+      if (!this.options.retries.tryRetry()) break;
+      await backOff.backOff(count + 1, this.options, prepared.call.signal);
     }
     return trueMyth.Result.err(faults.withSent(errors.createFault('target-failed'), wasSent));
   }
@@ -116,12 +123,15 @@
   ): void {
     const totalMs = this.options.clock.now() - startedAt;
     if (answer.isOk) {
+      this.options.crashes.noteCompleted(prepared.fingerprint);
       this.options.directory.report({ target, totalMs });
       return;
     }
     const { kind } = answer.error;
     if (kind !== TARGET_FAILURES.CANCELLED) {
-      this.options.directory.report({ target, totalMs, failure: kind });
+      const { status } = answer.error;
+      const extra = status === undefined ? {} : { status };
+      this.options.directory.report({ target, totalMs, failure: kind, ...extra });
     }
     if (kind === TARGET_FAILURES.DIED) {
       this.options.crashes.noteDeath(prepared.fingerprint, target, startedAt);
--- a/packages/programs/src/Types.ts
+++ b/packages/programs/src/Types.ts
@@ -67,6 +67,8 @@
 
 /** All that the records of one shard make. */
 export interface ShardState {
+  /** Incarnation of the process whose claim was the last valid one. */
+  ownerIncarnation: string | undefined;
   readonly programs: Map<string, ProgramState>;
   readonly keyedCalls: Map<string, KeyedCall>;
   readonly quarantined: Set<string>;
@@ -92,6 +94,8 @@
   isQuarantined(fingerprint: string): boolean;
   /** Notes that a target died while it ran the request. */
   noteDeath(fingerprint: string, target: string, sentAt: clock.Milliseconds): void;
+  /** Notes that a target ran the request to its end. */
+  noteCompleted(fingerprint: string): void;
 }
 
 /** Frees engine memory until the engine has acknowledged it. Implemented by the targets package. */
