--- /dev/null
+++ b/tests/callers.test.ts
@@ -0,0 +1,112 @@
+import * as jestGlobals from '@jest/globals';
+import * as testKit from '@limpettack/test-kit';
+import * as openAi from 'openai';
+
+const { afterAll, beforeAll, describe, expect, test } = jestGlobals;
+
+const DECODE_MS_PER_TOKEN = 20;
+
+let fleet: testKit.Fleet;
+const caller = new testKit.Caller(testKit.FLEET_NAMES.KEY, testKit.FLEET_NAMES.MODEL_ROUTE);
+
+beforeAll(async () => {
+  fleet = await testKit.startFleet({
+    vms: 2,
+    failureDomains: ['kochi', 'thrissur'],
+    engineOptions: { 'decode-ms-per-token': DECODE_MS_PER_TOKEN },
+    settings: { journal: { shardCount: 4 } },
+  });
+});
+
+afterAll(() => fleet.dispose());
+
+/** A VM that does not own the program, so that its calls cross a link. */
+async function entryFor(program: string): Promise<testKit.FleetVm> {
+  const shown = await caller.send(fleet.vm(0), 'GET', `/v1/programs/${program}`);
+  const { owner } = JSON.parse(shown.text) as { owner: string };
+  return fleet.vm(owner === fleet.vm(0).name ? 1 : 0);
+}
+
+function createClient(vm: testKit.FleetVm, headers: Record<string, string> = {}) {
+  return new openAi.OpenAI({
+    baseURL: `${vm.url}/v1`,
+    apiKey: testKit.FLEET_NAMES.KEY,
+    defaultHeaders: headers,
+    maxRetries: 0,
+  });
+}
+
+describe("the callers' interface", () => {
+  test('sends the first token over two VMs while later ones are still generated', async () => {
+    const program = await caller.openProgram(fleet.vm(0));
+    const vm = await entryFor(program);
+    const place = { program, turn: 1, text: 'hello', maximumTokens: 40 };
+    const startedAt = performance.now();
+    const arrivals: number[] = [];
+    for await (const event of caller.stream(vm, place)) {
+      if (testKit.textOfEvent(event) !== '') arrivals.push(performance.now() - startedAt);
+    }
+    expect(arrivals).toHaveLength(40);
+    const [first = Infinity] = arrivals;
+    const last = arrivals.at(-1) ?? 0;
+    // The engine needs at least so long from the first token to the last.
+    expect(last - first).toBeGreaterThan(39 * DECODE_MS_PER_TOKEN * 0.8);
+    expect(first).toBeLessThan(last / 2);
+  });
+
+  test('a slow caller stalls only itself', async () => {
+    const program = await caller.openProgram(fleet.vm(0));
+    const vm = await entryFor(program);
+    const slow = caller.stream(vm, { program, turn: 1, text: 'slow', maximumTokens: 400 });
+    await slow.next();
+    const answer = await caller.chat(vm, { text: 'quick', maximumTokens: 2, timeoutMs: 5_000 });
+    expect(answer.status).toBe(200);
+    await slow.return();
+  });
+
+  test('an ordinary client makes a whole and a streamed call within a program', async () => {
+    const program = await caller.openProgram(fleet.vm(0));
+    const client = createClient(fleet.vm(1), { 'Limpettack-Program': program });
+    const request = {
+      model: testKit.FLEET_NAMES.MODEL_ROUTE,
+      messages: [{ role: 'user', content: 'one' } as const],
+      max_tokens: 6,
+    };
+    const whole = await client.chat.completions.create(request);
+    expect(whole.choices[0]?.message.content).toMatch(/^digest=/);
+    expect(whole.usage?.completion_tokens).toBe(6);
+    const stream = await client.chat.completions.create({ ...request, stream: true });
+    let text = '';
+    for await (const chunk of stream) text += chunk.choices[0]?.delta.content ?? '';
+    const again = await caller.send(fleet.vm(0), 'GET', `/v1/programs/${program}/turns/2`);
+    expect(testKit.contentOf(again)).toBe(text);
+  });
+
+  test('an ordinary client lists the routes and is told of a refusal', async () => {
+    const client = createClient(fleet.vm(0));
+    const models = await client.models.list();
+    expect(models.data.map((model) => model.id)).toEqual([testKit.FLEET_NAMES.MODEL_ROUTE]);
+    const refused = client.chat.completions.create({
+      model: 'no-such-route',
+      messages: [{ role: 'user', content: 'one' }],
+    });
+    await expect(refused).rejects.toMatchObject({ status: 404, code: 'route-unknown' });
+  });
+
+  test('a stream goes on after the event that the caller received last', async () => {
+    const program = await caller.openProgram(fleet.vm(0));
+    const place = { program, turn: 1, text: 'hello', maximumTokens: 30 };
+    const received: testKit.StreamEvent[] = [];
+    for await (const event of caller.stream(fleet.vm(0), place)) {
+      received.push(event);
+      // The caller drops its connection in mid-answer.
+      if (received.length === 10) break;
+    }
+    const answer = await caller.send(fleet.vm(1), 'GET', `/v1/programs/${program}/turns/1`, {
+      headers: { accept: 'text/event-stream', 'last-event-id': received.at(-1)?.id ?? '' },
+    });
+    expect(answer.text).toContain('id: 1:10\n');
+    expect(answer.text).not.toContain('id: 1:9\n');
+    expect(answer.text.trimEnd().endsWith('data: [DONE]')).toBe(true);
+  });
+});
