Let entries take calls elsewhere when a home ends without a hand-over

Cause: with the hand-over left out, callers met 7 answers of kind internal in about 240 calls: calls that ran in a home while its parts were disposed of failed on the closed log client, and requests to a home that no longer served a method were answered not-found. Found by leaving the hand-over out under load.

--- a/packages/entry/src/HomeClient.ts
+++ b/packages/entry/src/HomeClient.ts
@@ -121,7 +121,7 @@
           return gone.aborted;
         }
         const item = next.value;
-        if (item.kind === ITEM_KINDS.FAULT && item.fault.kind === 'not-owner') {
+        if (item.kind === ITEM_KINDS.FAULT && isElsewhere(item.fault)) {
           if (item.fault.run !== errors.RUN_STATES.NOT_RUN) progress.mayHaveRun = true;
           return false;
         }
@@ -152,7 +152,7 @@
         const result = await network.request(address, method, request, { timeoutMs: tryMs });
         if (result.isOk) return trueMyth.Result.ok(result.value);
         const { kind, fault } = result.error;
-        if (fault !== undefined && fault.kind !== 'not-owner') return trueMyth.Result.err(fault);
+        if (fault !== undefined && !isElsewhere(fault)) return trueMyth.Result.err(fault);
         wasSent = wasSent || kind !== wire.PEER_FAILURES.NOT_SENT;
       }
       await this.pause(shardKey, undefined);
@@ -184,6 +184,11 @@
   }
 }
 
+/** Tells whether another VM can take what this home refused. */
+function isElsewhere(fault: errors.Fault): boolean {
+  return fault.kind === 'not-owner' || fault.kind === 'shutting-down';
+}
+
 function note(item: programs.CallItem, progress: CallProgress): void {
   if (item.kind === ITEM_KINDS.CHUNK) progress.received = item.index + 1;
   if (item.kind === ITEM_KINDS.STARTED) {
--- a/packages/programs/src/Home.ts
+++ b/packages/programs/src/Home.ts
@@ -67,7 +67,10 @@
     this.store.add(network.serve(messages.RESOLVE_IN_DOUBT, (request) => this.resolve(request)));
     this.store.add(shards.onLost((shard) => options.calls.abortShard(shard)));
     this.store.add(shards.onOwned((owned) => this.releaseEnded(owned.ownership.shard)));
-    this.store.addCallback(() => this.controller.abort());
+    this.store.addCallback(() => {
+      this.controller.abort();
+      options.calls.abortAll();
+    });
     for (let shard = 0; shard < shards.shardCount; shard += 1) this.releaseEnded(shard);
     this.expirePrograms();
   }
--- a/packages/programs/src/HomeCalls.ts
+++ b/packages/programs/src/HomeCalls.ts
@@ -133,6 +133,11 @@
     });
   }
 
+  /** Aborts all calls, so that entries take them to other homes. */
+  public abortAll(): void {
+    this.controllers.forEach((_, controller) => controller.abort(faults.ABORT_REASONS.SHARD_LOST));
+  }
+
   private async enterProgram(
     request: CallRequest,
     id: string,
--- a/packages/wire/src/HandlerRegistry.ts
+++ b/packages/wire/src/HandlerRegistry.ts
@@ -67,7 +67,8 @@
   ): Promise<trueMyth.Result<unknown, errors.Fault>> {
     const handler = this.requestHandlers.get(name);
     if (handler === undefined) {
-      return trueMyth.Result.err(errors.createFault('not-found', `There is no method ${name}.`));
+      // A process that starts or ends serves only some of its methods.
+      return trueMyth.Result.err(errors.createFault('shutting-down', `Nobody serves ${name}.`));
     }
     try {
       return await handler(body, from);
