--- a/packages/test-kit/src/FleetVm.ts
+++ b/packages/test-kit/src/FleetVm.ts
@@ -113,11 +113,18 @@
 
   /** The fleet as this VM sees it. */
   public async describeFleet(): Promise<FleetDescription> {
-    const answer = await undici.request(`${this.operatorsUrl}/v1/operators/fleet`, {
+    return (await this.askOperators('GET', 'fleet')) as FleetDescription;
+  }
+
+  /** Sends a request to the operators' port, at a path below `/v1/operators/`. */
+  public async askOperators(method: 'GET' | 'POST', path: string, body?: unknown) {
+    const answer = await undici.request(`${this.operatorsUrl}/v1/operators/${path}`, {
+      method,
       headers: { authorization: `Bearer ${this.options.operatorsToken}` },
+      body: body === undefined ? null : JSON.stringify(body),
       reset: true,
     });
-    return (await answer.body.json()) as FleetDescription;
+    return answer.body.json();
   }
 
   /** @inheritdoc */
--- /dev/null
+++ b/tests/limits.test.ts
@@ -0,0 +1,192 @@
+import * as clock from '@limpettack/clock';
+import * as configuration from '@limpettack/configuration';
+import * as testKit from '@limpettack/test-kit';
+import * as jestGlobals from '@jest/globals';
+import * as fleetViews from './fleetViews.js';
+
+const { afterAll, afterEach, beforeAll, describe, expect, test } = jestGlobals;
+
+const { MODEL_ROUTE, SERVICE_ROUTE } = testKit.FLEET_NAMES;
+
+const RATE_PER_SECOND = 20;
+const BURST = 10;
+const EDITED_RATE_PER_SECOND = 5;
+const REQUESTS_PER_SECOND = 60;
+const CALM_SPAN_MS = 3_000;
+const FAULT_SPAN_MS = 7_500;
+const FAULT_AFTER_MS = 1_000;
+const FAULT_LASTS_MS = 4_000;
+
+const WORKSPACES = ['skewed', 'spread', 'killed', 'paused', 'pair', 'cut', 'edited'] as const;
+
+const time = new clock.SystemClock();
+let fleet: testKit.Fleet;
+
+/** One request, by the clock of the test. */
+interface Sending {
+  readonly sentAt: clock.Milliseconds;
+  readonly answeredAt: clock.Milliseconds;
+  readonly isAdmitted: boolean;
+}
+
+beforeAll(async () => {
+  fleet = await testKit.startFleet({
+    vms: 4,
+    failureDomains: ['quito-norte', 'cumbaya', 'tumbaco', 'quito-sur'],
+    services: 2,
+    proxies: { peers: true },
+    settings: { journal: { shardCount: 6 } },
+    tables: (targets) => ({
+      ...testKit.defaultTables(targets),
+      workspaces: WORKSPACES.map((name) => ({
+        name,
+        ratePerSecond: RATE_PER_SECOND,
+        burst: BURST,
+      })),
+    }),
+    keys: Object.fromEntries(WORKSPACES.map((name) => [name, [`key-of-${name}`]])),
+  });
+  await fleetViews.untilPaired(fleet);
+});
+
+afterEach(() => fleetViews.untilPaired(fleet));
+
+afterAll(() => fleet.dispose());
+
+/** Sends requests of a workspace at a steady pace through the VMs in turn. */
+async function hammer(
+  workspace: string,
+  vms: readonly testKit.FleetVm[],
+  spanMs: clock.Milliseconds,
+): Promise<readonly Sending[]> {
+  const caller = new testKit.Caller(`key-of-${workspace}`, MODEL_ROUTE);
+  const pick = fleetViews.pickInTurn(vms);
+  const count = (spanMs / 1_000) * REQUESTS_PER_SECOND;
+  return Promise.all(
+    Array.from({ length: count }, async (_, index) => {
+      await time.sleep((index / REQUESTS_PER_SECOND) * 1_000);
+      const sentAt = time.now();
+      const answer = await caller.service(pick(), { route: SERVICE_ROUTE, body: '{}' });
+      return { sentAt, answeredAt: time.now(), isAdmitted: answer.status === 200 };
+    }),
+  );
+}
+
+/**
+ * How many admissions too many the worst window holds. A window runs from the sending of one
+ * request to the answer of another, so all that it counts was granted within it.
+ */
+function worstExcess(sendings: readonly Sending[], rate = RATE_PER_SECOND): number {
+  const admitted = sendings.filter((sending) => sending.isAdmitted);
+  const excesses = admitted.flatMap((first) =>
+    admitted.map((last) => {
+      const { sentAt } = first;
+      const { answeredAt } = last;
+      if (answeredAt < sentAt) return -Infinity;
+      const count = admitted.filter((one) => one.sentAt >= sentAt && one.answeredAt <= answeredAt);
+      return count.length - BURST - (rate * (answeredAt - sentAt)) / 1_000;
+    }),
+  );
+  return excesses.reduce((worst, excess) => Math.max(worst, excess), -Infinity);
+}
+
+/** How many of the requests one whole bucket would have admitted. */
+function idealCount(sendings: readonly Sending[]): number {
+  let level = BURST;
+  let count = 0;
+  let [last] = sendings.map((sending) => sending.sentAt);
+  [...sendings]
+    .sort((left, right) => left.sentAt - right.sentAt)
+    .forEach(({ sentAt }) => {
+      level = Math.min(BURST, level + ((sentAt - (last ?? sentAt)) * RATE_PER_SECOND) / 1_000);
+      last = sentAt;
+      if (level < 1) return;
+      level -= 1;
+      count += 1;
+    });
+  return count;
+}
+
+/** Prints the refusals within rate and returns how many requests were admitted. */
+function compare(what: string, sendings: readonly Sending[]): number {
+  const admitted = sendings.filter((sending) => sending.isAdmitted).length;
+  const ideal = idealCount(sendings);
+  process.stdout.write(
+    `limits: ${what}: sent ${sendings.length}, admitted ${admitted}, an ideal bucket ${ideal}, ` +
+      `worst excess ${worstExcess(sendings).toFixed(1)}\n`,
+  );
+  return admitted;
+}
+
+/** Hammers while a fault comes and goes, then checks all windows. */
+async function expectWithin(
+  workspace: (typeof WORKSPACES)[number],
+  fault: (holders: fleetViews.Holders) => Promise<void>,
+): Promise<void> {
+  const holders = await fleetViews.holdersOf(fleet, `workspace:${workspace}`);
+  const others = fleet.vms.filter((vm) => vm !== holders.owner && vm !== holders.standby);
+  const [sendings] = await Promise.all([
+    hammer(workspace, others, FAULT_SPAN_MS),
+    time.sleep(FAULT_AFTER_MS).then(() => fault(holders)),
+  ]);
+  const admitted = compare(workspace, sendings);
+  expect(worstExcess(sendings)).toBeLessThanOrEqual(0);
+  expect(admitted).toBeGreaterThanOrEqual(BURST);
+}
+
+describe('no workspace gets more than its rate and burst over all VMs', () => {
+  test('in calm, through one VM and through all', async () => {
+    const [skewed, spread] = await Promise.all([
+      hammer('skewed', [fleet.vm(0)], CALM_SPAN_MS),
+      hammer('spread', fleet.vms, CALM_SPAN_MS),
+    ]);
+    const admitted = [compare('skewed', skewed), compare('spread', spread)];
+    expect(worstExcess(skewed)).toBeLessThanOrEqual(0);
+    expect(worstExcess(spread)).toBeLessThanOrEqual(0);
+    const ideal = [idealCount(skewed), idealCount(spread)];
+    admitted.forEach((count, index) => {
+      expect(count).toBeGreaterThanOrEqual((ideal[index] ?? 0) * 0.9);
+    });
+  });
+
+  test('while the owner of its bucket is killed and started again', () =>
+    expectWithin('killed', async ({ owner }) => {
+      await fleetViews.killVm(owner);
+      await time.sleep(FAULT_LASTS_MS);
+      await owner.start();
+    }));
+
+  test('while the owner of its bucket is paused and wakes after the takeover', () =>
+    expectWithin('paused', async ({ owner }) => {
+      owner.process.pause();
+      await time.sleep(FAULT_LASTS_MS);
+      owner.process.resume();
+    }));
+
+  test('while owner and standby are killed together and started again', () =>
+    expectWithin('pair', async ({ owner, standby }) => {
+      await Promise.all([fleetViews.killVm(owner), fleetViews.killVm(standby)]);
+      await time.sleep(FAULT_LASTS_MS / 2);
+      await Promise.all([owner.start(), standby.start()]);
+    }));
+
+  test('while owner and standby are cut off from each other', () =>
+    expectWithin('cut', async ({ owner, standby }) => {
+      await Promise.all([owner.peersProxy.cut(), standby.peersProxy.cut()]);
+      await time.sleep(FAULT_LASTS_MS);
+      await Promise.all([owner.peersProxy.restore(), standby.peersProxy.restore()]);
+    }));
+
+  test('after its rate has been lowered', async () => {
+    await hammer('edited', fleet.vms, CALM_SPAN_MS / 2);
+    await fleet.publish({
+      kind: configuration.CHANGE_KINDS.PUT_WORKSPACE,
+      workspace: { name: 'edited', ratePerSecond: EDITED_RATE_PER_SECOND, burst: BURST },
+    });
+    // The requests of this span bring the new rate into force at each VM.
+    await hammer('edited', fleet.vms, CALM_SPAN_MS / 2);
+    const after = await hammer('edited', fleet.vms, CALM_SPAN_MS);
+    expect(worstExcess(after, EDITED_RATE_PER_SECOND)).toBeLessThanOrEqual(0);
+    expect(after.some((sending) => sending.isAdmitted)).toBe(true);
+  });
+});
--- /dev/null
+++ b/tests/outage.test.ts
@@ -0,0 +1,128 @@
+import * as clock from '@limpettack/clock';
+import * as testKit from '@limpettack/test-kit';
+import * as jestGlobals from '@jest/globals';
+import * as fleetViews from './fleetViews.js';
+
+const { afterAll, beforeAll, describe, expect, test } = jestGlobals;
+
+const { ACTION_ROUTE, KEY, MODEL_ROUTE, SERVICE_ROUTE } = testKit.FLEET_NAMES;
+
+const OUTAGE_MS = 20_000;
+const PROGRAMS = 4;
+const TURNS_BEFORE = 2;
+const TURNS_IN_OUTAGE = 2;
+const REFUSAL_LIMIT_MS = 1_000;
+const RETURN_LIMIT_MS = 15_000;
+
+const time = new clock.SystemClock();
+const caller = new testKit.Caller(KEY, MODEL_ROUTE);
+let fleet: testKit.Fleet;
+let runners: readonly testKit.ProgramRunner[];
+
+beforeAll(async () => {
+  fleet = await testKit.startFleet({
+    vms: 3,
+    failureDomains: ['quito-norte', 'cumbaya', 'tumbaco'],
+    engines: 2,
+    settings: { journal: { shardCount: 6 } },
+  });
+  await fleetViews.untilPaired(fleet);
+  runners = await Promise.all(
+    Array.from({ length: PROGRAMS }, () =>
+      testKit.ProgramRunner.open(caller, fleetViews.pickInTurn(fleet.vms)),
+    ),
+  );
+  await runTurns(TURNS_BEFORE, 'before');
+});
+
+afterAll(() => fleet.dispose());
+
+async function runTurns(count: number, text: string): Promise<readonly testKit.CallerAnswer[]> {
+  const answers = await Promise.all(
+    runners.map(async (runner) => {
+      const all: testKit.CallerAnswer[] = [];
+      for (let index = 0; index < count; index += 1) all.push(await runner.turn(text));
+      return all;
+    }),
+  );
+  return answers.flat();
+}
+
+async function setLogAvailable(isAvailable: boolean): Promise<void> {
+  await fleet.platform.setFaults({ logOutage: !isAvailable });
+  await testKit.waitFor(
+    async () => {
+      const views = await Promise.all(fleet.vms.map((vm) => vm.describeFleet()));
+      return views.every((view) => view.isLogAvailable === isAvailable);
+    },
+    { what: `the log to be ${isAvailable ? 'back' : 'down'}`, timeoutMs: RETURN_LIMIT_MS },
+  );
+}
+
+/** Sends an order to each VM and measures how long the refusals take. */
+async function sendOrders(prefix: string) {
+  return Promise.all(
+    fleet.vms.map(async (vm) => {
+      const startedAt = time.now();
+      const idempotencyKey = `${prefix}-${vm.name}`;
+      const answer = await caller.service(vm, { route: ACTION_ROUTE, idempotencyKey, body: '{}' });
+      return { answer, spanMs: time.now() - startedAt };
+    }),
+  );
+}
+
+describe('while the log is down', () => {
+  test('repeatable calls go on, others are refused, and all is journaled at its return', async () => {
+    const outage = new testKit.TestTimer(OUTAGE_MS);
+    await setLogAvailable(false);
+    const turns = await runTurns(TURNS_IN_OUTAGE, 'in the outage');
+    const durabilities = turns.map((answer) => answer.headers['limpettack-durability']);
+    expect(durabilities).toEqual(turns.map(() => 'replicated'));
+    const quotes = await Promise.all(
+      fleet.vms.map((vm) => caller.service(vm, { route: SERVICE_ROUTE, body: '{}' })),
+    );
+    const chats = await Promise.all(fleet.vms.map((vm) => caller.chat(vm, { text: 'single' })));
+    expect([...quotes, ...chats].map((answer) => answer.status)).toEqual(Array(6).fill(200));
+
+    const refused = [...(await sendOrders('early')), ...(await sendOrders('again'))];
+    await outage.untilUp();
+    refused.push(...(await sendOrders('late')));
+    refused.forEach(({ answer, spanMs }) => {
+      const refusal = testKit.refusalOf(answer);
+      expect(refusal).toMatchObject({ kind: 'log-unavailable', run: 'not-run' });
+      expect(refusal.retryAfterMs).toBeGreaterThan(0);
+      expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+      expect(spanMs).toBeLessThan(REFUSAL_LIMIT_MS);
+    });
+    expect((await fleet.target('service-1').target.executions()).byKey).toEqual({});
+
+    await setLogAvailable(true);
+    // The same orders are taken now, and what the outage left to write is written with them.
+    const taken = await sendOrders('early');
+    expect(taken.map(({ answer }) => answer.status)).toEqual([200, 200, 200]);
+    await untilJournaled();
+    await Promise.all(fleet.vms.map((vm) => fleetViews.killVm(vm)));
+    await Promise.all(fleet.vms.map((vm) => vm.start()));
+    await fleetViews.untilPaired(fleet);
+    await runTurns(1, 'after');
+    const expected = TURNS_BEFORE + TURNS_IN_OUTAGE + 1;
+    expect(runners.map((runner) => runner.turns)).toEqual(runners.map(() => expected));
+    const { byKey } = await fleet.target('service-1').target.executions();
+    expect(Object.values(byKey)).toEqual([1, 1, 1]);
+  });
+});
+
+/** Waits until nothing more is appended, so that nothing waits to be. */
+async function untilJournaled(): Promise<void> {
+  let last = -1;
+  await testKit.waitFor(
+    async () => {
+      const counts = Object.values(await fleet.platform.counts());
+      const records = counts.reduce((sum, count) => sum + count.records, 0);
+      const isSettled = records === last;
+      last = records;
+      return isSettled;
+    },
+    { what: 'the appends to end', timeoutMs: RETURN_LIMIT_MS, intervalMs: 1_000 },
+  );
+}
