Find the caller's key also behind escapes

Cause: a key written with JSON or percent escapes in a body, or with percent escapes in a query that holds one malformed escape, passed the check and reached a target in plain, since the home writes the messages anew and targets decode what they are sent.

--- a/packages/entry/src/CallGate.ts
+++ b/packages/entry/src/CallGate.ts
@@ -4,6 +4,7 @@
 import type * as limits from '@limpettack/limits';
 import type * as metrics from '@limpettack/metrics';
 import * as trueMyth from 'true-myth';
+import * as keyCheck from './carriesKey.js';
 import type { CallerExchange, Outcome } from './Types.js';
 
 /** Time for the limits to answer, in milliseconds. */
@@ -33,7 +34,10 @@
     if (route.value.kind !== kind) {
       return trueMyth.Result.err(errors.createFault('route-unknown'));
     }
-    if (carriesKey(exchange, body)) return trueMyth.Result.err(keyLeaks());
+    const { key, request } = exchange;
+    if (key !== undefined && keyCheck.carriesKey(request, body, key)) {
+      return trueMyth.Result.err(keyLeaks());
+    }
     const admitted = await this.admit(exchange);
     if (admitted !== undefined) return trueMyth.Result.err(admitted);
     return route;
@@ -53,26 +57,6 @@
   }
 }
 
-/** Tells whether anything but the Authorization field carries the caller's key. */
-function carriesKey(exchange: CallerExchange, body: Buffer): boolean {
-  const { key, request } = exchange;
-  if (key === undefined) return false;
-  const forms = [key, encodeURIComponent(key), Buffer.from(key).toString('base64')];
-  const fields = Object.entries(request.headers)
-    .filter(([name]) => name !== 'authorization')
-    .flatMap(([name, value]) => [name, ...[value ?? ''].flat()]);
-  const texts = [request.url ?? '', decoded(request.url ?? ''), ...fields];
-  return forms.some((form) => body.includes(form) || texts.some((text) => text.includes(form)));
-}
-
-function decoded(text: string): string {
-  try {
-    return decodeURIComponent(text);
-  } catch {
-    return text;
-  }
-}
-
 function keyLeaks(): errors.Fault {
   return errors.createFault(
     'bad-request',
