Split the home's calls by what they run, and look the program up again after each wait

On the way: a call that waited for its turn kept the state of the program that it had first seen, so that after a loss and return of the shard it could have gone on with an old history; a turn could have been appended to it. The place in the order now looks the program up after each wait, and a turn is appended only to the state that it started from.

--- a/packages/node/src/VmProcess.ts
+++ b/packages/node/src/VmProcess.ts
@@ -300,17 +300,26 @@
     const retries = new targets.RetryBudget(RETRY_BUDGET);
     const { clock, random } = this;
     const shared = { scheduler, client, directory, crashes, retries, clock, random };
-    const services = new programs.ServiceCaller(shared);
+    const models = new programs.ModelCaller(shared);
+    const caller = new programs.ServiceCaller(shared);
+    const keyed = new programs.KeyedCaller({
+      ...this.parts('home'),
+      shards,
+      services: caller,
+      client,
+    });
+    const authority = new programs.Authority(shards);
+    const services = new programs.ServiceRuns(caller, keyed, authority);
+    const running = new programs.RunningCalls(this.configuration, clock);
+    const common = { models, services, authority, scheduler, running, clock };
+    const shardOf = (callKey: string): number => shards.shardOf(callKey);
+    const reservations = new programs.Reservations(shards);
     return new programs.HomeCalls({
       shards,
-      configuration: this.configuration,
-      scheduler,
-      directory,
-      models: new programs.ModelCaller(shared),
-      services,
-      keyed: new programs.KeyedCaller({ ...this.parts('home'), shards, services, client }),
-      reservations: new programs.Reservations(shards),
-      clock: this.clock,
+      running,
+      turns: new programs.ProgramTurns({ ...common, shards, directory, reservations }),
+      singles: new programs.SingleCalls({ ...common, shardOf }),
+      clock,
     });
   }
 
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import * as logging from '@limpettack/logging';
 import * as settings from '@limpettack/settings';
 import * as cac from 'cac';
 import * as nodeSettings from './NodeSettings.js';
@@ -29,6 +30,14 @@
   return serve(new vmProcess.VmProcess(read.value, secrets.value));
 }
 
+/** A failed background task must not end the programs of all callers, so it is only logged. */
+function logUnhandledRejections(): void {
+  const logger = new logging.PartLogger('node');
+  process.on('unhandledRejection', (reason) => {
+    logger.error('A background task failed.', { reason: String(reason) });
+  });
+}
+
 async function serve(vm: vmProcess.VmProcess): Promise<void> {
   const stop = (): void => {
     vm.shutDown().then(
@@ -36,6 +45,7 @@
       () => process.exit(EXIT_FAILED),
     );
   };
+  logUnhandledRejections();
   process.once('SIGTERM', stop);
   process.once('SIGINT', stop);
   try {
--- /dev/null
+++ b/packages/programs/src/Authority.ts
@@ -0,0 +1,46 @@
+import type * as clockTypes from '@limpettack/clock';
+import type * as journal from '@limpettack/journal';
+import type * as targets from '@limpettack/targets';
+import * as trueMyth from 'true-myth';
+import * as runningCalls from './RunningCalls.js';
+import type { Outcome } from './Types.js';
+
+/** A call that may be repeated goes out if its shard was known to be owned so recently. */
+const REPEATABLE_FRESHNESS_MS = 1_000;
+
+/** For a call that must not be repeated, the standby or the log is always asked. */
+const ALWAYS_ASK_MS = 0;
+
+/** The fencing of calls that belong to no shard. */
+const UNFENCED: targets.FencingNumber = { scope: 'none', number: 0 };
+
+/** Makes sure, before each dispatch, that this process still owns the shard of the call. */
+export class Authority {
+  public constructor(
+    private readonly shards: Pick<journal.Journal<unknown, unknown>, 'confirmAuthority'>,
+  ) {}
+
+  /** For a call that may be repeated. Faults: `not-owner`, `log-unavailable`. */
+  public confirmRepeatable(shard: number): Promise<Outcome<targets.FencingNumber>> {
+    return this.confirm(shard, REPEATABLE_FRESHNESS_MS);
+  }
+
+  /** For a call that must not be repeated. Faults: `not-owner`, `log-unavailable`. */
+  public confirmOnce(shard: number): Promise<Outcome<targets.FencingNumber>> {
+    return this.confirm(shard, ALWAYS_ASK_MS);
+  }
+
+  private async confirm(
+    shard: number,
+    freshnessMs: clockTypes.Milliseconds,
+  ): Promise<Outcome<targets.FencingNumber>> {
+    if (shard === runningCalls.NO_SHARD) return trueMyth.Result.ok(UNFENCED);
+    const confirmed = await this.shards.confirmAuthority(shard, freshnessMs);
+    return confirmed.map(({ epoch }) => ({ scope: fencingScope(shard), number: epoch }));
+  }
+}
+
+/** The fencing scope of a shard's calls. */
+export function fencingScope(shard: number): string {
+  return `shard-${shard}`;
+}
--- a/packages/programs/src/CallOrder.ts
+++ b/packages/programs/src/CallOrder.ts
@@ -32,8 +32,10 @@
   readonly turn: number | undefined;
   readonly requestDigest: string;
   readonly deadline: clockTypes.Milliseconds;
+  /** The program as it is now; a fault when it is not here any more. */
+  readonly find: () => Outcome<ProgramState>;
   /** Makes the running turn; called in the same step in which its place is found free. */
-  readonly begin: (turn: number) => Outcome<RunningTurn>;
+  readonly begin: (program: ProgramState, turn: number) => Outcome<RunningTurn>;
 }
 
 /** Lets one call of a program run at a time, in the order of turns. */
@@ -51,16 +53,19 @@
 
   /**
    * Finds a call's place; a call for the next turn waits until no other runs. Faults, all not run:
-   * `program-ended`, `history-incomplete`, `turn-mismatch`, `turn-out-of-order`.
+   * `program-ended`, `history-incomplete`, `turn-mismatch`, `turn-out-of-order`, and those of
+   * `find` and `begin`.
    */
-  public async place(program: ProgramState, request: PlaceRequest): Promise<Outcome<CallPlace>> {
+  public async place(request: PlaceRequest): Promise<Outcome<CallPlace>> {
     const holeLimit = Math.min(request.deadline, this.clock.now() + HOLE_WAIT_MS);
     for (;;) {
-      const found = this.findPlace(program, request);
+      const program = request.find();
+      if (program.isErr) return trueMyth.Result.err(program.error);
+      const found = this.findPlace(program.value, request);
       if (found !== undefined) return found;
-      const isHole = request.turn !== undefined && request.turn > program.turns.length + 1;
+      const isHole = request.turn !== undefined && request.turn > program.value.turns.length + 1;
       const limit = isHole ? holeLimit : request.deadline;
-      if (this.clock.now() >= limit) return trueMyth.Result.err(outOfOrder(program));
+      if (this.clock.now() >= limit) return trueMyth.Result.err(outOfOrder(program.value));
       await this.nextChange(limit - this.clock.now());
     }
   }
@@ -68,6 +73,11 @@
   /** Ends the running turn. */
   public finish(): void {
     this.running = undefined;
+    this.wake();
+  }
+
+  /** Lets all that wait look again. */
+  public wake(): void {
     const { waiters } = this;
     this.waiters = [];
     waiters.forEach((wake) => wake());
@@ -90,11 +100,11 @@
     }
     const next = program.turns.length + 1;
     if (running !== undefined || (request.turn ?? next) !== next) return undefined;
-    return this.begin(next, request);
+    return this.begin(program, next, request);
   }
 
-  private begin(turn: number, request: PlaceRequest): Outcome<CallPlace> {
-    const begun = request.begin(turn);
+  private begin(program: ProgramState, turn: number, request: PlaceRequest): Outcome<CallPlace> {
+    const begun = request.begin(program, turn);
     if (begun.isErr) return trueMyth.Result.err(begun.error);
     this.running = begun.value;
     return trueMyth.Result.ok({ kind: PLACE_KINDS.NEXT, running: begun.value });
--- a/packages/programs/src/Home.ts
+++ b/packages/programs/src/Home.ts
@@ -8,7 +8,8 @@
 import type * as wire from '@limpettack/wire';
 import * as amounts from './amounts.js';
 import * as faults from './faults.js';
-import * as homeCalls from './HomeCalls.js';
+import * as expiry from './expiry.js';
+import type * as homeCalls from './HomeCalls.js';
 import * as messages from './messages.js';
 import * as programIds from './programIds.js';
 import * as records from './records.js';
@@ -296,7 +297,7 @@
         await Promise.all(
           [...programs]
             .filter((program) => program.ended === undefined && program.complete)
-            .filter((program) => homeCalls.expiryOf(program) <= now)
+            .filter((program) => expiry.expiryOf(program) <= now)
             .map((program) => this.end(program, records.END_REASONS.EXPIRED)),
         );
       }
--- /dev/null
+++ b/packages/programs/src/ServiceRuns.ts
@@ -0,0 +1,54 @@
+import * as configuration from '@limpettack/configuration';
+import * as errors from '@limpettack/errors';
+import * as trueMyth from 'true-myth';
+import * as answers from './answers.js';
+import type * as authorities from './Authority.js';
+import * as digests from './digests.js';
+import type * as keyedCaller from './KeyedCaller.js';
+import * as programIds from './programIds.js';
+import type * as serviceCaller from './ServiceCaller.js';
+import type { CallRequest, Outcome, RecordedAnswer, RunningCall } from './Types.js';
+
+type ServiceRequest = Extract<CallRequest['call'], { kind: 'service' }>;
+
+/** Runs a service call by its route: again after failures, or at most once by its key. */
+export class ServiceRuns {
+  public constructor(
+    private readonly services: serviceCaller.ServiceCaller,
+    private readonly keyed: keyedCaller.KeyedCaller,
+    private readonly authority: authorities.Authority,
+  ) {}
+
+  /** Runs the call. Its program has had so many seconds of service before. */
+  public async run(
+    call: RunningCall,
+    service: ServiceRequest,
+    attainedSeconds: number,
+  ): Promise<Outcome<RecordedAnswer>> {
+    const { shard, route, request } = call;
+    const fingerprint = digests.fingerprintRequest(request);
+    const common = { call, service, fingerprint, attainedSeconds };
+    if (route.repeatable) {
+      const confirmAuthority = () => this.authority.confirmRepeatable(shard);
+      const answer = await this.services.runRepeatable({ ...common, confirmAuthority });
+      return answer.map(answers.recordService);
+    }
+    const callKey = callKeyOf(request);
+    const { idempotencyKey } = service;
+    if (callKey === undefined || idempotencyKey === undefined) {
+      return trueMyth.Result.err(errors.createFault('idempotency-key-required'));
+    }
+    const confirmAuthority = () => this.authority.confirmOnce(shard);
+    const prepared = { ...common, confirmAuthority };
+    const requestDigest = digests.digestRequest(request);
+    return this.keyed.run({ prepared, callKey, requestDigest, idempotencyKey });
+  }
+}
+
+/** The call key of a service call that names an idempotency key; nothing for any other. */
+export function callKeyOf(request: CallRequest): string | undefined {
+  const { call, workspace, route, program } = request;
+  if (call.kind !== configuration.CALL_KINDS.SERVICE) return undefined;
+  if (call.idempotencyKey === undefined) return undefined;
+  return programIds.createCallKey(workspace, route, program, call.idempotencyKey);
+}
