Let the budget bear each attempt of a call; test budgets and engine memory

Cause: each attempt at an answer might generate as much as the whole call was reserved for, and an answer that differed from what an earlier attempt had delivered was not counted at all. What an abandoned attempt may have generated is counted whole, and another attempt gets what the budget leaves. The engine stand-in counts the tokens generated for each program, so that tests judge by it.

--- a/packages/programs/src/HomeCalls.ts
+++ b/packages/programs/src/HomeCalls.ts
@@ -308,6 +308,7 @@
       model,
       messages: [...history, ...model.messages],
       maximumTokens: reserved.value,
+      allowAfter: (abandoned) => kept.reserveAfter(call.shard, program, abandoned, wantedTokens),
       fingerprint: digests.fingerprintRequest(call.request),
       attainedSeconds: this.attained.get(program.program) ?? 0,
       buffer,
@@ -443,11 +444,13 @@
     model: ModelRequest,
     buffer: answerBuffer.AnswerBuffer,
   ): Promise<errors.Fault | undefined> {
+    const maximumTokens = model.maximumTokens ?? call.route.defaultMaximumTokens;
     const ending = await this.options.models.run({
       call,
       model,
       messages: model.messages,
-      maximumTokens: model.maximumTokens ?? call.route.defaultMaximumTokens,
+      maximumTokens,
+      allowAfter: () => Promise.resolve(trueMyth.Result.ok(maximumTokens)),
       fingerprint: digests.fingerprintRequest(call.request),
       attainedSeconds: 0,
       buffer,
--- a/packages/programs/src/ModelCaller.ts
+++ b/packages/programs/src/ModelCaller.ts
@@ -30,6 +30,8 @@
   /** The whole history, this call's messages included. */
   readonly messages: readonly ChatMessage[];
   readonly maximumTokens: number;
+  /** How many tokens one more attempt may generate after earlier ones may have generated so many. */
+  readonly allowAfter: (abandonedTokens: number) => Promise<Outcome<number>>;
   readonly fingerprint: string;
   readonly attainedSeconds: number;
   readonly buffer: answerBuffer.AnswerBuffer;
@@ -61,6 +63,8 @@
   count: number;
   wasSent: boolean;
   abandonedTokens: number;
+  /** What the present attempt may generate. */
+  maximumTokens: number;
 }
 
 /** What the caller of models needs. */
@@ -84,6 +88,7 @@
       count: 0,
       wasSent: false,
       abandonedTokens: 0,
+      maximumTokens: prepared.maximumTokens,
     };
     const result = await this.runUntilEnded(prepared, attempts);
     const { wasSent, abandonedTokens } = attempts;
@@ -115,6 +120,8 @@
     attempts: Attempts,
   ): Promise<Outcome<ModelAnswer> | undefined> {
     const { call } = prepared;
+    const allowed = await this.allow(prepared, attempts);
+    if (allowed !== undefined) return trueMyth.Result.err(allowed);
     const description = describe(prepared, attempts);
     const acquired = await this.acquire(description, call, attempts);
     if (acquired.isErr) return trueMyth.Result.err(acquired.error);
@@ -133,6 +140,18 @@
     }
   }
 
+  /** Makes sure that the budget bears another attempt beside what earlier ones may have spent. */
+  private async allow(
+    prepared: PreparedModelCall,
+    attempts: Attempts,
+  ): Promise<errors.Fault | undefined> {
+    if (attempts.abandonedTokens === 0) return undefined;
+    const allowed = await prepared.allowAfter(attempts.abandonedTokens);
+    if (allowed.isErr) return allowed.error;
+    attempts.maximumTokens = allowed.value;
+    return undefined;
+  }
+
   /** An answer that still runs on an engine for this turn is taken up where it is. */
   private async acquire(
     description: scheduling.CallDescription,
@@ -173,6 +192,7 @@
       firstTokenMs ??= this.options.clock.now() - startedAt;
       usage = piece.value.usage ?? usage;
       if (!deliver(piece.value, attempts, buffer)) {
+        attempts.abandonedTokens += attempts.maximumTokens;
         return trueMyth.Result.err(errors.createFault('stream-interrupted'));
       }
     }
@@ -204,7 +224,7 @@
     attempts.excluded.add(slot.target);
     if (failure.kind === TARGET_FAILURES.CANCELLED || prepared.call.signal.aborted) {
       attempts.wasSent = true;
-      attempts.abandonedTokens += prepared.maximumTokens;
+      attempts.abandonedTokens += attempts.maximumTokens;
       return trueMyth.Result.err(faults.faultOfAbort(prepared.call.signal, true));
     }
     this.options.directory.report({ target: slot.target, failure: failure.kind, totalMs });
@@ -213,7 +233,7 @@
     if (failure.kind === TARGET_FAILURES.FENCED) {
       return trueMyth.Result.err(errors.createFault('not-owner'));
     }
-    attempts.abandonedTokens += prepared.maximumTokens;
+    attempts.abandonedTokens += attempts.maximumTokens;
     if (failure.kind === TARGET_FAILURES.DIED) {
       this.options.crashes.noteDeath(prepared.fingerprint, slot.target, startedAt);
     }
@@ -254,7 +274,7 @@
     target: slot.target,
     parameters: { ...model.parameters, ...(call.pool.model ? { model: call.pool.model } : {}) },
     messages: prepared.messages,
-    maximumTokens: prepared.maximumTokens,
+    maximumTokens: attempts.maximumTokens,
     priority: slot.priority,
     fencing,
     ...(isResumed ? { resumeAfter: 0 } : {}),
@@ -276,7 +296,7 @@
     workspace: call.request.workspace ?? '',
     program: call.request.program ?? call.callId,
     promptTokens: estimateTokens(prepared.messages),
-    expectedTokens: prepared.maximumTokens,
+    expectedTokens: attempts.maximumTokens,
     attainedSeconds: prepared.attainedSeconds,
     deadline: call.deadline,
     excluded: attempts.excluded,
--- a/packages/programs/src/Reservations.ts
+++ b/packages/programs/src/Reservations.ts
@@ -40,6 +40,23 @@
     return trueMyth.Result.ok(Math.min(wantedTokens, spendable.tokens));
   }
 
+  /**
+   * Makes sure that one more attempt at a call is reserved beside what its earlier attempts may
+   * have generated, and tells how many tokens it may generate. Faults: as `reserve`.
+   */
+  public async reserveAfter(
+    shard: number,
+    program: ProgramState,
+    abandonedTokens: number,
+    wantedTokens: number,
+  ): Promise<Outcome<number>> {
+    const reserved = await this.reserve(shard, program, abandonedTokens + wantedTokens);
+    if (reserved.isErr) return reserved;
+    const left = reserved.value - abandonedTokens;
+    if (left >= 1) return trueMyth.Result.ok(left);
+    return trueMyth.Result.err(errors.createFault('budget-exhausted'));
+  }
+
   /** What the record of a completed turn reserves for the next ones. */
   public next(program: ProgramState, used: Amount, wantedTokens: number): Amount {
     const spent = amounts.add(used, this.unsettledOf(program));
--- a/packages/stand-ins/src/EngineCall.ts
+++ b/packages/stand-ins/src/EngineCall.ts
@@ -82,6 +82,11 @@
     return this.cancellation.signal;
   }
 
+  /** How many tokens have been generated so far. */
+  public get generatedTokens(): number {
+    return this.generated;
+  }
+
   /** The text generated so far. */
   public get text(): string {
     const tokens = Array.from({ length: this.generated }, (_, index) =>
--- a/packages/stand-ins/src/EngineServer.ts
+++ b/packages/stand-ins/src/EngineServer.ts
@@ -54,6 +54,9 @@
 
   private readonly disposal = new AbortController();
 
+  /** Tokens generated for each program, by calls that have ended. */
+  private readonly generated = new Map<string, number>();
+
   public constructor(
     private readonly time: clock.Clock,
     options: EngineOptions = {},
@@ -111,6 +114,7 @@
 
   /** @inheritdoc */
   public describe(path: string): unknown {
+    if (path === '/admin/generated') return { byProgram: Object.fromEntries(this.generated) };
     return path === '/admin/state' ? this.orders.state : undefined;
   }
 
@@ -160,10 +164,18 @@
     if (body.stream) await this.stream(call, 0, exchange);
     else await this.answerWhole(call, exchange);
     await run;
+    this.countGenerated(call);
     this.forgetLater(call);
     return call.outcome ?? OUTCOMES.CANCELLED;
   }
 
+  private countGenerated(call: engineCall.EngineCall): void {
+    const { program } = call.request;
+    if (program === undefined) return;
+    const count = this.generated.get(program) ?? 0;
+    this.generated.set(program, count + call.generatedTokens);
+  }
+
   /** A call that comes again under the same id takes the place of the earlier one. */
   private keep(call: engineCall.EngineCall): void {
     const { callId } = call.request;
--- a/packages/test-kit/src/FleetVm.ts
+++ b/packages/test-kit/src/FleetVm.ts
@@ -116,9 +116,9 @@
     return (await this.askOperators('GET', 'fleet')) as FleetDescription;
   }
 
-  /** Sends a request to the operators' port, at a path below `/v1/operators/`. */
-  public async askOperators(method: 'GET' | 'POST', path: string, body?: unknown) {
-    const answer = await undici.request(`${this.operatorsUrl}/v1/operators/${path}`, {
+  /** Sends a request to the operators' port, at a resource below `/v1/operators/`. */
+  public async askOperators(method: 'GET' | 'POST', resource: string, body?: unknown) {
+    const answer = await undici.request(`${this.operatorsUrl}/v1/operators/${resource}`, {
       method,
       headers: { authorization: `Bearer ${this.options.operatorsToken}` },
       body: body === undefined ? null : JSON.stringify(body),
--- a/packages/test-kit/src/TargetProcess.ts
+++ b/packages/test-kit/src/TargetProcess.ts
@@ -21,8 +21,11 @@
 export class TargetProcess implements lifetime.Disposable {
   private readonly admin: adminClient.AdminClient;
 
+  private readonly direct: adminClient.AdminClient;
+
   public constructor(public readonly process: runningProcess.RunningProcess) {
     this.admin = new adminClient.AdminClient(`http://${process.field('admin')}`);
+    this.direct = new adminClient.AdminClient(process.url);
   }
 
   /** Where the target listens, as `host:port`. */
@@ -47,6 +50,18 @@
     return (await this.admin.send('GET', '/admin/executions')) as ExecutionCounts;
   }
 
+  /** Tokens that an engine has generated for each program, by calls that have ended. */
+  public async generated(): Promise<Readonly<Record<string, number>>> {
+    const answer = await this.admin.send('GET', '/admin/generated');
+    return (answer as { byProgram: Record<string, number> }).byProgram;
+  }
+
+  /** Programs for which an engine holds memory. */
+  public async sessions(): Promise<readonly string[]> {
+    const answer = await this.direct.send('GET', '/v1/sessions');
+    return (answer as { sessions: { program: string }[] }).sessions.map(({ program }) => program);
+  }
+
   /** @inheritdoc */
   public dispose(): Promise<void> {
     return this.process.dispose();
