--- a/packages/programs/src/ProgramTurns.ts
+++ b/packages/programs/src/ProgramTurns.ts
@@ -115,6 +115,7 @@
       model,
       messages: [...program.turns.flatMap((turn) => turn.messages), ...model.messages],
       maximumTokens: reserved.value,
+      allowAfter: (abandoned) => kept.reserveAfter(call.shard, program, abandoned, wantedTokens),
       fingerprint: digests.fingerprintRequest(call.request),
       attainedSeconds: this.attainedBy(program),
       buffer,
--- a/packages/programs/src/SingleCalls.ts
+++ b/packages/programs/src/SingleCalls.ts
@@ -80,11 +80,13 @@
   ): Promise<errors.Fault | undefined> {
     const model = call.request.call;
     if (model.kind !== configuration.CALL_KINDS.MODEL) return undefined;
+    const maximumTokens = model.maximumTokens ?? call.route.defaultMaximumTokens;
     const ending = await this.options.models.run({
       call,
       model,
       messages: model.messages,
-      maximumTokens: model.maximumTokens ?? call.route.defaultMaximumTokens,
+      maximumTokens,
+      allowAfter: () => Promise.resolve(trueMyth.Result.ok(maximumTokens)),
       fingerprint: digests.fingerprintRequest(call.request),
       attainedSeconds: 0,
       buffer,
