--- /dev/null
+++ b/benchmarks/slopes/slopes.mjs
@@ -0,0 +1,29 @@
+/** Measures how the costs of the system grow, and prints one table of slopes. */
+import * as admissions from './admissions.mjs';
+import * as idle from './idle.mjs';
+import * as memory from './memory.mjs';
+import * as slopeTable from './SlopeTable.mjs';
+import * as takeover from './takeover.mjs';
+import * as work from './work.mjs';
+
+const MEASUREMENTS = {
+  fleet: idle.measureFleetSizes,
+  shards: idle.measureShards,
+  probes: idle.measureProbes,
+  targets: idle.measureTargets,
+  memory: memory.measurePrograms,
+  workspaces: memory.measureWorkspaces,
+  turns: work.measureTurns,
+  tokens: work.measureTokens,
+  appends: work.measureAppends,
+  admissions: admissions.measureAdmissions,
+  takeover: takeover.measureTakeovers,
+};
+
+const names = process.argv.slice(2);
+const table = new slopeTable.SlopeTable();
+for (const [name, measure] of Object.entries(MEASUREMENTS)) {
+  if (names.length === 0 || names.includes(name)) await measure(table);
+}
+table.print();
+process.exit(0);
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -65,4 +65,19 @@
     languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
     rules: { 'no-console': 'off' },
   },
+  {
+    // A measurement is one loop too: points that ran beside each other would disturb each other.
+    files: ['benchmarks/slopes/*.mjs'],
+    languageOptions: { globals: { performance: 'readonly', setTimeout: 'readonly' } },
+    rules: {
+      'import-x/extensions': 'off',
+      'import-x/prefer-default-export': 'off',
+      'no-await-in-loop': 'off',
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'ImportDeclaration > ImportSpecifier', message: NAMESPACE_IMPORT },
+        { selector: 'ImportDeclaration > ImportDefaultSpecifier', message: NAMESPACE_IMPORT },
+      ],
+    },
+  },
 ];
--- a/packages/test-kit/src/FaultProxy.ts
+++ b/packages/test-kit/src/FaultProxy.ts
@@ -28,6 +28,9 @@
   /** How many connections have been accepted. */
   public acceptedCount = 0;
 
+  /** Bytes that have been forwarded, both ways together. */
+  public forwardedBytes = 0;
+
   public constructor(
     private readonly time: clock.Clock,
     /** Where connections are forwarded to, as `host:port`. */
@@ -121,6 +124,9 @@
       delayMs: () => this.delayMs,
       isSilenced: (direction) => this.silenced === direction || this.silenced === DIRECTIONS.BOTH,
       takeDownBytes: (count) => this.takeDownBytes(count),
+      countForwarded: (count) => {
+        this.forwardedBytes += count;
+      },
     });
     this.connections.add(connection);
     connection
--- a/packages/test-kit/src/ProxiedConnection.ts
+++ b/packages/test-kit/src/ProxiedConnection.ts
@@ -96,6 +96,7 @@
     const { length } = held.piece;
     const taken = direction === DIRECTIONS.DOWN ? this.faults.takeDownBytes(length) : length;
     sink.write(held.piece.subarray(0, taken));
+    this.faults.countForwarded(taken);
     if (taken < length) await this.endAfterWrites(sink);
   }
 
--- a/packages/test-kit/src/Types.ts
+++ b/packages/test-kit/src/Types.ts
@@ -13,6 +13,8 @@
   isSilenced(direction: Direction): boolean;
   /** How many of so many answer bytes go through; fewer says that the connection is then reset. */
   takeDownBytes(count: number): number;
+  /** Called with the number of bytes of each piece that has been forwarded. */
+  countForwarded(count: number): void;
 }
 
 /** Sections of a settings file, and in each the settings by name. */
