--- a/packages/journal/src/ClaimSupervisor.ts
+++ b/packages/journal/src/ClaimSupervisor.ts
@@ -62,6 +62,12 @@
   | 'yieldToStandby'
 >;
 
+/** Ticks in which each shard that this process does not hold is looked at once. */
+const TICKS_PER_TURN = 10;
+
+/** Such shards that are looked at in each tick at least. */
+const LEAST_IN_TURN = 32;
+
 interface Condition {
   readonly name: string;
   readonly since: clock.Milliseconds;
@@ -79,6 +85,8 @@
 
   private yieldedAt = Number.NEGATIVE_INFINITY;
 
+  private nextInTurn = 0;
+
   public constructor(
     private readonly slots: readonly ClaimableShard[],
     private readonly collaborators: SupervisorCollaborators,
@@ -97,11 +105,29 @@
     }
   }
 
-  /** Looks at all shards once. What it starts goes on by itself. */
+  /**
+   * Looks at the shards that this process holds, and in turn at a bounded number of the others.
+   * What it starts goes on by itself.
+   */
   public superviseAll(): void {
     if (this.isHandingOver) return;
-    if (this.collaborators.status.available) this.slots.forEach((slot) => this.supervise(slot));
-    else this.yieldOwned();
+    if (!this.collaborators.status.available) {
+      this.yieldOwned();
+      return;
+    }
+    const inTurn = this.takeInTurn();
+    this.slots
+      .filter((slot, index) => inTurn(index) || isHeld(slot))
+      .forEach((slot) => this.supervise(slot));
+  }
+
+  /** Picks the indices of the next shards in turn, so that each is looked at within a second. */
+  private takeInTurn(): (index: number) => boolean {
+    const { length } = this.slots;
+    const count = Math.max(LEAST_IN_TURN, Math.ceil(length / TICKS_PER_TURN));
+    const first = this.nextInTurn;
+    this.nextInTurn = (first + count) % Math.max(1, length);
+    return (index) => (index - first + length) % length < count;
   }
 
   /** When only this VM has lost the log, its standbys can claim what it owns. */
@@ -225,3 +251,8 @@
     return 0;
   }
 }
+
+/** Whether what becomes of the shard now is this process's own concern. */
+function isHeld(slot: ClaimableShard): boolean {
+  return slot.isOwner || slot.isStandby || slot.released;
+}
--- a/packages/journal/src/PauseDetector.ts
+++ b/packages/journal/src/PauseDetector.ts
@@ -1,6 +1,6 @@
 import type * as clock from '@limpettack/clock';
 
-const TICK_MS = 50;
+const TICK_MS = 100;
 
 /** A tick that is later than this says that the process stood still. */
 const PAUSE_MS = 400;
