--- a/benchmarks/slopes/SlopeTable.mjs
+++ b/benchmarks/slopes/SlopeTable.mjs
@@ -15,6 +15,8 @@
   constructor() {
     this.slopes = new Map();
     this.startedAt = Date.now();
+    this.loads = [];
+    this.failures = [];
   }
 
   /** Adds a point: `y` in `unitY` at `x` in `unitX`. */
@@ -22,6 +24,7 @@
     const slope = this.slopes.get(name) ?? { unitY, unitX, points: [] };
     slope.points.push({ x, y });
     this.slopes.set(name, slope);
+    process.stderr.write(`  ${name} at ${shown(x)}: ${shown(y)} ${unitY}\n`);
   }
 
   /** Notes on the error stream that a step begins, and under which load of the machine. */
@@ -29,10 +32,15 @@
     const [load] = os.loadavg();
     const seconds = Math.round((Date.now() - this.startedAt) / 1000);
     process.stderr.write(`${seconds} s: ${step} (load average ${load.toFixed(1)})\n`);
-    this.loads = [...(this.loads ?? []), load];
+    this.loads.push(load);
   }
 
-  /** Prints one row for each slope. */
+  /** Notes that a measurement broke off; its points so far stay. */
+  fail(name, error) {
+    this.failures.push(`${name}: ${String(error)}`);
+  }
+
+  /** Prints one row for each slope, and what failed. */
   print() {
     const [model] = os.cpus();
     const node = process.version;
@@ -44,10 +52,15 @@
     console.log('| name | slope | intercept | R2 | points (x: y) |');
     console.log('| --- | --- | --- | --- | --- |');
     this.slopes.forEach(({ unitY, unitX, points }, name) => {
-      const { slope, intercept, r2 } = fit.fitLine(points);
       const list = points.map(({ x, y }) => `${shown(x)}: ${shown(y)}`).join(', ');
+      if (points.length < fit.LEAST_POINTS) {
+        console.log(`| ${name} | not enough points | | | ${list} |`);
+        return;
+      }
+      const { slope, intercept, r2 } = fit.fitLine(points);
       const line = `${shown(slope)} ${unitY} / ${unitX} | ${shown(intercept)} ${unitY}`;
       console.log(`| ${name} | ${line} | ${r2.toFixed(3)} | ${list} |`);
     });
+    this.failures.forEach((failure) => console.log(`FAILED ${failure}`));
   }
 }
--- a/benchmarks/slopes/fit.mjs
+++ b/benchmarks/slopes/fit.mjs
@@ -1,7 +1,7 @@
 /** Straight lines through measured points. */
 
 /** The fewest points that make a slope. */
-const LEAST_POINTS = 4;
+export const LEAST_POINTS = 4;
 
 function mean(values) {
   return values.reduce((total, value) => total + value, 0) / values.length;
--- a/benchmarks/slopes/fleets.mjs
+++ b/benchmarks/slopes/fleets.mjs
@@ -8,6 +8,7 @@
 const RATE_PER_SECOND = 100_000;
 const START_TIMEOUT_MS = 60_000;
 const START_ATTEMPTS = 5;
+const STARTS_AT_ONCE = 4;
 
 /** Tables with so many rows for the one engine, and so many workspaces. */
 export function createTables(targets, engineRows, workspaces) {
@@ -60,6 +61,7 @@
       failureDomains: FAILURE_DOMAINS,
       engines: 1,
       services: 0,
+      startsAtOnce: STARTS_AT_ONCE,
       tables: (targets) => createTables(targets, 1, 1),
       ...options,
       settings: {
--- a/benchmarks/slopes/slopes.mjs
+++ b/benchmarks/slopes/slopes.mjs
@@ -20,10 +20,14 @@
   takeover: takeover.measureTakeovers,
 };
 
+// Each child process of a fleet has a listener that ends it with this process.
+process.setMaxListeners(0);
+
 const names = process.argv.slice(2);
 const table = new slopeTable.SlopeTable();
 for (const [name, measure] of Object.entries(MEASUREMENTS)) {
-  if (names.length === 0 || names.includes(name)) await measure(table);
+  if (names.length > 0 && !names.includes(name)) continue;
+  await measure(table).catch((error) => table.fail(name, error));
 }
 table.print();
-process.exit(0);
+process.exit(table.failures.length === 0 ? 0 : 1);
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -73,6 +73,7 @@
       'import-x/extensions': 'off',
       'import-x/prefer-default-export': 'off',
       'no-await-in-loop': 'off',
+      'no-continue': 'off',
       'no-restricted-syntax': [
         'error',
         { selector: 'ImportDeclaration > ImportSpecifier', message: NAMESPACE_IMPORT },
--- a/packages/test-kit/src/startFleet.ts
+++ b/packages/test-kit/src/startFleet.ts
@@ -54,6 +54,8 @@
   readonly environment?: Readonly<Record<string, string>>;
   /** Makes the tables; `defaultTables` when left out. */
   readonly tables?: (targets: readonly FleetTargetRow[]) => TablesInput;
+  /** How many VMs are started at a time; all when left out. */
+  readonly startsAtOnce?: number;
   /** Keys to give, by workspace; the default key of the default workspace when left out. */
   readonly keys?: Readonly<Record<string, readonly string[]>>;
 }
@@ -86,11 +88,17 @@
   const fleet = new fleets.Fleet({ clock: time, platform, log, vms, targets, store });
   await publishConfiguration(options, fleet);
   await fleet.listVms();
-  await Promise.all(vms.map((vm) => vm.start()));
+  await startVms(vms, options.startsAtOnce ?? vms.length);
   await fleet.untilReady();
   return fleet;
 }
 
+async function startVms(vms: readonly fleetVm.FleetVm[], atOnce: number): Promise<void> {
+  for (let first = 0; first < vms.length; first += atOnce) {
+    await Promise.all(vms.slice(first, first + atOnce).map((vm) => vm.start()));
+  }
+}
+
 async function startTargets(
   options: FleetOptions,
   store: lifetime.DisposableStore,
