Test configuration and silence, and soak fleets under a random schedule of faults

Ruled out: judging by counters of the system; keys are tried through each VM. Calls of plain services end at their caller's deadline, so the test gives one.

--- /dev/null
+++ b/benchmarks/soak/checks.mjs
@@ -0,0 +1,156 @@
+import * as testKit from '@limpettack/test-kit';
+import * as undici from 'undici';
+import * as verdictsModule from './Verdicts.mjs';
+
+const { PROMISES } = verdictsModule;
+const MEMORY_LIMIT_MS = 45_000;
+const VERSION_LIMIT_MS = 10_000;
+const INTERVAL_MS = 500;
+const ROUNDING = 1e-6;
+
+/** Judges a seed from what targets executed and callers received. */
+export async function checkAll(load, fleet, limits) {
+  const journals = await Promise.all(fleet.targets.map(({ target }) => target.journal()));
+  const entries = journals.flat();
+  checkSingles(load, entries);
+  checkKeys(load, entries);
+  checkBudgets(load, entries);
+  checkLimits(load, limits);
+  await checkOrders(load, fleet);
+  await checkVersions(load, fleet);
+  await checkMemory(load, fleet);
+  fleet.vms.forEach((vm) => {
+    const isAlive = vm.process.isRunning;
+    load.verdicts.check(PROMISES.PROCESSES, isAlive, () => `${vm.name}: ${vm.process.output}`);
+  });
+}
+
+function saysNotRun(answer) {
+  return answer.status >= 400 && testKit.refusalOf(answer).run === 'not-run';
+}
+
+function checkSingles(load, entries) {
+  const bodies = entries.map((entry) => entry.body);
+  load.verdicts.count('single calls', load.singles.length);
+  load.singles.forEach(({ text, answer }) => {
+    const kind = answer.status === 200 ? 'answered' : kindOf(answer);
+    load.verdicts.count(`single calls ${kind}`);
+    if (!saysNotRun(answer)) return;
+    const ran = bodies.some((body) => body.includes(text));
+    load.verdicts.check(PROMISES.NOT_RUN, !ran, () => `${text}: ${answer.text}`);
+  });
+}
+
+function kindOf(answer) {
+  return answer.status === 0 ? 'without an answer' : testKit.refusalOf(answer).kind;
+}
+
+async function checkOrders(load, fleet) {
+  const services = fleet.targets.filter((target) => target.row.kind === 'service');
+  const counts = await Promise.all(services.map(({ target }) => target.executions()));
+  load.orders.forEach(({ key, answers }) => {
+    const executed = counts.reduce((sum, { byKey }) => sum + (byKey[key] ?? 0), 0);
+    const whole = answers.filter((answer) => answer.status === 200);
+    const seen = () =>
+      `${key}: executed ${executed}, ${answers.map((one) => one.text).join(' | ')}`;
+    load.verdicts.check(PROMISES.AT_MOST_ONCE, executed <= 1, seen);
+    if (whole.length > 0) {
+      load.verdicts.check(PROMISES.AT_MOST_ONCE, executed === 1, seen);
+      const texts = new Set(whole.map((answer) => answer.text));
+      load.verdicts.check(PROMISES.WHOLE_ANSWERS, texts.size === 1, seen);
+    }
+    load.verdicts.count('orders');
+    if (whole.length === 0) load.verdicts.count('orders whose outcome is not known');
+    if (answers.every(saysNotRun)) load.verdicts.check(PROMISES.NOT_RUN, executed === 0, seen);
+  });
+}
+
+function checkKeys(load, entries) {
+  entries.forEach((entry) => {
+    const text = JSON.stringify(entry);
+    const leaked = load.keys.find((key) => text.includes(key));
+    load.verdicts.check(PROMISES.ISOLATION, leaked === undefined, () => `${leaked}: ${text}`);
+  });
+}
+
+function checkBudgets(load, entries) {
+  load.budgets.forEach(({ program, budget, tokens, calls }) => {
+    const seen = `${program}: tokens ${tokens} of ${budget.tokens}, calls ${calls} of ${budget.calls}`;
+    const isKept = tokens <= budget.tokens && calls <= budget.calls;
+    load.verdicts.check(PROMISES.BUDGET, isKept, seen);
+    const sent = entries.filter(
+      (entry) => entry.program === program && entry.path.startsWith('/v1/chat/'),
+    );
+    const finished = sent.filter((entry) => entry.outcome === 'finished');
+    const generated = finished.reduce((sum, entry) => sum + JSON.parse(entry.body).max_tokens, 0);
+    load.verdicts.check(
+      PROMISES.BUDGET,
+      generated <= budget.tokens,
+      `${seen}; engines generated ${generated} in ${finished.length} calls`,
+    );
+  });
+}
+
+/** A window runs from the sending of one request to the answer of another. */
+function checkLimits(load, { ratePerSecond, burst }) {
+  const admitted = load.limited
+    .filter((one) => one.isAdmitted)
+    .sort((left, right) => left.answeredAt - right.answeredAt);
+  load.verdicts.count('limited requests', load.limited.length);
+  load.verdicts.count('limited requests admitted', admitted.length);
+  admitted.forEach(({ sentAt }) => {
+    let count = 0;
+    let worst = -Infinity;
+    admitted.forEach((last) => {
+      if (last.sentAt < sentAt) return;
+      count += 1;
+      const allowed = burst + (ratePerSecond * (last.answeredAt - sentAt)) / 1_000;
+      worst = Math.max(worst, count - allowed);
+    });
+    const detail = () => `window from ${sentAt}: ${worst.toFixed(2)} too many`;
+    load.verdicts.check(PROMISES.LIMITS, worst <= ROUNDING, detail);
+  });
+}
+
+async function checkVersions(load, fleet) {
+  const versions = () => Promise.all(fleet.vms.map((vm) => vm.describeFleet()));
+  let last = [];
+  const isInForce = await testKit
+    .waitFor(
+      async () => {
+        last = (await versions()).map((view) => view.configurationVersion);
+        return last.every((version) => version >= load.version) && new Set(last).size === 1;
+      },
+      { what: 'the version', timeoutMs: VERSION_LIMIT_MS, intervalMs: INTERVAL_MS },
+    )
+    .then(() => true)
+    .catch(() => false);
+  const detail = () => `${last.join(', ')} instead of ${load.version}`;
+  load.verdicts.check(PROMISES.CONFIGURATION, isInForce, detail);
+}
+
+async function checkMemory(load, fleet) {
+  const engines = fleet.targets.filter((target) => target.row.kind === 'engine');
+  const held = new Map(engines.map((engine) => [engine.name, ['unknown']]));
+  const read = async (engine) => {
+    const answer = await undici.request(`http://${engine.target.address}/v1/sessions`);
+    const { sessions } = await answer.body.json();
+    held.set(
+      engine.name,
+      sessions.map((session) => session.program),
+    );
+  };
+  await testKit
+    .waitFor(
+      async () => {
+        await Promise.all(engines.map(read));
+        return [...held.values()].every((list) => list.length === 0);
+      },
+      { what: 'empty engines', timeoutMs: MEMORY_LIMIT_MS, intervalMs: INTERVAL_MS },
+    )
+    .catch(() => undefined);
+  held.forEach((list, engine) => {
+    const detail = () => `${engine} holds ${list.join(', ')}`;
+    load.verdicts.check(PROMISES.ENGINE_MEMORY, list.length === 0, detail);
+  });
+}
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -62,7 +62,21 @@
   {
     // Scripts that people start: they print what they found.
     files: ['**/*.mjs', 'benchmarks/**/*'],
-    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
+    languageOptions: {
+      globals: { process: 'readonly', console: 'readonly', AbortController: 'readonly' },
+    },
     rules: { 'no-console': 'off' },
   },
+  {
+    // Scripts of several modules follow the same rules as the packages.
+    files: ['benchmarks/**/*.mjs'],
+    rules: {
+      'import-x/prefer-default-export': 'off',
+      'import-x/extensions': 'off',
+      'no-await-in-loop': 'off',
+      'no-continue': 'off',
+      'no-param-reassign': ['error', { props: false }],
+      'no-use-before-define': ['error', { functions: false }],
+    },
+  },
 ];
