--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -62,18 +62,23 @@
   {
     // Scripts that people start: they print what they found.
     files: ['**/*.mjs', 'benchmarks/**/*'],
-    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
+    languageOptions: {
+      globals: { process: 'readonly', console: 'readonly', AbortController: 'readonly' },
+    },
     rules: { 'no-console': 'off' },
   },
   {
-    // A measurement is one loop too: points that ran beside each other would disturb each other.
-    files: ['benchmarks/slopes/*.mjs'],
+    // Scripts of several modules follow the same rules as the packages. A measurement is one loop:
+    // points that ran beside each other would disturb each other.
+    files: ['benchmarks/**/*.mjs'],
     languageOptions: { globals: { performance: 'readonly', setTimeout: 'readonly' } },
     rules: {
       'import-x/extensions': 'off',
       'import-x/prefer-default-export': 'off',
       'no-await-in-loop': 'off',
       'no-continue': 'off',
+      'no-param-reassign': ['error', { props: false }],
+      'no-use-before-define': ['error', { functions: false }],
       'no-restricted-syntax': [
         'error',
         { selector: 'ImportDeclaration > ImportSpecifier', message: NAMESPACE_IMPORT },
