--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -70,7 +70,7 @@
   {
     // Scripts of several modules follow the same rules as the packages. A measurement is one loop:
     // points that ran beside each other would disturb each other.
-    files: ['benchmarks/**/*.mjs'],
+    files: ['benchmarks/**/*.mjs', 'demo/**/*.mjs'],
     languageOptions: { globals: { performance: 'readonly', setTimeout: 'readonly' } },
     rules: {
       'import-x/extensions': 'off',
