--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -62,7 +62,28 @@
   {
     // Scripts that people start: they print what they found.
     files: ['**/*.mjs', 'benchmarks/**/*'],
-    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
+    languageOptions: {
+      globals: { process: 'readonly', console: 'readonly', AbortController: 'readonly' },
+    },
     rules: { 'no-console': 'off' },
   },
+  {
+    // Scripts of several modules follow the same rules as the packages. A measurement is one loop:
+    // points that ran beside each other would disturb each other.
+    files: ['benchmarks/**/*.mjs', 'demo/**/*.mjs'],
+    languageOptions: { globals: { performance: 'readonly', setTimeout: 'readonly' } },
+    rules: {
+      'import-x/extensions': 'off',
+      'import-x/prefer-default-export': 'off',
+      'no-await-in-loop': 'off',
+      'no-continue': 'off',
+      'no-param-reassign': ['error', { props: false }],
+      'no-use-before-define': ['error', { functions: false }],
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'ImportDeclaration > ImportSpecifier', message: NAMESPACE_IMPORT },
+        { selector: 'ImportDeclaration > ImportDefaultSpecifier', message: NAMESPACE_IMPORT },
+      ],
+    },
+  },
 ];
--- a/packages/load/src/runScenario.ts
+++ b/packages/load/src/runScenario.ts
@@ -19,6 +19,10 @@
 /** How often the start of a fleet is tried. */
 const MAXIMUM_STARTS = 3;
 
+/** How long a run waits for the shards to be spread over the VMs. */
+const BALANCE_TIMEOUT_MS = 3_000;
+const BALANCE_INTERVAL_MS = 100;
+
 /** How a scenario is run. */
 export interface RunOptions {
   readonly policy: string;
@@ -41,13 +45,33 @@
 async function startFleet(scenario: Scenario, policy: string): Promise<testKit.Fleet> {
   for (let starts = 1; ; starts += 1) {
     try {
-      return await fleets.startFleetOf(scenario, policy);
+      const fleet = await fleets.startFleetOf(scenario, policy);
+      await untilBalanced(fleet);
+      return fleet;
     } catch (error) {
       if (starts === MAXIMUM_STARTS) throw error;
     }
   }
 }
 
+/** Waits until every shard has a standby and every VM owns some, or for a bounded time. */
+async function untilBalanced(fleet: testKit.Fleet): Promise<void> {
+  const balanced = testKit.waitFor(() => isBalanced(fleet), {
+    what: 'the shards to be spread',
+    timeoutMs: BALANCE_TIMEOUT_MS,
+    intervalMs: BALANCE_INTERVAL_MS,
+  });
+  // The fleet also serves while its shards move, so a run goes on without.
+  await balanced.catch(() => false);
+}
+
+async function isBalanced(fleet: testKit.Fleet): Promise<boolean> {
+  const { shards } = await fleet.vm(0).describeFleet();
+  const owners = new Set(shards.map((shard) => shard?.owner.name));
+  const hasStandbys = shards.every((shard) => shard?.standby !== undefined);
+  return hasStandbys && owners.size >= Math.min(fleet.vms.length, shards.length);
+}
+
 async function runOn(
   fleet: testKit.Fleet,
   scenario: Scenario,
--- a/packages/programs/src/ModelCaller.ts
+++ b/packages/programs/src/ModelCaller.ts
@@ -4,6 +4,7 @@
 import * as targets from '@limpettack/targets';
 import * as trueMyth from 'true-myth';
 import type * as answerBuffer from './AnswerBuffer.js';
+import * as backOff from './backOff.js';
 import * as faults from './faults.js';
 import * as messages from './messages.js';
 import type { CallRequest, ChatMessage, CrashRecord, Outcome, RunningCall } from './Types.js';
@@ -30,6 +31,8 @@
   /** The whole history, this call's messages included. */
   readonly messages: readonly ChatMessage[];
   readonly maximumTokens: number;
+  /** How many tokens one more attempt may generate after earlier ones may have generated so many. */
+  readonly allowAfter: (abandonedTokens: number) => Promise<Outcome<number>>;
   readonly fingerprint: string;
   readonly attainedSeconds: number;
   readonly buffer: answerBuffer.AnswerBuffer;
@@ -61,6 +64,8 @@
   count: number;
   wasSent: boolean;
   abandonedTokens: number;
+  /** What the present attempt may generate. */
+  maximumTokens: number;
 }
 
 /** What the caller of models needs. */
@@ -69,7 +74,10 @@
   readonly client: targets.TargetClient;
   readonly directory: targets.TargetDirectory;
   readonly crashes: CrashRecord;
+  readonly retries: targets.RetryBudget;
   readonly clock: clockTypes.Clock;
+  /** Between 0 and 1, for jitter. */
+  readonly random: () => number;
 }
 
 /** Runs a model call on a target, and on another one when the first fails. */
@@ -84,7 +92,9 @@
       count: 0,
       wasSent: false,
       abandonedTokens: 0,
+      maximumTokens: prepared.maximumTokens,
     };
+    this.options.retries.noteCall();
     const result = await this.runUntilEnded(prepared, attempts);
     const { wasSent, abandonedTokens } = attempts;
     if (result.isOk) return { result, wasSent, abandonedTokens };
@@ -103,9 +113,9 @@
       const ended = await this.attempt(prepared, attempts);
       if (ended !== undefined) return ended;
       attempts.count += 1;
-      if (attempts.count >= MAXIMUM_ATTEMPTS) {
-        return trueMyth.Result.err(errors.createFault('target-failed'));
-      }
+      const mayRetry = attempts.count < MAXIMUM_ATTEMPTS && this.options.retries.tryRetry();
+      if (!mayRetry) return trueMyth.Result.err(errors.createFault('target-failed'));
+      await backOff.backOff(attempts.count, this.options, prepared.call.signal);
     }
   }
 
@@ -115,6 +125,8 @@
     attempts: Attempts,
   ): Promise<Outcome<ModelAnswer> | undefined> {
     const { call } = prepared;
+    const allowed = await this.allow(prepared, attempts);
+    if (allowed !== undefined) return trueMyth.Result.err(allowed);
     const description = describe(prepared, attempts);
     const acquired = await this.acquire(description, call, attempts);
     if (acquired.isErr) return trueMyth.Result.err(acquired.error);
@@ -133,6 +145,18 @@
     }
   }
 
+  /** Makes sure that the budget bears another attempt beside what earlier ones may have spent. */
+  private async allow(
+    prepared: PreparedModelCall,
+    attempts: Attempts,
+  ): Promise<errors.Fault | undefined> {
+    if (attempts.abandonedTokens === 0) return undefined;
+    const allowed = await prepared.allowAfter(attempts.abandonedTokens);
+    if (allowed.isErr) return allowed.error;
+    attempts.maximumTokens = allowed.value;
+    return undefined;
+  }
+
   /** An answer that still runs on an engine for this turn is taken up where it is. */
   private async acquire(
     description: scheduling.CallDescription,
@@ -173,10 +197,12 @@
       firstTokenMs ??= this.options.clock.now() - startedAt;
       usage = piece.value.usage ?? usage;
       if (!deliver(piece.value, attempts, buffer)) {
+        attempts.abandonedTokens += attempts.maximumTokens;
         return trueMyth.Result.err(errors.createFault('stream-interrupted'));
       }
     }
     const totalMs = this.options.clock.now() - startedAt;
+    this.options.crashes.noteCompleted(prepared.fingerprint);
     const counted = usage ?? estimateUsage(prepared, attempts);
     this.options.directory.report({
       target: slot.target,
@@ -204,16 +230,21 @@
     attempts.excluded.add(slot.target);
     if (failure.kind === TARGET_FAILURES.CANCELLED || prepared.call.signal.aborted) {
       attempts.wasSent = true;
-      attempts.abandonedTokens += prepared.maximumTokens;
+      attempts.abandonedTokens += attempts.maximumTokens;
       return trueMyth.Result.err(faults.faultOfAbort(prepared.call.signal, true));
     }
-    this.options.directory.report({ target: slot.target, failure: failure.kind, totalMs });
+    this.options.directory.report({
+      target: slot.target,
+      failure: failure.kind,
+      totalMs,
+      ...(failure.status === undefined ? {} : { status: failure.status }),
+    });
     if (failure.kind === TARGET_FAILURES.NOT_SENT) return undefined;
     attempts.wasSent = true;
     if (failure.kind === TARGET_FAILURES.FENCED) {
       return trueMyth.Result.err(errors.createFault('not-owner'));
     }
-    attempts.abandonedTokens += prepared.maximumTokens;
+    attempts.abandonedTokens += attempts.maximumTokens;
     if (failure.kind === TARGET_FAILURES.DIED) {
       this.options.crashes.noteDeath(prepared.fingerprint, slot.target, startedAt);
     }
@@ -254,7 +285,7 @@
     target: slot.target,
     parameters: { ...model.parameters, ...(call.pool.model ? { model: call.pool.model } : {}) },
     messages: prepared.messages,
-    maximumTokens: prepared.maximumTokens,
+    maximumTokens: attempts.maximumTokens,
     priority: slot.priority,
     fencing,
     ...(isResumed ? { resumeAfter: 0 } : {}),
@@ -276,7 +307,7 @@
     workspace: call.request.workspace ?? '',
     program: call.request.program ?? call.callId,
     promptTokens: estimateTokens(prepared.messages),
-    expectedTokens: prepared.maximumTokens,
+    expectedTokens: attempts.maximumTokens,
     attainedSeconds: prepared.attainedSeconds,
     deadline: call.deadline,
     excluded: attempts.excluded,
