--- a/packages/scheduling/src/decisions.test.ts
+++ b/packages/scheduling/src/decisions.test.ts
@@ -63,8 +63,11 @@
 describe('choices', () => {
   const cached = candidate({ name: 'cached', cachedTokens: 900 });
   const empty = candidate({ name: 'empty' });
-  const choose = (candidates: readonly TargetCandidate[], now = 0) =>
-    choices.cheapestTarget(call(), candidates, 'here', now)?.name;
+  const choose = (
+    candidates: readonly TargetCandidate[],
+    now = 0,
+    overrides: Partial<WaitingCall> = {},
+  ) => choices.cheapestTarget(call(overrides), candidates, 'here', now)?.name;
 
   test('a call stays where its prefix is', () => {
     expect(choose([empty, cached])).toBe('cached');
@@ -75,10 +78,20 @@
     const full = { ...cached, ownInFlight: 4 };
     const queued = { ...full, otherInFlight: 40 };
     expect(choose([full, empty])).toBe('cached');
-    expect(choose([full, empty], 10_000)).toBe('empty');
+    // A long queue is no reason to give the prefix up; that others got the room meanwhile is one.
+    expect(choose([full, empty], 10_000, { heldBackSince: 9_990 })).toBe('cached');
+    expect(choose([full, empty], 10_000, { heldBackSince: 0 })).toBe('empty');
     expect(choose([queued, empty])).toBe('empty');
   });
 
+  test('a slot that others may have left is used, but no more than half as many again', () => {
+    const shared = candidate({ ownInFlight: 2, otherInFlight: 2 });
+    expect(choose([shared])).toBe('one');
+    expect(choose([{ ...shared, otherInFlight: 4 }])).toBeUndefined();
+    // Own calls are known exactly, so there is nothing to make up for.
+    expect(choose([{ ...shared, ownInFlight: 4, otherInFlight: 0 }])).toBeUndefined();
+  });
+
   test('of equal targets the one in the own failure domain is taken', () => {
     expect(choose([candidate({ name: 'far', failureDomain: 'there' }), empty])).toBe('empty');
   });
