--- a/packages/load/src/Types.ts
+++ b/packages/load/src/Types.ts
@@ -98,5 +98,7 @@
   readonly offeredLoad: number;
   /** Processes that wanted a core of the machine over the last minute, for each core. */
   readonly machineLoad: number;
+  /** Why programs failed, each reason once, the first few. */
+  readonly failures: readonly string[];
   readonly breaches: readonly Breach[];
 }
--- a/packages/load/src/experimentTable.ts
+++ b/packages/load/src/experimentTable.ts
@@ -4,7 +4,7 @@
 
 const BASELINE = 'round-robin-fifo';
 const POLICY_WIDTH = 30;
-const COLUMN_WIDTH = 20;
+const COLUMN_WIDTH = 22;
 const PERCENT = 100;
 
 interface Column {
@@ -17,14 +17,14 @@
   { title: 'median ms', digits: 0, value: ({ summary }) => summary.medianMs },
   { title: 'p95 ms', digits: 0, value: ({ summary }) => summary.p95Ms },
   {
-    title: 'p95 / round robin',
+    title: 'p95 / rr',
     digits: 2,
     value: (run, baseline) => run.summary.p95Ms / baseline.summary.p95Ms,
   },
   { title: 'worst / alone', digits: 2, value: (run) => run.worstAgainstAlone },
   { title: 'wasted tokens', digits: 0, value: ({ summary }) => summary.wastedTokens },
   {
-    title: 'wasted / round robin',
+    title: 'wasted / rr',
     digits: 2,
     value: (run, baseline) => run.summary.wastedTokens / baseline.summary.wastedTokens,
   },
@@ -33,6 +33,7 @@
     digits: 2,
     value: ({ summary }) => (summary.refusedWithinRate / summary.withinRate) * PERCENT,
   },
+  { title: 'failed programs', digits: 0, value: ({ summary }) => summary.states.failed },
 ];
 
 /** The table of an experiment: the median over the seeds with the least and the most. */
@@ -55,6 +56,9 @@
     '',
     `Breaches of promises over all runs: ${breaches.length}`,
     ...breaches.map(({ detail, promise }) => `  ${promise}: ${detail}`),
+    ...runs.flatMap(({ policy, seed, summary }) =>
+      summary.failures.map((reason) => `Failed program, seed ${seed}, ${policy}: ${reason}`),
+    ),
     '',
   ].join('\n');
 }
@@ -66,7 +70,8 @@
   return (
     `seed ${seed} ${policy}: median ${medianMs} ms, p95 ${p95Ms} ms, wasted ${wastedTokens}, ` +
     `worst ${summary.worstWorkspace} ${slowdown.toFixed(2)}, ${JSON.stringify(states)} ` +
-    `${JSON.stringify(summary.refusals)} load ${summary.offeredLoad.toFixed(2)}`
+    `${JSON.stringify(summary.refusals)} load ${summary.offeredLoad.toFixed(2)} ` +
+    summary.failures.join(' | ')
   );
 }
 
--- a/packages/load/src/summarize.ts
+++ b/packages/load/src/summarize.ts
@@ -9,6 +9,9 @@
 
 const HIGHEST_LATENCY_MS = 120_000;
 const SIGNIFICANT_DIGITS = 3;
+/** Reasons of failed programs that are shown, and how much of each. */
+const SHOWN_FAILURES = 5;
+const REASON_CHARACTERS = 120;
 const P50 = 50;
 const P95 = 95;
 
@@ -40,6 +43,7 @@
     refusals: countRefusals(record),
     offeredLoad: idealTimes.offeredLoad(scenario, arrivals),
     machineLoad: (os.loadavg()[0] ?? NaN) / os.availableParallelism(),
+    failures: failuresOf(record.programs),
     breaches: record.breaches,
   };
 }
@@ -84,6 +88,13 @@
   };
 }
 
+function failuresOf(programs: readonly ProgramRecord[]): readonly string[] {
+  const reasons = programs
+    .filter(({ state }) => state === 'failed')
+    .map(({ reason }) => (reason ?? 'no reason').slice(0, REASON_CHARACTERS));
+  return [...new Set(reasons)].slice(0, SHOWN_FAILURES);
+}
+
 function countRefusals(record: RunRecord): Readonly<Record<string, number>> {
   const counts: Record<string, number> = {};
   record.calls.forEach(({ refusal }) => {
