--- a/packages/load/src/experimentTable.ts
+++ b/packages/load/src/experimentTable.ts
@@ -67,12 +67,13 @@
 export function progressLine(policy: string, seed: number, summary: RunSummary): string {
   const { medianMs, p95Ms, states, wastedTokens } = summary;
   const slowdown = summary.slowdowns[summary.worstWorkspace] ?? NaN;
-  return (
-    `seed ${seed} ${policy}: median ${medianMs} ms, p95 ${p95Ms} ms, wasted ${wastedTokens}, ` +
-    `worst ${summary.worstWorkspace} ${slowdown.toFixed(2)}, ${JSON.stringify(states)} ` +
-    `${JSON.stringify(summary.refusals)} load ${summary.offeredLoad.toFixed(2)} ` +
-    summary.failures.join(' | ')
-  );
+  const parts = [
+    `seed ${seed} ${policy}: median ${medianMs} ms, p95 ${p95Ms} ms, wasted ${wastedTokens}`,
+    `worst ${summary.worstWorkspace} ${slowdown.toFixed(2)}, ${JSON.stringify(states)}`,
+    `${JSON.stringify(summary.refusals)} load ${summary.offeredLoad.toFixed(2)}`,
+    ...summary.failures,
+  ];
+  return parts.join('; ');
 }
 
 function row(policy: string, runs: readonly ExperimentRun[]): string {
