--- a/benchmarks/soak/checks.mjs
+++ b/benchmarks/soak/checks.mjs
@@ -86,11 +86,17 @@
     load.verdicts.check(
       PROMISES.BUDGET,
       generated <= budget.tokens,
-      `${seen}; engines generated ${generated} in ${finished.length} calls`,
+      () => `${seen}; engines generated ${generated}: ${sent.map(formatCall).join(', ')}`,
     );
   });
 }
 
+function formatCall({ callId, startedAtMs, finishedAtMs, outcome, body }) {
+  const { messages } = JSON.parse(body);
+  const span = `${Math.round(startedAtMs)} to ${Math.round(finishedAtMs)}`;
+  return `${callId.split(':').slice(1).join(':')} of ${messages.length} messages ${outcome} ${span}`;
+}
+
 /** A window runs from the sending of one request to the answer of another. */
 function checkLimits(load, { ratePerSecond, burst }) {
   const admitted = load.limited
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -69,7 +69,7 @@
   },
   {
     // Scripts of several modules follow the same rules as the packages.
-    files: ['benchmarks/**/*.mjs'],
+    files: ['benchmarks/soak/*.mjs'],
     rules: {
       'import-x/prefer-default-export': 'off',
       'import-x/extensions': 'off',
@@ -79,4 +79,20 @@
       'no-use-before-define': ['error', { functions: false }],
     },
   },
+  {
+    // A measurement is one loop too: points that ran beside each other would disturb each other.
+    files: ['benchmarks/slopes/*.mjs'],
+    languageOptions: { globals: { performance: 'readonly', setTimeout: 'readonly' } },
+    rules: {
+      'import-x/extensions': 'off',
+      'import-x/prefer-default-export': 'off',
+      'no-await-in-loop': 'off',
+      'no-continue': 'off',
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'ImportDeclaration > ImportSpecifier', message: NAMESPACE_IMPORT },
+        { selector: 'ImportDeclaration > ImportDefaultSpecifier', message: NAMESPACE_IMPORT },
+      ],
+    },
+  },
 ];
