--- a/benchmarks/soak/soak.mjs
+++ b/benchmarks/soak/soak.mjs
@@ -10,7 +10,7 @@
 import * as verdictsModule from './Verdicts.mjs';
 
 const SHOWN_VIOLATIONS = 8;
-const SHOWN_CHARACTERS = 600;
+const SHOWN_CHARACTERS = 1_500;
 
 function formatSeed({ seed, verdicts, events, error }) {
   const violated = [...verdicts.rows].filter(([, row]) => row.violations.length > 0);
