--- a/tests/limits.test.ts
+++ b/tests/limits.test.ts
@@ -18,16 +18,16 @@
 const FAULT_AFTER_MS = 1_500;
 const FAULT_LASTS_MS = 3_500;
 
-const WORKSPACES = [
-  'skewed',
-  'spread',
-  'killed',
-  'paused',
-  'pair',
-  'cut',
-  'alone',
-  'edited',
-] as const;
+const WORKSPACES = {
+  skewed: STEADY,
+  spread: STEADY,
+  killed: BURSTING,
+  paused: BURSTING,
+  pair: BURSTING,
+  cut: BURSTING,
+  alone: BURSTING,
+  edited: STEADY,
+};
 
 const time = new clock.SystemClock();
 let fleet: testKit.Fleet;
