--- /dev/null
+++ b/packages/node/src/createServers.ts
@@ -0,0 +1,62 @@
+import * as entry from '@limpettack/entry';
+import type * as limits from '@limpettack/limits';
+import * as fleetView from './FleetView.js';
+import * as operatorsServer from './OperatorsServer.js';
+import * as platformReach from './PlatformReach.js';
+import * as vmContext from './VmContext.js';
+import type { Shards, VmContext } from './VmContext.js';
+
+/** What answers callers and operators. */
+export interface Servers {
+  readonly entry: entry.EntryServer;
+  readonly operators: operatorsServer.OperatorsServer;
+}
+
+/** Makes the servers of callers and operators; they do not listen yet. */
+export function createServers(
+  context: VmContext,
+  shards: Shards,
+  admission: limits.Admission,
+  isDraining: () => boolean,
+): Servers {
+  const { store, network, clock, members, configuration, metrics, settings } = context;
+  const reach = store.add(new platformReach.PlatformReach(shards, members, configuration, clock));
+  const homes = new entry.HomeClient({ network, shards, clock });
+  const isReady = (): boolean => reach.isReady();
+  const server = store.add(createEntry(context, homes, admission, isReady, isDraining));
+  const operators = store.add(
+    new operatorsServer.OperatorsServer({
+      ...settings.operators,
+      token: context.secrets.operators,
+      metrics,
+      isReady: () => isReady() && !isDraining(),
+      fleet: new fleetView.FleetView({ network, members, shards, configuration, clock }),
+      homes,
+    }),
+  );
+  return { entry: server, operators };
+}
+
+function createEntry(
+  context: VmContext,
+  homes: entry.Homes,
+  admission: limits.Admission,
+  isReady: () => boolean,
+  isDraining: () => boolean,
+): entry.EntryServer {
+  const { configuration, metrics, clock } = context;
+  const { callers } = context.settings;
+  const shared = { configuration, homes, limits: callers, metrics, clock };
+  const gate = new entry.CallGate({ ...shared, admission });
+  return new entry.EntryServer({
+    ...vmContext.partsOf(context.clock, 'entry'),
+    ...shared,
+    host: callers.host,
+    port: callers.port,
+    chat: new entry.ChatHandler({ ...shared, gate }),
+    services: new entry.ServiceHandler({ ...shared, gate }),
+    programs: new entry.ProgramsHandler({ ...shared, gate }),
+    isReady,
+    isDraining,
+  });
+}
--- a/packages/node/src/readSecrets.ts
+++ b/packages/node/src/readSecrets.ts
@@ -1,12 +1,12 @@
 import * as settings from '@limpettack/settings';
 import * as trueMyth from 'true-myth';
 import type * as nodeSettings from './NodeSettings.js';
-import type * as vmProcess from './VmProcess.js';
+import type { NodeSecrets } from './VmContext.js';
 
 /** Reads the secrets that the settings name, or tells which one cannot be read. */
 export async function readSecrets(
   values: nodeSettings.NodeSettings,
-): Promise<trueMyth.Result<vmProcess.NodeSecrets, settings.SettingsError>> {
+): Promise<trueMyth.Result<NodeSecrets, settings.SettingsError>> {
   const peers = await settings.readSecret(values.peers.secret);
   if (peers.isErr) return trueMyth.Result.err({ ...peers.error, path: 'peers.secret' });
   const operators = await settings.readSecret(values.operators.token);
--- a/packages/programs/src/Home.ts
+++ b/packages/programs/src/Home.ts
@@ -43,12 +43,24 @@
   readonly logger: logging.Logger;
 }
 
+/** A program that has ended, for the metrics. */
+export interface EndedProgram {
+  readonly route: string;
+  /** From its opening to its end, in milliseconds. */
+  readonly spanMs: clockTypes.Milliseconds;
+}
+
 /** Serves the programs whose shards this process owns. */
 export class Home implements lifetime.Disposable {
   private readonly store = new lifetime.DisposableStore();
 
   private readonly controller = new AbortController();
 
+  private readonly endedEmitter = this.store.add(new lifetime.Emitter<EndedProgram>());
+
+  /** Fires when a program has ended here. */
+  public readonly onProgramEnded = this.endedEmitter.event;
+
   /** Releases that run now, as program and target, so that none runs twice. */
   private readonly releasing = new Set<string>();
 
@@ -209,6 +221,8 @@
         { replicateInOutage: true },
       );
       if (appended.isErr) return appended.error;
+      const spanMs = this.options.clock.now() - program.openedAt;
+      this.endedEmitter.fire({ route: program.route, spanMs });
     }
     this.releaseMemory(shard, program);
     return undefined;
