--- a/packages/load/src/summarize.ts
+++ b/packages/load/src/summarize.ts
@@ -1,3 +1,5 @@
+import * as os from 'node:os';
+
 import * as hdr from 'hdr-histogram-js';
 
 import type { Arrival, ProgramRecord, ProgramState, RunRecord, RunSummary } from './Types.js';
@@ -37,6 +39,7 @@
     refusedWithinRate: rate.refused,
     refusals: countRefusals(record),
     offeredLoad: idealTimes.offeredLoad(scenario, arrivals),
+    machineLoad: (os.loadavg()[0] ?? NaN) / os.availableParallelism(),
     breaches: record.breaches,
   };
 }
