--- a/benchmarks/slopes/SlopeTable.mjs
+++ b/benchmarks/slopes/SlopeTable.mjs
@@ -38,6 +38,7 @@
   /** Notes that a measurement broke off; its points so far stay. */
   fail(name, error) {
     this.failures.push(`${name}: ${String(error)}`);
+    process.stderr.write(`  failed: ${String(error)}\n`);
   }
 
   /** Prints one row for each slope, and what failed. */
