Renew incomplete programs as incomplete, keep a running turn's state, and tell keyed calls apart

Cause: found by reading the fold. (3) Two different calls with one key outside a program, sent at the same time, shared one answer. (4) The outcome of a program's keyed call was forgotten after half of the retention although the program went on.

--- a/packages/programs/src/HomeCalls.ts
+++ b/packages/programs/src/HomeCalls.ts
@@ -87,6 +87,7 @@
     this.orders.forEach((order, program) => {
       if (this.shardOf(program) !== shard) return;
       order.wake();
+      this.options.turns.forget(program);
       if (order.current === undefined) this.orders.delete(program);
     });
   }
--- a/packages/programs/src/ProgramsFold.test.ts
+++ b/packages/programs/src/ProgramsFold.test.ts
@@ -149,6 +149,27 @@
     fastCheck.assert(property, PROPERTY);
   });
 
+  test('does not take an incomplete program for a whole one after it was renewed', () => {
+    const { fold, state, apply } = createFixture();
+    apply(opened('p'));
+    const first = completedTurn(state, 'p', 5, 40);
+    apply({ ...first, completed: { ...first.completed, turn: 2 } });
+    const next = createFixture();
+    fold.renew(state, 100).forEach((body) => next.apply(records.JOURNAL_BODY.parse(body)));
+    expect(next.state.programs.get('p')?.complete ?? false).toBe(false);
+  });
+
+  test('keeps the state that a running turn goes by when the program is renewed', () => {
+    const { fold, state, apply } = createFixture();
+    apply(opened('p'));
+    apply(completedTurn(state, 'p', 5, 40));
+    const before = state.programs.get('p');
+    fold.renew(state, 100).forEach((body) => apply(records.JOURNAL_BODY.parse(body)));
+    expect(state.programs.get('p')).toBe(before);
+    expect(before?.turns).toHaveLength(1);
+    expect(before?.oldestOffset).toBe(2);
+  });
+
   test('carries a live program and an open call over the end of the retention', () => {
     const { fold, state, apply } = createFixture();
     apply(opened('p'));
@@ -167,5 +188,27 @@
     expect(next.state.programs.get('p')?.complete).toBe(true);
     expect(next.state.keyedCalls.get('key')?.outcome).toBeUndefined();
     expect(next.state.keyedCalls.has('key')).toBe(true);
+    // The call is of no program, so its outcome is kept only as long as its records.
+    const answer = { status: 200, headers: {}, body: 'b2s=', chunks: [] };
+    apply({ kind: RECORD_KINDS.CALL_COMPLETED, callKey: 'key', answer });
+    fold.renew(state, 100);
+    expect(state.keyedCalls.has('key')).toBe(false);
+  });
+
+  test("keeps the outcome of a live program's call as long as the program", () => {
+    const { fold, state, apply } = createFixture();
+    const answer = { status: 200, headers: {}, body: 'b2s=', chunks: [] };
+    const call = { callKey: 'key', requestDigest: 'd', route: 'orders', program: 'p' };
+    apply(opened('p'));
+    apply({
+      kind: RECORD_KINDS.CALL_INTENDED,
+      ...call,
+      target: 'service',
+      idempotencyKey: 'k',
+    });
+    apply({ kind: RECORD_KINDS.CALL_COMPLETED, callKey: 'key', answer });
+    const next = createFixture();
+    fold.renew(state, 100).forEach((body) => next.apply(records.JOURNAL_BODY.parse(body)));
+    expect(next.state.keyedCalls.get('key')?.answer).toEqual(answer);
   });
 });
--- a/packages/programs/src/ProgramsFold.ts
+++ b/packages/programs/src/ProgramsFold.ts
@@ -77,7 +77,7 @@
     [...state.keyedCalls.values()]
       .filter((call) => call.oldestOffset < expiringBelow)
       .forEach((call) => {
-        if (call.outcome === undefined) bodies.push(snapshotCall(call));
+        if (isStillNeeded(state, call)) bodies.push(snapshotCall(call));
         else state.keyedCalls.delete(call.callKey);
       });
     state.quarantined.forEach((fingerprint) => {
@@ -125,6 +125,7 @@
       spent: program.spent,
       reserved: program.reserved,
       turns: program.turns,
+      complete: program.complete,
       holdings: [...program.holdings],
       ended: program.ended,
     };
@@ -135,6 +136,12 @@
     body: BodyOf<'programSnapshot'>,
     position: journal.RecordPosition,
   ): void {
+    const known = state.programs.get(body.program);
+    if (known?.complete) {
+      // The reader holds all that the snapshot says; running turns go by this very state.
+      known.oldestOffset = position.offset;
+      return;
+    }
     state.programs.set(body.program, {
       program: body.program,
       workspace: body.workspace,
@@ -147,7 +154,7 @@
       turns: [...body.turns],
       holdings: new Set(body.holdings),
       ended: body.ended,
-      complete: isChain(body.turns),
+      complete: body.complete && isChain(body.turns),
       oldestOffset: position.offset,
     });
   }
@@ -289,10 +296,18 @@
     turn: call.turn,
     target: call.target,
     idempotencyKey: call.idempotencyKey,
-    outcome: 'unknown',
+    outcome: call.outcome === records.RESOLUTIONS.RAN ? records.RESOLUTIONS.RAN : 'unknown',
+    answer: call.answer,
   };
 }
 
+/** A call in doubt is kept until it is resolved, and a program's call as long as the program. */
+function isStillNeeded(state: ShardState, call: KeyedCall): boolean {
+  const program = call.program === undefined ? undefined : state.programs.get(call.program);
+  const isOfLiveProgram = program !== undefined && program.ended === undefined;
+  return call.outcome === undefined || isOfLiveProgram;
+}
+
 function isForgettable(program: ProgramState): boolean {
   return program.ended !== undefined && program.holdings.size === 0;
 }
--- a/packages/programs/src/SingleCalls.ts
+++ b/packages/programs/src/SingleCalls.ts
@@ -26,18 +26,28 @@
   readonly clock: clockTypes.Clock;
 }
 
+/** A keyed call that runs now. */
+interface RunningKeyedCall {
+  readonly requestDigest: string;
+  readonly buffer: answerBuffer.AnswerBuffer;
+}
+
 /** Runs calls outside programs: nothing of them is kept but the outcome of keyed ones. */
 export class SingleCalls {
   /** Keyed calls that run now, by call key. */
-  private readonly keyed = new Map<string, answerBuffer.AnswerBuffer>();
+  private readonly keyed = new Map<string, RunningKeyedCall>();
 
   public constructor(private readonly options: SingleCallsOptions) {}
 
   /** Finds or starts the call. Faults are not run. */
   public enter(request: CallRequest, callerGone: AbortSignal): Outcome<answerBuffer.AnswerBuffer> {
     const callKey = serviceRuns.callKeyOf(request);
+    const requestDigest = digests.digestRequest(request);
     const same = callKey === undefined ? undefined : this.keyed.get(callKey);
-    if (same !== undefined) return trueMyth.Result.ok(same);
+    if (same !== undefined) {
+      if (same.requestDigest === requestDigest) return trueMyth.Result.ok(same.buffer);
+      return trueMyth.Result.err(errors.createFault('idempotency-key-reused'));
+    }
     const { running, clock, shardOf } = this.options;
     const started = running.start({
       request,
@@ -51,7 +61,7 @@
     const buffer = new answerBuffer.AnswerBuffer();
     // A keyed call goes on without its caller, who may come back for the outcome.
     if (callKey === undefined) abortWhenGone(controller, callerGone);
-    else this.keyed.set(callKey, buffer);
+    else this.keyed.set(callKey, { requestDigest, buffer });
     this.run(call, buffer)
       .catch(() => buffer.end(faults.faultItem(errors.createFault('internal'))))
       .finally(() => {
--- a/packages/programs/src/records.ts
+++ b/packages/programs/src/records.ts
@@ -134,6 +134,8 @@
     spent: AMOUNT,
     reserved: AMOUNT,
     turns: zod.array(RECORDED_TURN),
+    /** False when earlier records of the program could not be read. */
+    complete: zod.boolean(),
     holdings: zod.array(zod.string()),
     ended: zod.string().optional(),
   }),
