--- /dev/null
+++ b/packages/entry/src/CallCollaborators.ts
@@ -0,0 +1,13 @@
+import type * as clockTypes from '@limpettack/clock';
+import type * as metrics from '@limpettack/metrics';
+import type * as callGate from './CallGate.js';
+import type { EntryLimits, Homes } from './Types.js';
+
+/** What the handlers of calls need. */
+export interface CallCollaborators {
+  readonly gate: callGate.CallGate;
+  readonly homes: Homes;
+  readonly limits: EntryLimits;
+  readonly metrics: metrics.Metrics;
+  readonly clock: clockTypes.Clock;
+}
--- a/packages/entry/src/ChatHandler.ts
+++ b/packages/entry/src/ChatHandler.ts
@@ -1,15 +1,14 @@
 import type * as clockTypes from '@limpettack/clock';
 import * as configuration from '@limpettack/configuration';
 import * as errors from '@limpettack/errors';
-import type * as metrics from '@limpettack/metrics';
 import * as programs from '@limpettack/programs';
 import * as trueMyth from 'true-myth';
 import * as zod from 'zod';
 import * as callerFields from './callerFields.js';
-import type * as callGate from './CallGate.js';
+import type { CallCollaborators } from './CallCollaborators.js';
 import * as readBody from './readBody.js';
 import * as respond from './respond.js';
-import type { CallerExchange, EntryLimits, Homes, Outcome } from './Types.js';
+import type { CallerExchange, Outcome } from './Types.js';
 
 const { ITEM_KINDS } = programs;
 
@@ -37,15 +36,6 @@
 
 type ChatRequest = zod.infer<typeof CHAT_REQUEST>;
 
-/** What the handler needs. */
-export interface ChatHandlerOptions {
-  readonly gate: callGate.CallGate;
-  readonly homes: Homes;
-  readonly limits: EntryLimits;
-  readonly metrics: metrics.Metrics;
-  readonly clock: clockTypes.Clock;
-}
-
 /** What the caller has been sent so far. */
 interface Delivery {
   readonly chunks: string[];
@@ -56,7 +46,7 @@
 
 /** Answers `POST /v1/chat/completions`, the conventional model call. */
 export class ChatHandler {
-  public constructor(private readonly options: ChatHandlerOptions) {}
+  public constructor(private readonly options: CallCollaborators) {}
 
   /** Answers the request, streamed or whole. */
   public async handle(exchange: CallerExchange): Promise<errors.Fault | undefined> {
--- a/packages/entry/src/ServiceHandler.ts
+++ b/packages/entry/src/ServiceHandler.ts
@@ -1,13 +1,11 @@
-import type * as clockTypes from '@limpettack/clock';
 import * as configuration from '@limpettack/configuration';
 import * as errors from '@limpettack/errors';
-import type * as metrics from '@limpettack/metrics';
 import * as programs from '@limpettack/programs';
 import * as trueMyth from 'true-myth';
 import * as callerFields from './callerFields.js';
-import type * as callGate from './CallGate.js';
+import type { CallCollaborators } from './CallCollaborators.js';
 import * as readBody from './readBody.js';
-import type { CallerExchange, EntryLimits, Homes, Outcome } from './Types.js';
+import type { CallerExchange, Outcome } from './Types.js';
 
 const { ITEM_KINDS } = programs;
 
@@ -45,18 +43,9 @@
   'trailer',
 ]);
 
-/** What the handler needs. */
-export interface ServiceHandlerOptions {
-  readonly gate: callGate.CallGate;
-  readonly homes: Homes;
-  readonly limits: EntryLimits;
-  readonly metrics: metrics.Metrics;
-  readonly clock: clockTypes.Clock;
-}
-
 /** Answers `ANY /v1/services/ROUTE/...`, a plain service call. */
 export class ServiceHandler {
-  public constructor(private readonly options: ServiceHandlerOptions) {}
+  public constructor(private readonly options: CallCollaborators) {}
 
   /** Answers the request with the service's whole answer. */
   public async handle(exchange: CallerExchange): Promise<errors.Fault | undefined> {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,6 @@
 /** The callers' HTTP interface. */
 export * from './Types.js';
+export * from './CallCollaborators.js';
 export * from './CallGate.js';
 export * from './ChatHandler.js';
 export * from './EntryServer.js';
--- a/packages/programs/src/ModelCaller.ts
+++ b/packages/programs/src/ModelCaller.ts
@@ -7,7 +7,13 @@
 import * as backOff from './backOff.js';
 import * as faults from './faults.js';
 import * as messages from './messages.js';
-import type { CallRequest, ChatMessage, CrashRecord, Outcome, RunningCall } from './Types.js';
+import type {
+  CallRequest,
+  ChatMessage,
+  DispatchCollaborators,
+  Outcome,
+  RunningCall,
+} from './Types.js';
 
 type ModelRequest = Extract<CallRequest['call'], { kind: 'model' }>;
 
@@ -68,21 +74,9 @@
   maximumTokens: number;
 }
 
-/** What the caller of models needs. */
-export interface ModelCallerOptions {
-  readonly scheduler: scheduling.Scheduler;
-  readonly client: targets.TargetClient;
-  readonly directory: targets.TargetDirectory;
-  readonly crashes: CrashRecord;
-  readonly retries: targets.RetryBudget;
-  readonly clock: clockTypes.Clock;
-  /** Between 0 and 1, for jitter. */
-  readonly random: () => number;
-}
-
 /** Runs a model call on a target, and on another one when the first fails. */
 export class ModelCaller {
-  public constructor(private readonly options: ModelCallerOptions) {}
+  public constructor(private readonly options: DispatchCollaborators) {}
 
   /** Runs the call; the chunks go into its buffer as they come. */
   public async run(prepared: PreparedModelCall): Promise<ModelEnding> {
--- a/packages/programs/src/ServiceCaller.ts
+++ b/packages/programs/src/ServiceCaller.ts
@@ -5,7 +5,7 @@
 import * as trueMyth from 'true-myth';
 import * as backOff from './backOff.js';
 import * as faults from './faults.js';
-import type { CallRequest, CrashRecord, Outcome, RunningCall } from './Types.js';
+import type { CallRequest, DispatchCollaborators, Outcome, RunningCall } from './Types.js';
 
 type ServiceRequest = Extract<CallRequest['call'], { kind: 'service' }>;
 
@@ -30,21 +30,9 @@
   dispose(): void;
 }
 
-/** What the caller of services needs. */
-export interface ServiceCallerOptions {
-  readonly scheduler: scheduling.Scheduler;
-  readonly client: targets.TargetClient;
-  readonly directory: targets.TargetDirectory;
-  readonly crashes: CrashRecord;
-  readonly retries: targets.RetryBudget;
-  readonly clock: clockTypes.Clock;
-  /** Between 0 and 1, for jitter. */
-  readonly random: () => number;
-}
-
 /** Sends service calls to targets. */
 export class ServiceCaller {
-  public constructor(private readonly options: ServiceCallerOptions) {}
+  public constructor(private readonly options: DispatchCollaborators) {}
 
   /** Runs a call that may be repeated, on other targets when the first fails. */
   public async runRepeatable(
--- a/packages/programs/src/Types.ts
+++ b/packages/programs/src/Types.ts
@@ -1,6 +1,8 @@
 import type * as clock from '@limpettack/clock';
 import type * as configuration from '@limpettack/configuration';
 import type * as errors from '@limpettack/errors';
+import type * as scheduling from '@limpettack/scheduling';
+import type * as targets from '@limpettack/targets';
 import type * as trueMyth from 'true-myth';
 import type * as zod from 'zod';
 import type * as messages from './messages.js';
@@ -119,3 +121,15 @@
   readonly deadline: clock.Milliseconds;
   readonly signal: AbortSignal;
 }
+
+/** What sends calls to targets. */
+export interface DispatchCollaborators {
+  readonly scheduler: scheduling.Scheduler;
+  readonly client: targets.TargetClient;
+  readonly directory: targets.TargetDirectory;
+  readonly crashes: CrashRecord;
+  readonly retries: targets.RetryBudget;
+  readonly clock: clock.Clock;
+  /** Between 0 and 1, for jitter. */
+  readonly random: () => number;
+}
