--- a/tests/malformed.test.ts
+++ b/tests/malformed.test.ts
@@ -9,7 +9,6 @@
 import * as clock from '@limpettack/clock';
 import * as configuration from '@limpettack/configuration';
 import * as errors from '@limpettack/errors';
-import type * as logging from '@limpettack/logging';
 import * as testKit from '@limpettack/test-kit';
 import * as wire from '@limpettack/wire';
 import * as jestGlobals from '@jest/globals';
@@ -327,7 +326,7 @@
       const result = await network.request(fleet.vm(0).peersAddress, method, request, {
         timeoutMs: 1_000,
       });
-      const isRefused = result.isErr && result.error.kind === wire.PEER_FAILURES.FAULT;
+      const isRefused = result.isErr && result.error.kind === wire.PEER_FAILURES.REFUSED;
       if (result.isOk || isRefused) arrived += 1;
     });
     // Messages without an answer aside, the peer has read what it was sent.
