--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -68,26 +68,17 @@
     rules: { 'no-console': 'off' },
   },
   {
-    // Scripts of several modules follow the same rules as the packages.
-    files: ['benchmarks/soak/*.mjs'],
-    rules: {
-      'import-x/prefer-default-export': 'off',
-      'import-x/extensions': 'off',
-      'no-await-in-loop': 'off',
-      'no-continue': 'off',
-      'no-param-reassign': ['error', { props: false }],
-      'no-use-before-define': ['error', { functions: false }],
-    },
-  },
-  {
-    // A measurement is one loop too: points that ran beside each other would disturb each other.
-    files: ['benchmarks/slopes/*.mjs'],
+    // Scripts of several modules follow the same rules as the packages. A measurement is one loop:
+    // points that ran beside each other would disturb each other.
+    files: ['benchmarks/**/*.mjs', 'demo/**/*.mjs'],
     languageOptions: { globals: { performance: 'readonly', setTimeout: 'readonly' } },
     rules: {
       'import-x/extensions': 'off',
       'import-x/prefer-default-export': 'off',
       'no-await-in-loop': 'off',
       'no-continue': 'off',
+      'no-param-reassign': ['error', { props: false }],
+      'no-use-before-define': ['error', { functions: false }],
       'no-restricted-syntax': [
         'error',
         { selector: 'ImportDeclaration > ImportSpecifier', message: NAMESPACE_IMPORT },
