--- a/packages/load/src/experimentTable.ts
+++ b/packages/load/src/experimentTable.ts
@@ -70,8 +70,8 @@
   return (
     `seed ${seed} ${policy}: median ${medianMs} ms, p95 ${p95Ms} ms, wasted ${wastedTokens}, ` +
     `worst ${summary.worstWorkspace} ${slowdown.toFixed(2)}, ${JSON.stringify(states)} ` +
-    `${JSON.stringify(summary.refusals)} load ${summary.offeredLoad.toFixed(2)} ` +
-    summary.failures.join(' | ')
+    `${JSON.stringify(summary.refusals)} load ${summary.offeredLoad.toFixed(2)} ${ 
+    summary.failures.join(' | ')}`
   );
 }
 
