Tell a budget that is used up from one that the log cannot reserve

Cause: a further attempt at a model call in a log outage found its reservation used up by the earlier attempt, could not renew it, and was refused budget-exhausted, for good, although the program had 1,000,000 tokens left. The soak prints warnings of the runtime with their place, and exit code and signal of a VM that ends.

--- a/benchmarks/soak/checks.mjs
+++ b/benchmarks/soak/checks.mjs
@@ -7,6 +7,8 @@
 const VERSION_LIMIT_MS = 10_000;
 const INTERVAL_MS = 500;
 const ROUNDING = 1e-6;
+/** A warning of the runtime with the place it comes from. */
+const WARNING_PATTERN = /^\(node:\d+\).*(?:\n +at .*)*/gm;
 
 /** Judges a seed from what targets executed and callers received. */
 export async function checkAll(load, fleet, limits) {
@@ -26,6 +28,7 @@
   await Promise.all(
     fleet.vms.map(async (vm) => {
       const isAlive = vm.process.isRunning;
+      load.warnings.push(...(vm.process.output.match(WARNING_PATTERN) ?? []));
       const exit = isAlive ? undefined : JSON.stringify(await vm.process.exited);
       const detail = () => `${vm.name} ended with ${exit}: ${vm.process.output.slice(-1_000)}`;
       load.verdicts.check(PROMISES.PROCESSES, isAlive, detail);
--- a/benchmarks/soak/runSeed.mjs
+++ b/benchmarks/soak/runSeed.mjs
@@ -36,7 +36,7 @@
     await sampling;
     await endPrograms(load);
     await checks.checkAll(load, fleet, LIMITS);
-    return load.events;
+    return load;
   } finally {
     await fleet.dispose();
   }
@@ -50,6 +50,7 @@
     services: 1,
     engineOptions: { 'decode-ms-per-token': 8 },
     serviceOptions: { 'service-time-ms': 30 },
+    environment: { ROARR_LOG: 'true', NODE_OPTIONS: '--trace-warnings' },
     proxies: { peers: true, platform: true, targets: true },
     settings: { journal: { shardCount: 8 }, shutdown: { drainDelayMs: 300 } },
     tables: (targets) => ({
@@ -94,6 +95,7 @@
     singles: [],
     limited: [],
     budgets: [],
+    warnings: [],
   };
 }
 
--- a/benchmarks/soak/soak.mjs
+++ b/benchmarks/soak/soak.mjs
@@ -12,7 +12,7 @@
 const SHOWN_VIOLATIONS = 8;
 const SHOWN_CHARACTERS = 1_500;
 
-function formatSeed({ seed, verdicts, events, error }) {
+function formatSeed({ seed, verdicts, events, warnings, error }) {
   const violated = [...verdicts.rows].filter(([, row]) => row.violations.length > 0);
   const details = violated.flatMap(([promise, row]) =>
     row.violations
@@ -22,7 +22,7 @@
   const verdict =
     error === undefined ? `${verdicts.violationCount} violations` : `not run: ${error}`;
   const schedule = details.length > 0 ? events.map((event) => `    ${event}`) : [];
-  return [`seed ${seed}: ${verdict}`, ...details, ...schedule].join('\n');
+  return [`seed ${seed}: ${verdict}`, ...details, ...schedule, ...warnings].join('\n');
 }
 
 function formatSummary(results) {
@@ -51,9 +51,10 @@
 
 async function runOne(seed, spanMs) {
   const verdicts = new verdictsModule.Verdicts();
-  const result = { seed, verdicts, events: [], error: undefined };
+  const result = { seed, verdicts, events: [], warnings: [], error: undefined };
   try {
-    result.events = await run.runSeed(seed, spanMs, verdicts);
+    const { events, warnings } = await run.runSeed(seed, spanMs, verdicts);
+    Object.assign(result, { events, warnings });
   } catch (error) {
     result.error = String(error.stack);
   }
--- a/packages/programs/src/Reservations.ts
+++ b/packages/programs/src/Reservations.ts
@@ -54,7 +54,10 @@
     if (reserved.isErr) return reserved;
     const left = reserved.value - abandonedTokens;
     if (left >= 1) return trueMyth.Result.ok(left);
-    return trueMyth.Result.err(errors.createFault('budget-exhausted'));
+    const unspent = amounts.subtract(amounts.unspent(program), this.unsettledOf(program));
+    const isUsedUp = unspent.tokens <= abandonedTokens;
+    const kind = isUsedUp ? 'budget-exhausted' : 'budget-not-reserved';
+    return trueMyth.Result.err(errors.createFault(kind));
   }
 
   /** What the record of a completed turn reserves for the next ones. */
