Take a service's own error for the end of an order in the soak

The check now tells the service's own answers from refusals of the system; what counts as executed is unchanged.

--- a/benchmarks/soak/loads.mjs
+++ b/benchmarks/soak/loads.mjs
@@ -74,7 +74,7 @@
   for (;;) {
     const answer = await load.caller.service(load.pickVm(), options);
     order.answers.push(answer);
-    const isFinal = answer.status === 200 || answer.text.includes('"outcome-unknown"');
+    const isFinal = isOfService(answer) || answer.text.includes('"outcome-unknown"');
     if (isFinal || time.now() > deadline) {
       const what = () => `${load.stamp()} ${order.key}: ${answer.status} ${answer.text}`;
       load.verdicts.check(PROMISES.BOUNDED_TIME, isFinal, what);
@@ -84,6 +84,11 @@
   }
 }
 
+/** Whether the service itself has answered, also with an error of its own. */
+function isOfService(answer) {
+  return answer.status !== 0 && JSON.parse(answer.text).kind === undefined;
+}
+
 /** Makes calls of their own, models and services in turn, each sent once. */
 export async function runSingleCalls(load) {
   const sending = [];
