Reserve at most half of what is left, so that programs below find some of the budget free

Cause: opening a program reserved four calls ahead, which is all of a small budget; its sub-agents opened with nothing to spend. A child whose parent has no tokens left is now refused as budget-exhausted. After: half of what is left, and a call still gets what it needs at once.

--- a/packages/programs/src/Home.ts
+++ b/packages/programs/src/Home.ts
@@ -13,6 +13,7 @@
 import * as messages from './messages.js';
 import * as programIds from './programIds.js';
 import * as records from './records.js';
+import * as reservations from './Reservations.js';
 import type {
   CallItem,
   CallRequest,
@@ -29,9 +30,6 @@
 /** How often expired programs are looked for, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 1_000;
 
-/** Calls that a new program has reserved. */
-const FIRST_RESERVATION_CALLS = 4;
-
 /** What a home needs. */
 export interface HomeOptions {
   readonly shards: journal.Journal<ShardState, JournalBody>;
@@ -132,10 +130,6 @@
     if (refused !== undefined) return trueMyth.Result.err(refused);
     const route = this.options.configuration.current().routes.get(request.route);
     if (route === undefined) return trueMyth.Result.err(errors.createFault('route-unknown'));
-    const ahead = {
-      tokens: route.defaultMaximumTokens * FIRST_RESERVATION_CALLS,
-      calls: FIRST_RESERVATION_CALLS,
-    };
     const appended = await this.options.shards.append(
       shard,
       {
@@ -145,7 +139,7 @@
         route: request.route,
         parent: request.parent,
         budget: request.budget,
-        reserved: amounts.smaller(request.budget, ahead),
+        reserved: reservations.aheadOf(request.budget, route.defaultMaximumTokens),
       },
       { replicateInOutage: true },
     );
@@ -164,7 +158,7 @@
     }
     if (parent.ended !== undefined) return errors.createFault('program-ended');
     const left = amounts.available(parent);
-    if (left.calls < 1) return errors.createFault('budget-exhausted');
+    if (left.calls < 1 || left.tokens < 1) return errors.createFault('budget-exhausted');
     return undefined;
   }
 
--- a/packages/programs/src/Reservations.test.ts
+++ b/packages/programs/src/Reservations.test.ts
@@ -43,6 +43,18 @@
     expect(await kindAfter(100, 25)).toBe('allowed 5');
   });
 
+  test('leaves part of a small budget unreserved, for programs below this one', () => {
+    const { kept, program } = createFixture(300, 0);
+    const next = kept.next(program, { tokens: 20, calls: 1 }, 512);
+    expect(next.tokens).toBe(140);
+    expect(next.calls).toBe(4);
+    // A call is never kept from what it needs.
+    expect(reservations.aheadOf({ tokens: 30, calls: 1 }, 512, { tokens: 30, calls: 1 })).toEqual({
+      tokens: 30,
+      calls: 1,
+    });
+  });
+
   test('tells a budget that is used up from one that is not reserved in an outage', async () => {
     expect(await kindAfter(1_000, 20)).toBe('budget-not-reserved');
     expect(await kindAfter(20, 20)).toBe('budget-exhausted');
--- a/packages/programs/src/Reservations.ts
+++ b/packages/programs/src/Reservations.ts
@@ -30,7 +30,7 @@
     }
     const needed = { tokens: Math.min(wantedTokens, left.tokens), calls: 1 };
     if (!covers(this.spendable(program), needed)) {
-      const appended = await this.append(shard, program, wantedTokens);
+      const appended = await this.append(shard, program, wantedTokens, needed);
       if (appended?.kind === 'not-owner') return trueMyth.Result.err(appended);
     }
     const spendable = this.spendable(program);
@@ -63,13 +63,13 @@
   /** What the record of a completed turn reserves for the next ones. */
   public next(program: ProgramState, used: Amount, wantedTokens: number): Amount {
     const spent = amounts.add(used, this.unsettledOf(program));
-    return amounts.smaller(amounts.subtract(amounts.unspent(program), spent), ahead(wantedTokens));
+    return aheadOf(amounts.subtract(amounts.unspent(program), spent), wantedTokens);
   }
 
   /** Notes what a failed turn may have spent, in the journal when it can. */
   public async settle(shard: number, program: ProgramState, used: Amount): Promise<void> {
     this.unsettled.set(program.program, amounts.add(this.unsettledOf(program), used));
-    await this.append(shard, program, 0);
+    await this.append(shard, program, 0, amounts.NO_AMOUNT);
   }
 
   /** Forgets a program. */
@@ -89,15 +89,17 @@
     shard: number,
     program: ProgramState,
     wantedTokens: number,
+    needed: Amount,
   ): Promise<errors.Fault | undefined> {
     const used = this.unsettledOf(program);
+    const left = amounts.subtract(amounts.unspent(program), used);
     const result = await this.shards.append(
       shard,
       {
         kind: records.RECORD_KINDS.RESERVED,
         program: program.program,
         used,
-        reserved: this.next(program, amounts.NO_AMOUNT, wantedTokens),
+        reserved: aheadOf(left, wantedTokens, needed),
       },
       { replicateInOutage: false },
     );
@@ -107,8 +109,18 @@
   }
 }
 
-function ahead(wantedTokens: number): Amount {
-  return { tokens: wantedTokens * CALLS_AHEAD, calls: CALLS_AHEAD };
+/**
+ * What is reserved of what is left: some calls ahead, but at most half, so that programs below this
+ * one find some of the budget free; and what a call needs now in any case.
+ */
+export function aheadOf(
+  left: Amount,
+  wantedTokens: number,
+  needed: Amount = amounts.NO_AMOUNT,
+): Amount {
+  const half = { tokens: Math.ceil(left.tokens / 2), calls: Math.ceil(left.calls / 2) };
+  const ahead = { tokens: wantedTokens * CALLS_AHEAD, calls: CALLS_AHEAD };
+  return amounts.smaller(left, amounts.larger(needed, amounts.smaller(half, ahead)));
 }
 
 function covers(held: Amount, needed: Amount): boolean {
--- a/packages/programs/src/amounts.ts
+++ b/packages/programs/src/amounts.ts
@@ -24,6 +24,14 @@
   };
 }
 
+/** The larger of two amounts, part by part. */
+export function larger(left: Amount, right: Amount): Amount {
+  return {
+    tokens: Math.max(left.tokens, right.tokens),
+    calls: Math.max(left.calls, right.calls),
+  };
+}
+
 /** What a program has not spent yet, its reservation included. */
 export function unspent(program: ProgramState): Amount {
   return subtract(program.budget, program.spent);
