--- a/benchmarks/soak/checks.mjs
+++ b/benchmarks/soak/checks.mjs
@@ -7,6 +7,8 @@
 const VERSION_LIMIT_MS = 10_000;
 const INTERVAL_MS = 500;
 const ROUNDING = 1e-6;
+/** A warning of the runtime with the place it comes from. */
+const WARNING_PATTERN = /^\(node:\d+\).*(?:\n +at .*)*/gm;
 
 /** Judges a seed from what targets executed and callers received. */
 export async function checkAll(load, fleet, limits) {
@@ -19,10 +21,19 @@
   await checkOrders(load, fleet);
   await checkVersions(load, fleet);
   await checkMemory(load, fleet);
-  fleet.vms.forEach((vm) => {
-    const isAlive = vm.process.isRunning;
-    load.verdicts.check(PROMISES.PROCESSES, isAlive, () => `${vm.name}: ${vm.process.output}`);
-  });
+  await checkProcesses(load, fleet);
+}
+
+async function checkProcesses(load, fleet) {
+  await Promise.all(
+    fleet.vms.map(async (vm) => {
+      const isAlive = vm.process.isRunning;
+      load.warnings.push(...(vm.process.output.match(WARNING_PATTERN) ?? []));
+      const exit = isAlive ? undefined : JSON.stringify(await vm.process.exited);
+      const detail = () => `${vm.name} ended with ${exit}: ${vm.process.output.slice(-1_000)}`;
+      load.verdicts.check(PROMISES.PROCESSES, isAlive, detail);
+    }),
+  );
 }
 
 function saysNotRun(answer) {
@@ -86,11 +97,17 @@
     load.verdicts.check(
       PROMISES.BUDGET,
       generated <= budget.tokens,
-      `${seen}; engines generated ${generated} in ${finished.length} calls`,
+      () => `${seen}; engines generated ${generated}: ${sent.map(formatCall).join(', ')}`,
     );
   });
 }
 
+function formatCall({ callId, startedAtMs, finishedAtMs, outcome, body }) {
+  const { messages } = JSON.parse(body);
+  const span = `${Math.round(startedAtMs)} to ${Math.round(finishedAtMs)}`;
+  return `${callId.split(':').slice(1).join(':')} of ${messages.length} messages ${outcome} ${span}`;
+}
+
 /** A window runs from the sending of one request to the answer of another. */
 function checkLimits(load, { ratePerSecond, burst }) {
   const admitted = load.limited
@@ -113,7 +130,8 @@
 }
 
 async function checkVersions(load, fleet) {
-  const versions = () => Promise.all(fleet.vms.map((vm) => vm.describeFleet()));
+  const running = fleet.vms.filter((vm) => vm.process.isRunning);
+  const versions = () => Promise.all(running.map((vm) => vm.describeFleet()));
   let last = [];
   const isInForce = await testKit
     .waitFor(
--- a/packages/programs/src/ProgramTurns.ts
+++ b/packages/programs/src/ProgramTurns.ts
@@ -196,7 +196,17 @@
       },
       { replicateInOutage: true },
     );
-    return appended.mapErr((fault) => faults.withSent(fault, true));
+    if (appended.isErr) return appended.mapErr((fault) => faults.withSent(fault, true));
+    if (this.isRecorded(call.shard, program, completed)) return appended;
+    // The caller fetches the turn again and receives the answer that counts.
+    return trueMyth.Result.err(faults.withSent(errors.createFault('stream-interrupted'), true));
+  }
+
+  /** Whether this record of the turn counts, and not one of an earlier run of it. */
+  private isRecorded(shard: number, program: ProgramState, completed: RecordedTurn): boolean {
+    const state = this.options.shards.owned(shard)?.state;
+    const current = state?.programs.get(program.program) ?? program;
+    return current.turns[completed.turn - 1]?.chainDigest === completed.chainDigest;
   }
 
   /** The shard may have been lost and won again; another home may have gone on meanwhile. */
--- a/packages/programs/src/ProgramsFold.test.ts
+++ b/packages/programs/src/ProgramsFold.test.ts
@@ -64,16 +64,43 @@
   test('keeps the turns in order and marks a program whose chain is broken', () => {
     const { state, apply } = createFixture();
     apply(opened('p'));
-    const first = completedTurn(state, 'p', 5, 40);
-    apply(first);
     apply(completedTurn(state, 'p', 5, 40));
+    const second = completedTurn(state, 'p', 5, 40);
+    apply(second);
     expect(state.programs.get('p')?.turns).toHaveLength(2);
     expect(state.programs.get('p')?.complete).toBe(true);
-    apply(first);
+    // It has the number of the next turn and rests on another one than the last.
+    apply({ ...second, completed: { ...second.completed, turn: 3 } });
     expect(state.programs.get('p')?.turns).toHaveLength(2);
     expect(state.programs.get('p')?.complete).toBe(false);
   });
 
+  test('marks a program of which a turn is missing', () => {
+    const { state, apply } = createFixture();
+    apply(opened('p'));
+    const first = completedTurn(state, 'p', 5, 40);
+    apply({ ...first, completed: { ...first.completed, turn: 2 } });
+    expect(state.programs.get('p')?.turns).toHaveLength(0);
+    expect(state.programs.get('p')?.complete).toBe(false);
+  });
+
+  test('takes the first record of a turn that ran twice and counts what both used', () => {
+    const { state, apply } = createFixture();
+    apply(opened('p'));
+    const first = completedTurn(state, 'p', 5, 40);
+    const answer = { status: 200, headers: {}, body: 'b3RoZXI=', chunks: [] };
+    const again = { ...first.completed, answer };
+    const chainDigest = digests.chainTurn(undefined, again);
+    apply(first);
+    apply({ ...first, completed: { ...again, chainDigest } });
+    const program = state.programs.get('p');
+    expect(program?.turns).toEqual([first.completed]);
+    expect(program?.complete).toBe(true);
+    expect(program?.spent).toEqual({ tokens: 10, calls: 2 });
+    apply(completedTurn(state, 'p', 5, 40));
+    expect(program?.turns).toHaveLength(2);
+  });
+
   test('counts what an earlier owner had reserved as spent, unless it handed over or renewed', () => {
     const { state, apply, claim } = createFixture();
     apply(opened('p'));
@@ -122,6 +149,27 @@
     fastCheck.assert(property, PROPERTY);
   });
 
+  test('does not take an incomplete program for a whole one after it was renewed', () => {
+    const { fold, state, apply } = createFixture();
+    apply(opened('p'));
+    const first = completedTurn(state, 'p', 5, 40);
+    apply({ ...first, completed: { ...first.completed, turn: 2 } });
+    const next = createFixture();
+    fold.renew(state, 100).forEach((body) => next.apply(records.JOURNAL_BODY.parse(body)));
+    expect(next.state.programs.get('p')?.complete ?? false).toBe(false);
+  });
+
+  test('keeps the state that a running turn goes by when the program is renewed', () => {
+    const { fold, state, apply } = createFixture();
+    apply(opened('p'));
+    apply(completedTurn(state, 'p', 5, 40));
+    const before = state.programs.get('p');
+    fold.renew(state, 100).forEach((body) => apply(records.JOURNAL_BODY.parse(body)));
+    expect(state.programs.get('p')).toBe(before);
+    expect(before?.turns).toHaveLength(1);
+    expect(before?.oldestOffset).toBe(2);
+  });
+
   test('carries a live program and an open call over the end of the retention', () => {
     const { fold, state, apply } = createFixture();
     apply(opened('p'));
@@ -140,5 +188,27 @@
     expect(next.state.programs.get('p')?.complete).toBe(true);
     expect(next.state.keyedCalls.get('key')?.outcome).toBeUndefined();
     expect(next.state.keyedCalls.has('key')).toBe(true);
+    // The call is of no program, so its outcome is kept only as long as its records.
+    const answer = { status: 200, headers: {}, body: 'b2s=', chunks: [] };
+    apply({ kind: RECORD_KINDS.CALL_COMPLETED, callKey: 'key', answer });
+    fold.renew(state, 100);
+    expect(state.keyedCalls.has('key')).toBe(false);
+  });
+
+  test("keeps the outcome of a live program's call as long as the program", () => {
+    const { fold, state, apply } = createFixture();
+    const answer = { status: 200, headers: {}, body: 'b2s=', chunks: [] };
+    const call = { callKey: 'key', requestDigest: 'd', route: 'orders', program: 'p' };
+    apply(opened('p'));
+    apply({
+      kind: RECORD_KINDS.CALL_INTENDED,
+      ...call,
+      target: 'service',
+      idempotencyKey: 'k',
+    });
+    apply({ kind: RECORD_KINDS.CALL_COMPLETED, callKey: 'key', answer });
+    const next = createFixture();
+    fold.renew(state, 100).forEach((body) => next.apply(records.JOURNAL_BODY.parse(body)));
+    expect(next.state.keyedCalls.get('key')?.answer).toEqual(answer);
   });
 });
--- a/tests/limits.test.ts
+++ b/tests/limits.test.ts
@@ -8,20 +8,34 @@
 
 const { MODEL_ROUTE, SERVICE_ROUTE } = testKit.FLEET_NAMES;
 
-const RATE_PER_SECOND = 20;
-const BURST = 10;
-const EDITED_RATE_PER_SECOND = 5;
+const STEADY = { ratePerSecond: 20, burst: 10 };
+/** A new owner that began with a full bucket would exceed this burst by almost all of it. */
+const BURSTING = { ratePerSecond: 5, burst: 60 };
+const EDITED = { ratePerSecond: 5, burst: 10 };
 const REQUESTS_PER_SECOND = 60;
 const CALM_SPAN_MS = 3_000;
-const FAULT_SPAN_MS = 7_500;
-const FAULT_AFTER_MS = 1_000;
-const FAULT_LASTS_MS = 4_000;
-
-const WORKSPACES = ['skewed', 'spread', 'killed', 'paused', 'pair', 'cut', 'edited'] as const;
+const FAULT_SPAN_MS = 6_500;
+const FAULT_AFTER_MS = 1_500;
+const FAULT_LASTS_MS = 3_500;
+
+const WORKSPACES = {
+  skewed: STEADY,
+  spread: STEADY,
+  killed: BURSTING,
+  paused: BURSTING,
+  pair: BURSTING,
+  cut: BURSTING,
+  alone: BURSTING,
+  edited: STEADY,
+};
 
 const time = new clock.SystemClock();
 let fleet: testKit.Fleet;
 
+type Limit = typeof STEADY;
+
+type WorkspaceName = keyof typeof WORKSPACES;
+
 /** One request, by the clock of the test. */
 interface Sending {
   readonly sentAt: clock.Milliseconds;
@@ -34,17 +48,13 @@
     vms: 4,
     failureDomains: ['quito-norte', 'cumbaya', 'tumbaco', 'quito-sur'],
     services: 2,
-    proxies: { peers: true },
+    proxies: { peers: true, platform: true },
     settings: { journal: { shardCount: 6 } },
     tables: (targets) => ({
       ...testKit.defaultTables(targets),
-      workspaces: WORKSPACES.map((name) => ({
-        name,
-        ratePerSecond: RATE_PER_SECOND,
-        burst: BURST,
-      })),
+      workspaces: Object.entries(WORKSPACES).map(([name, limit]) => ({ name, ...limit })),
     }),
-    keys: Object.fromEntries(WORKSPACES.map((name) => [name, [`key-of-${name}`]])),
+    keys: Object.fromEntries(Object.keys(WORKSPACES).map((name) => [name, [`key-of-${name}`]])),
   });
   await fleetViews.untilPaired(fleet);
 });
@@ -76,7 +86,7 @@
  * How many admissions too many the worst window holds. A window runs from the sending of one
  * request to the answer of another, so all that it counts was granted within it.
  */
-function worstExcess(sendings: readonly Sending[], rate = RATE_PER_SECOND): number {
+function worstExcess(sendings: readonly Sending[], limit: Limit): number {
   const admitted = sendings.filter((sending) => sending.isAdmitted);
   const excesses = admitted.flatMap((first) =>
     admitted.map((last) => {
@@ -84,21 +94,22 @@
       const { answeredAt } = last;
       if (answeredAt < sentAt) return -Infinity;
       const count = admitted.filter((one) => one.sentAt >= sentAt && one.answeredAt <= answeredAt);
-      return count.length - BURST - (rate * (answeredAt - sentAt)) / 1_000;
+      return count.length - limit.burst - (limit.ratePerSecond * (answeredAt - sentAt)) / 1_000;
     }),
   );
   return excesses.reduce((worst, excess) => Math.max(worst, excess), -Infinity);
 }
 
 /** How many of the requests one whole bucket would have admitted. */
-function idealCount(sendings: readonly Sending[]): number {
-  let level = BURST;
+function idealCount(sendings: readonly Sending[], limit: Limit): number {
+  let level = limit.burst;
   let count = 0;
   let [last] = sendings.map((sending) => sending.sentAt);
   [...sendings]
     .sort((left, right) => left.sentAt - right.sentAt)
     .forEach(({ sentAt }) => {
-      level = Math.min(BURST, level + ((sentAt - (last ?? sentAt)) * RATE_PER_SECOND) / 1_000);
+      const since = (sentAt - (last ?? sentAt)) / 1_000;
+      level = Math.min(limit.burst, level + since * limit.ratePerSecond);
       last = sentAt;
       if (level < 1) return;
       level -= 1;
@@ -108,30 +119,35 @@
 }
 
 /** Prints the refusals within rate and returns how many requests were admitted. */
-function compare(what: string, sendings: readonly Sending[]): number {
+function compare(what: WorkspaceName, sendings: readonly Sending[]): number {
+  const limit = WORKSPACES[what];
   const admitted = sendings.filter((sending) => sending.isAdmitted).length;
-  const ideal = idealCount(sendings);
+  const ideal = idealCount(sendings, limit);
   process.stdout.write(
     `limits: ${what}: sent ${sendings.length}, admitted ${admitted}, an ideal bucket ${ideal}, ` +
-      `worst excess ${worstExcess(sendings).toFixed(1)}\n`,
+      `worst excess ${worstExcess(sendings, limit).toFixed(1)}\n`,
   );
   return admitted;
 }
 
 /** Hammers while a fault comes and goes, then checks all windows. */
 async function expectWithin(
-  workspace: (typeof WORKSPACES)[number],
+  workspace: WorkspaceName,
   fault: (holders: fleetViews.Holders) => Promise<void>,
 ): Promise<void> {
   const holders = await fleetViews.holdersOf(fleet, `workspace:${workspace}`);
-  const others = fleet.vms.filter((vm) => vm !== holders.owner && vm !== holders.standby);
-  const [sendings] = await Promise.all([
-    hammer(workspace, others, FAULT_SPAN_MS),
-    time.sleep(FAULT_AFTER_MS).then(() => fault(holders)),
+  // Also through the VMs that the fault hits, which may believe that they still own the bucket.
+  const [sendings, faultEndedAt] = await Promise.all([
+    hammer(workspace, fleet.vms, FAULT_SPAN_MS),
+    time
+      .sleep(FAULT_AFTER_MS)
+      .then(() => fault(holders))
+      .then(() => time.now()),
   ]);
-  const admitted = compare(workspace, sendings);
-  expect(worstExcess(sendings)).toBeLessThanOrEqual(0);
-  expect(admitted).toBeGreaterThanOrEqual(BURST);
+  compare(workspace, sendings);
+  expect(worstExcess(sendings, WORKSPACES[workspace])).toBeLessThanOrEqual(0);
+  const later = sendings.filter((sending) => sending.answeredAt > faultEndedAt);
+  expect(later.some((sending) => sending.isAdmitted)).toBe(true);
 }
 
 describe('no workspace gets more than its rate and burst over all VMs', () => {
@@ -141,9 +157,9 @@
       hammer('spread', fleet.vms, CALM_SPAN_MS),
     ]);
     const admitted = [compare('skewed', skewed), compare('spread', spread)];
-    expect(worstExcess(skewed)).toBeLessThanOrEqual(0);
-    expect(worstExcess(spread)).toBeLessThanOrEqual(0);
-    const ideal = [idealCount(skewed), idealCount(spread)];
+    expect(worstExcess(skewed, STEADY)).toBeLessThanOrEqual(0);
+    expect(worstExcess(spread, STEADY)).toBeLessThanOrEqual(0);
+    const ideal = [idealCount(skewed, STEADY), idealCount(spread, STEADY)];
     admitted.forEach((count, index) => {
       expect(count).toBeGreaterThanOrEqual((ideal[index] ?? 0) * 0.9);
     });
@@ -163,13 +179,6 @@
       owner.process.resume();
     }));
 
-  test('while owner and standby are killed together and started again', () =>
-    expectWithin('pair', async ({ owner, standby }) => {
-      await Promise.all([fleetViews.killVm(owner), fleetViews.killVm(standby)]);
-      await time.sleep(FAULT_LASTS_MS / 2);
-      await Promise.all([owner.start(), standby.start()]);
-    }));
-
   test('while owner and standby are cut off from each other', () =>
     expectWithin('cut', async ({ owner, standby }) => {
       await Promise.all([owner.peersProxy.cut(), standby.peersProxy.cut()]);
@@ -177,16 +186,32 @@
       await Promise.all([owner.peersProxy.restore(), standby.peersProxy.restore()]);
     }));
 
+  test('while no VM reaches another and the owner of its bucket not even the log', () =>
+    expectWithin('alone', async ({ owner }) => {
+      const proxies = [...fleet.vms.map((vm) => vm.peersProxy), owner.platformProxy];
+      await Promise.all(proxies.map((proxy) => proxy.cut()));
+      await time.sleep(FAULT_LASTS_MS);
+      await Promise.all(proxies.map((proxy) => proxy.restore()));
+    }));
+
+  // This one is late because buckets begin empty after it, which would hide the excess of others.
+  test('while owner and standby are killed together and started again', () =>
+    expectWithin('pair', async ({ owner, standby }) => {
+      await Promise.all([fleetViews.killVm(owner), fleetViews.killVm(standby)]);
+      await time.sleep(FAULT_LASTS_MS / 2);
+      await Promise.all([owner.start(), standby.start()]);
+    }));
+
   test('after its rate has been lowered', async () => {
     await hammer('edited', fleet.vms, CALM_SPAN_MS / 2);
     await fleet.publish({
       kind: configuration.CHANGE_KINDS.PUT_WORKSPACE,
-      workspace: { name: 'edited', ratePerSecond: EDITED_RATE_PER_SECOND, burst: BURST },
+      workspace: { name: 'edited', ...EDITED },
     });
     // The requests of this span bring the new rate into force at each VM.
     await hammer('edited', fleet.vms, CALM_SPAN_MS / 2);
     const after = await hammer('edited', fleet.vms, CALM_SPAN_MS);
-    expect(worstExcess(after, EDITED_RATE_PER_SECOND)).toBeLessThanOrEqual(0);
+    expect(worstExcess(after, EDITED)).toBeLessThanOrEqual(0);
     expect(after.some((sending) => sending.isAdmitted)).toBe(true);
   });
 });
