--- a/benchmarks/soak/checks.mjs
+++ b/benchmarks/soak/checks.mjs
@@ -28,7 +28,8 @@
   await Promise.all(
     fleet.vms.map(async (vm) => {
       const isAlive = vm.process.isRunning;
-      load.warnings.push(...(vm.process.output.match(WARNING_PATTERN) ?? []));
+      const output = vm.process.output.replace(/file:.*?(?=packages)/g, '');
+      load.warnings.push(...(output.match(WARNING_PATTERN) ?? []));
       const exit = isAlive ? undefined : JSON.stringify(await vm.process.exited);
       const detail = () => `${vm.name} ended with ${exit}: ${vm.process.output.slice(-1_000)}`;
       load.verdicts.check(PROMISES.PROCESSES, isAlive, detail);
