Carry calls that must not be repeated over a hand-over of their shard

Cause: a call that ran while its shard was handed over was aborted with the shard's other calls, and the new home found its intent without an outcome. Found by tests/handOver.test.ts: orders of 400 ms, each VM ended in turn, a pool without an outcome query. Ruled out: the dispatch (no order ran twice or not at all), the entry's retries. Such a call now goes on at the old home, which tells the new owner how it ended, or that nothing was sent; the report names the intent, so that a late one concludes no other. A process that ends waits for them.

--- a/packages/node/src/VmProcess.ts
+++ b/packages/node/src/VmProcess.ts
@@ -42,6 +42,7 @@
   readonly members: membership.Membership;
   readonly shards: Shards;
   readonly entry: entry.EntryServer;
+  readonly calls: programs.HomeCalls;
 }
 
 /** One VM process: all parts put together, and their orderly end. */
@@ -75,7 +76,7 @@
     store.add(new usageExchange.UsageExchange(network, members, scheduler, clock, random));
     const made = servers.createServers(context, shards, admission, () => this.isDraining);
     gauges.registerGauges(context, shards, calls, made.entry);
-    this.running = { members, shards, entry: made.entry };
+    this.running = { members, shards, entry: made.entry, calls };
     const { callers, operators } = this.settings;
     return {
       listening: `${callers.host}:${await made.entry.listen()}`,
@@ -93,6 +94,8 @@
     await this.clock.sleep(drainDelayMs);
     await this.running?.entry.drain();
     await this.running?.shards.handOver(handOverTimeoutMs);
+    // Calls that must not be repeated still run here, and their callers wait for them.
+    await this.running?.calls.untilNone(handOverTimeoutMs);
     await this.dispose();
     this.logger.info('The shutdown is complete.');
   }
--- a/packages/node/src/createHome.ts
+++ b/packages/node/src/createHome.ts
@@ -49,9 +49,11 @@
   const retries = new targets.RetryBudget(RETRY_BUDGET);
   const shared = { scheduler, client, directory, crashes, retries, clock, random };
   const caller = new programs.ServiceCaller(shared);
+  const { network } = context;
+  const reports = context.store.add(new programs.OutcomeReports({ shards, network, clock }));
   const keyed = new programs.KeyedCaller({
     ...vmContext.partsOf(context.clock, 'home'),
-    ...{ shards, services: caller, client },
+    ...{ shards, services: caller, client, reports },
   });
   const authority = new programs.Authority(shards);
   const running = new programs.RunningCalls(context.configuration, clock);
--- a/packages/programs/src/HomeCalls.ts
+++ b/packages/programs/src/HomeCalls.ts
@@ -92,6 +92,11 @@
     });
   }
 
+  /** Resolves when no call runs here any more, or when the time is up. */
+  public untilNone(limitMs: clockTypes.Milliseconds): Promise<void> {
+    return this.options.running.untilNone(limitMs);
+  }
+
   /** Aborts all calls, so that entries take them to other homes. */
   public abortAll(): void {
     this.options.running.abortAll();
--- a/packages/programs/src/KeyedCaller.ts
+++ b/packages/programs/src/KeyedCaller.ts
@@ -4,8 +4,10 @@
 import type * as logging from '@limpettack/logging';
 import * as targets from '@limpettack/targets';
 import * as trueMyth from 'true-myth';
+import * as ulid from 'ulid';
 import * as answers from './answers.js';
 import * as faults from './faults.js';
+import type * as outcomeReports from './OutcomeReports.js';
 import * as records from './records.js';
 import type * as serviceCaller from './ServiceCaller.js';
 import type { JournalBody, KeyedCall, Outcome, RecordedAnswer, ShardState } from './Types.js';
@@ -27,11 +29,18 @@
   readonly idempotencyKey: string;
 }
 
+/** An intent of this home, and the target that it is for. */
+interface Intent {
+  readonly id: string;
+  readonly target: string;
+}
+
 /** What the caller needs. */
 export interface KeyedCallerOptions {
   readonly shards: journal.Journal<ShardState, JournalBody>;
   readonly services: serviceCaller.ServiceCaller;
   readonly client: targets.TargetClient;
+  readonly reports: Pick<outcomeReports.OutcomeReports, 'tell'>;
   readonly clock: clockTypes.Clock;
   readonly logger: logging.Logger;
 }
@@ -65,8 +74,8 @@
     }
     if (known.answer !== undefined) return trueMyth.Result.ok(known.answer);
     if (known.outcome === records.RESOLUTIONS.RAN) return trueMyth.Result.err(resolvedAsRan());
-    if (this.neverSent.has(keyed.callKey)) return this.startAfresh(keyed);
-    return this.resolveByQuery(keyed, known.target);
+    if (this.neverSent.has(keyed.callKey)) return this.startAfresh(keyed, known.intentId);
+    return this.resolveByQuery(keyed, { id: known.intentId, target: known.target });
   }
 
   private async start(keyed: PreparedKeyedCall): Promise<Outcome<RecordedAnswer>> {
@@ -82,8 +91,11 @@
    * An intent of this process that was refused, and counted all the same, was never dispatched and
    * never will be; only this process knows that, so it alone may withdraw it.
    */
-  private async startAfresh(keyed: PreparedKeyedCall): Promise<Outcome<RecordedAnswer>> {
-    const withdrawn = await this.withdraw(keyed, errors.createFault('log-unavailable'));
+  private async startAfresh(
+    keyed: PreparedKeyedCall,
+    intentId: string,
+  ): Promise<Outcome<RecordedAnswer>> {
+    const withdrawn = await this.withdraw(keyed, intentId, errors.createFault('log-unavailable'));
     if (!this.isKeyFree(keyed)) return withdrawn;
     this.neverSent.delete(keyed.callKey);
     return this.start(keyed);
@@ -101,12 +113,13 @@
     const acquired = await services.acquire(keyed.prepared, excluded);
     if (acquired.isErr) return trueMyth.Result.err(acquired.error);
     const place = acquired.value;
+    const intent: Intent = { id: ulid.ulid(), target: place.target };
     try {
-      const intended = await this.intend(keyed, place.target);
+      const intended = await this.intend(keyed, intent);
       if (intended !== undefined) return trueMyth.Result.err(intended);
       const sent = await services.dispatch(keyed.prepared, place);
-      if (sent.isErr) return await this.withdraw(keyed, sent.error);
-      return await this.conclude(keyed, place.target, sent.value, excluded);
+      if (sent.isErr) return await this.withdraw(keyed, intent.id, sent.error);
+      return await this.conclude(keyed, intent, sent.value, excluded);
     } finally {
       place.dispose();
     }
@@ -114,7 +127,7 @@
 
   private async intend(
     keyed: PreparedKeyedCall,
-    target: string,
+    intent: Intent,
   ): Promise<errors.Fault | undefined> {
     const { call } = keyed.prepared;
     const result = await this.options.shards.append(
@@ -122,12 +135,13 @@
       {
         kind: records.RECORD_KINDS.CALL_INTENDED,
         callKey: keyed.callKey,
+        intentId: intent.id,
         requestDigest: keyed.requestDigest,
         workspace: call.request.workspace,
         route: call.route.name,
         program: call.request.program,
         turn: call.turn > 0 ? call.turn : undefined,
-        target,
+        target: intent.target,
         idempotencyKey: keyed.idempotencyKey,
       },
       { replicateInOutage: false },
@@ -139,32 +153,36 @@
 
   private async conclude(
     keyed: PreparedKeyedCall,
-    target: string,
+    intent: Intent,
     answer: targets.TargetResult<targets.ServiceAnswer>,
     excluded: Set<string>,
   ): Promise<Outcome<RecordedAnswer> | undefined> {
-    if (answer.isOk) return this.complete(keyed, answers.recordService(answer.value));
+    const { id, target } = intent;
+    if (answer.isOk) return this.complete(keyed, id, answers.recordService(answer.value));
     const { kind } = answer.error;
     if (kind === TARGET_FAILURES.NOT_SENT) {
       excluded.add(target);
       const fault = errors.createFault('target-unavailable');
-      const withdrawn = await this.withdraw(keyed, fault);
+      const withdrawn = await this.withdraw(keyed, id, fault);
       return this.isKeyFree(keyed) ? undefined : withdrawn;
     }
-    if (kind === TARGET_FAILURES.FENCED) return this.withdraw(keyed, notOwner());
-    return this.resolveByQuery(keyed, target);
+    if (kind === TARGET_FAILURES.FENCED) return this.withdraw(keyed, id, notOwner());
+    return this.resolveByQuery(keyed, intent);
   }
 
   /** Frees the key of an intent for which nothing was sent. */
   private async withdraw(
     keyed: PreparedKeyedCall,
+    intentId: string,
     fault: errors.Fault,
   ): Promise<Outcome<RecordedAnswer>> {
-    await this.options.shards.append(
+    const { callKey } = keyed;
+    const appended = await this.options.shards.append(
       keyed.prepared.call.shard,
-      { kind: records.RECORD_KINDS.CALL_WITHDRAWN, callKey: keyed.callKey },
+      { kind: records.RECORD_KINDS.CALL_WITHDRAWN, callKey },
       { replicateInOutage: true },
     );
+    if (isLost(appended)) await this.options.reports.tell({ callKey, intentId });
     return trueMyth.Result.err(faults.withSent(fault, false));
   }
 
@@ -175,18 +193,21 @@
 
   private async complete(
     keyed: PreparedKeyedCall,
+    intentId: string,
     answer: RecordedAnswer,
   ): Promise<Outcome<RecordedAnswer>> {
+    const { callKey } = keyed;
     const result = await this.options.shards.append(
       keyed.prepared.call.shard,
-      { kind: records.RECORD_KINDS.CALL_COMPLETED, callKey: keyed.callKey, answer },
+      { kind: records.RECORD_KINDS.CALL_COMPLETED, callKey, answer },
       { replicateInOutage: true },
     );
     // The caller gets the answer even when its record is not safe: the call has run.
-    if (result.isErr) {
+    const isTold =
+      isLost(result) && (await this.options.reports.tell({ callKey, intentId, answer }));
+    if (result.isErr && !isTold) {
       this.options.logger.warn('The outcome of a call could not be recorded.', {
         shard: keyed.prepared.call.shard,
-        kind: result.error.kind,
       });
     }
     return trueMyth.Result.ok(answer);
@@ -195,7 +216,7 @@
   /** Asks the target by key when its pool names a query; the call is never sent again. */
   private async resolveByQuery(
     keyed: PreparedKeyedCall,
-    target: string,
+    { id, target }: Intent,
   ): Promise<Outcome<RecordedAnswer>> {
     const { call } = keyed.prepared;
     const queries = call.pool.outcomeQuery === undefined ? 0 : OUTCOME_QUERIES;
@@ -203,7 +224,7 @@
       const { client } = this.options;
       const outcome = await client.queryOutcome(call.pool.name, target, keyed.idempotencyKey);
       if (outcome.isOk && outcome.value !== undefined) {
-        return this.complete(keyed, answers.recordService(outcome.value));
+        return this.complete(keyed, id, answers.recordService(outcome.value));
       }
       await this.options.clock.sleep(OUTCOME_QUERY_INTERVAL_MS, call.signal);
     }
@@ -211,6 +232,11 @@
   }
 }
 
+/** Whether another process owns the shard now, so that it must be told. */
+function isLost(appended: Outcome<journal.AppendReceipt>): boolean {
+  return appended.isErr && appended.error.kind === 'not-owner';
+}
+
 function notOwner(): errors.Fault {
   return errors.createFault('not-owner');
 }
--- a/packages/programs/src/ProgramsFold.test.ts
+++ b/packages/programs/src/ProgramsFold.test.ts
@@ -177,6 +177,7 @@
     apply({
       kind: RECORD_KINDS.CALL_INTENDED,
       callKey: 'key',
+      intentId: 'i',
       requestDigest: 'd',
       route: 'orders',
       target: 'service',
@@ -198,7 +199,13 @@
   test("keeps the outcome of a live program's call as long as the program", () => {
     const { fold, state, apply } = createFixture();
     const answer = { status: 200, headers: {}, body: 'b2s=', chunks: [] };
-    const call = { callKey: 'key', requestDigest: 'd', route: 'orders', program: 'p' };
+    const call = {
+      callKey: 'key',
+      intentId: 'i',
+      requestDigest: 'd',
+      route: 'orders',
+      program: 'p',
+    };
     apply(opened('p'));
     apply({
       kind: RECORD_KINDS.CALL_INTENDED,
--- a/packages/programs/src/ProgramsFold.ts
+++ b/packages/programs/src/ProgramsFold.ts
@@ -272,6 +272,7 @@
 function newCall(body: BodyOf<'callIntended'> | BodyOf<'callSnapshot'>, offset: number): KeyedCall {
   return {
     callKey: body.callKey,
+    intentId: body.intentId,
     requestDigest: body.requestDigest,
     workspace: body.workspace,
     route: body.route,
@@ -289,6 +290,7 @@
   return {
     kind: records.RECORD_KINDS.CALL_SNAPSHOT,
     callKey: call.callKey,
+    intentId: call.intentId,
     requestDigest: call.requestDigest,
     workspace: call.workspace,
     route: call.route,
--- a/packages/programs/src/RunningCalls.ts
+++ b/packages/programs/src/RunningCalls.ts
@@ -10,6 +10,9 @@
 /** The shard of a call that belongs to none. */
 export const NO_SHARD = -1;
 
+/** How often the end of all calls is looked for, in milliseconds. */
+const DRAIN_CHECK_MS = 20;
+
 /** Where a call stands before it runs. */
 export interface CallStart {
   readonly request: CallRequest;
@@ -27,10 +30,15 @@
   readonly controller: AbortController;
 }
 
+/** What is known of a running call. */
+interface Owned {
+  readonly shard: number;
+  readonly isRepeatable: boolean;
+}
+
 /** The calls that this home runs: each has a route, a pool and a bound to its time. */
 export class RunningCalls {
-  /** The shard of each call. */
-  private readonly shards = new Map<AbortController, number>();
+  private readonly calls = new Map<AbortController, Owned>();
 
   public constructor(
     private readonly view: configuration.ConfigurationView,
@@ -39,7 +47,7 @@
 
   /** How many calls run now. */
   public get count(): number {
-    return this.shards.size;
+    return this.calls.size;
   }
 
   /** Starts a call. Faults, all not run: `route-unknown`, `budget-exhausted`. */
@@ -56,7 +64,7 @@
       return trueMyth.Result.err(errors.createFault('budget-exhausted'));
     }
     const deadline = Math.min(start.deadline, expiresAt);
-    const controller = this.startController(shard, deadline);
+    const controller = this.startController({ shard, isRepeatable: route.repeatable }, deadline);
     const callId = `${request.program ?? 'single'}:${turn}:${ulid.ulid()}`;
     const { signal } = controller;
     const call = { request, callId, shard, route, pool, program, turn, deadline, signal };
@@ -65,27 +73,39 @@
 
   /** Notes that a call has ended. */
   public finish(controller: AbortController): void {
-    this.shards.delete(controller);
+    this.calls.delete(controller);
   }
 
-  /** Aborts what runs for a shard that another process owns now. */
+  /**
+   * Aborts what runs for a shard that another process owns now. A call that must not be repeated
+   * goes on: nobody else may run it, and its outcome is told to the new owner.
+   */
   public abortShard(shard: number): void {
-    this.shards.forEach((owner, controller) => {
-      if (owner === shard) controller.abort(faults.ABORT_REASONS.SHARD_LOST);
+    this.calls.forEach((owned, controller) => {
+      const goesOn = owned.shard !== shard || !owned.isRepeatable;
+      if (!goesOn) controller.abort(faults.ABORT_REASONS.SHARD_LOST);
     });
   }
 
+  /** Resolves when no call runs any more, or when the time is up. */
+  public async untilNone(limitMs: clockTypes.Milliseconds): Promise<void> {
+    const limit = this.clock.now() + limitMs;
+    while (this.calls.size > 0 && this.clock.now() < limit) {
+      await this.clock.sleep(DRAIN_CHECK_MS);
+    }
+  }
+
   /** Aborts all calls, so that entries take them to other homes. */
   public abortAll(): void {
-    this.shards.forEach((_, controller) => controller.abort(faults.ABORT_REASONS.SHARD_LOST));
+    this.calls.forEach((_, controller) => controller.abort(faults.ABORT_REASONS.SHARD_LOST));
   }
 
-  private startController(shard: number, deadline: clockTypes.Milliseconds): AbortController {
+  private startController(owned: Owned, deadline: clockTypes.Milliseconds): AbortController {
     const controller = new AbortController();
-    this.shards.set(controller, shard);
+    this.calls.set(controller, owned);
     const span = Math.max(0, deadline - this.clock.now());
     this.clock.sleep(span, controller.signal).then(() => {
-      if (this.shards.has(controller)) controller.abort(faults.ABORT_REASONS.DEADLINE);
+      if (this.calls.has(controller)) controller.abort(faults.ABORT_REASONS.DEADLINE);
     });
     return controller;
   }
--- a/packages/programs/src/Types.ts
+++ b/packages/programs/src/Types.ts
@@ -54,6 +54,7 @@
 /** A call that runs at most once, as the records make it. Only the fold changes it. */
 export interface KeyedCall {
   readonly callKey: string;
+  readonly intentId: string;
   readonly requestDigest: string;
   readonly workspace: string | undefined;
   readonly route: string;
--- a/packages/programs/src/index.ts
+++ b/packages/programs/src/index.ts
@@ -10,6 +10,7 @@
 export * from './ModelCaller.js';
 export * from './ServiceCaller.js';
 export * from './KeyedCaller.js';
+export * from './OutcomeReports.js';
 export * from './Authority.js';
 export * from './HomeCalls.js';
 export * from './ProgramTurns.js';
--- a/packages/programs/src/messages.ts
+++ b/packages/programs/src/messages.ts
@@ -169,6 +169,23 @@
   response: IN_DOUBT_CALLS,
 };
 
+const REPORT_REQUEST = zod.object({
+  callKey: zod.string(),
+  intentId: zod.string(),
+  /** Nothing says that the call was not sent and never will be. */
+  answer: records.RECORDED_ANSWER.optional(),
+});
+
+/** An earlier home tells the owner how a call ended that it had begun. */
+export const REPORT_OUTCOME: wire.PeerMethod<
+  zod.infer<typeof REPORT_REQUEST>,
+  { taken: boolean }
+> = {
+  name: 'programs.outcome',
+  request: REPORT_REQUEST,
+  response: zod.object({ taken: zod.boolean() }),
+};
+
 const RESOLVE_REQUEST = zod.object({
   callKey: zod.string(),
   outcome: zod.enum([records.RESOLUTIONS.RAN, records.RESOLUTIONS.NOT_RUN]),
--- a/packages/programs/src/records.ts
+++ b/packages/programs/src/records.ts
@@ -70,6 +70,8 @@
 const CALL_FACTS = zod.object({
   /** Scope and idempotency key; unique in the installation. */
   callKey: zod.string(),
+  /** Tells this intent from others for the same key. */
+  intentId: zod.string(),
   requestDigest: zod.string(),
   workspace: zod.string().optional(),
   route: zod.string(),
