Give a sub-agent without a budget half of what its parent has free

Cause: it took the route's largest budget, which the fold cut to all that the parent had; the next sub-agent, and the parent itself, were refused as budget-exhausted. Before: with the rule off the new test of budgets fails (calls answered 409). After: it passes. The client of targets no longer warns of a leak when more than ten calls run.

--- a/packages/entry/src/ProgramsHandler.ts
+++ b/packages/entry/src/ProgramsHandler.ts
@@ -61,6 +61,7 @@
       route: routeName,
       ...(parent === undefined ? {} : { parent }),
       budget: boundBudget(route.value, budget),
+      isDefaultBudget: budget === undefined,
     });
     return answer(exchange, opened, STATUS_CREATED);
   }
--- a/packages/entry/src/Types.ts
+++ b/packages/entry/src/Types.ts
@@ -53,6 +53,7 @@
   readonly route: string;
   readonly parent?: string;
   readonly budget: programs.Budget;
+  readonly isDefaultBudget: boolean;
 }
 
 /** Limits of the callers' interface. */
--- a/packages/programs/src/Home.ts
+++ b/packages/programs/src/Home.ts
@@ -120,6 +120,7 @@
     route: string;
     parent?: string | undefined;
     budget: ProgramState['budget'];
+    isDefaultBudget: boolean;
   }): Promise<Outcome<ProgramView>> {
     const shard = this.shardOf(request.program);
     const owned = this.options.shards.owned(shard);
@@ -130,6 +131,8 @@
     if (refused !== undefined) return trueMyth.Result.err(refused);
     const route = this.options.configuration.current().routes.get(request.route);
     if (route === undefined) return trueMyth.Result.err(errors.createFault('route-unknown'));
+    const parent = owned.state.programs.get(request.parent ?? '');
+    const budget = request.isDefaultBudget ? defaultBudget(request.budget, parent) : request.budget;
     const appended = await this.options.shards.append(
       shard,
       {
@@ -138,8 +141,8 @@
         workspace: request.workspace,
         route: request.route,
         parent: request.parent,
-        budget: request.budget,
-        reserved: reservations.aheadOf(request.budget, route.defaultMaximumTokens),
+        budget,
+        reserved: reservations.aheadOf(budget, route.defaultMaximumTokens),
       },
       { replicateInOutage: true },
     );
@@ -353,3 +356,12 @@
     };
   }
 }
+
+/** A program below another leaves half of what is free to its parent and to those after it. */
+function defaultBudget(
+  budget: ProgramState['budget'],
+  parent: ProgramState | undefined,
+): ProgramState['budget'] {
+  if (parent === undefined) return budget;
+  return { ...budget, ...amounts.smaller(budget, amounts.half(amounts.available(parent))) };
+}
--- a/packages/programs/src/Reservations.ts
+++ b/packages/programs/src/Reservations.ts
@@ -118,9 +118,8 @@
   wantedTokens: number,
   needed: Amount = amounts.NO_AMOUNT,
 ): Amount {
-  const half = { tokens: Math.ceil(left.tokens / 2), calls: Math.ceil(left.calls / 2) };
   const ahead = { tokens: wantedTokens * CALLS_AHEAD, calls: CALLS_AHEAD };
-  return amounts.smaller(left, amounts.larger(needed, amounts.smaller(half, ahead)));
+  return amounts.smaller(left, amounts.larger(needed, amounts.smaller(amounts.half(left), ahead)));
 }
 
 function covers(held: Amount, needed: Amount): boolean {
--- a/packages/programs/src/amounts.ts
+++ b/packages/programs/src/amounts.ts
@@ -32,6 +32,11 @@
   };
 }
 
+/** Half of an amount, rounded up. */
+export function half(amount: Amount): Amount {
+  return { tokens: Math.ceil(amount.tokens / 2), calls: Math.ceil(amount.calls / 2) };
+}
+
 /** What a program has not spent yet, its reservation included. */
 export function unspent(program: ProgramState): Amount {
   return subtract(program.budget, program.spent);
--- a/packages/programs/src/messages.ts
+++ b/packages/programs/src/messages.ts
@@ -105,6 +105,8 @@
   route: zod.string(),
   parent: zod.string().optional(),
   budget: configuration.BUDGET,
+  /** The caller named no budget: a child then takes at most half of what its parent has free. */
+  isDefaultBudget: zod.boolean(),
 });
 
 /** Opens a program; the same id again answers the same program. */
--- a/packages/targets/src/HttpTargetClient.ts
+++ b/packages/targets/src/HttpTargetClient.ts
@@ -1,3 +1,4 @@
+import * as events from 'node:events';
 import type * as clock from '@limpettack/clock';
 import type * as configuration from '@limpettack/configuration';
 import * as lifetime from '@limpettack/lifetime';
@@ -80,6 +81,8 @@
 
   public constructor(private readonly options: HttpTargetClientOptions) {
     this.owned.addCallback(() => this.stop.abort());
+    // Each running call listens, so their number has no bound that hints at a leak.
+    events.EventEmitter.setMaxListeners(0, this.stop.signal);
   }
 
   /** @inheritdoc */
--- a/tests/budget.test.ts
+++ b/tests/budget.test.ts
@@ -131,6 +131,21 @@
     expect(generated).toBeGreaterThanOrEqual(budget - 4 * CALL_TOKENS);
   });
 
+  test('and sub-agents that name no budget leave some to those after them', async () => {
+    const parent = await open(20 * CALL_TOKENS);
+    const family = [parent];
+    for (let child = 0; child < CHILDREN; child += 1) {
+      family.push(await caller.openProgram(fleet.vm(0), { parent }));
+    }
+    const answers = await Promise.all(
+      family.map((program) =>
+        caller.chat(fleet.vm(1), { program, turn: 1, text: 'one call', maximumTokens: 2 }),
+      ),
+    );
+    expect(answers.map((answer) => answer.status)).toEqual(family.map(() => 200));
+    await expectWithin('children without a budget', 20 * CALL_TOKENS, family);
+  });
+
   test('over a takeover in mid-call', async () => {
     const program = await open(2 * CALL_TOKENS);
     const { owner } = await fleetViews.holdersOf(fleet, fleetViews.shardKeyOfProgram(program));
