--- a/packages/test-kit/src/RunningProcess.ts
+++ b/packages/test-kit/src/RunningProcess.ts
@@ -4,6 +4,7 @@
 import type * as clock from '@limpettack/clock';
 import type * as lifetime from '@limpettack/lifetime';
 
+import * as openChildren from './openChildren.js';
 import * as waitFor from './waitFor.js';
 
 const KEPT_CHARACTERS = 200_000;
@@ -46,7 +47,7 @@
       });
     });
     // A child of the test must not outlive it, however the test ends.
-    process.once('exit', this.killNow);
+    openChildren.addChild(this.killNow);
   }
 
   /** The process id. */
@@ -110,7 +111,7 @@
   /** @inheritdoc */
   public async dispose(): Promise<void> {
     this.killNow();
-    process.removeListener('exit', this.killNow);
+    openChildren.removeChild(this.killNow);
     await this.exited;
   }
 
