--- a/tests/examples.test.ts
+++ b/tests/examples.test.ts
@@ -1,5 +1,6 @@
 import * as url from 'node:url';
 import * as control from '@limpettack/control';
+import * as node from '@limpettack/node';
 import * as report from '@limpettack/report';
 import * as settings from '@limpettack/settings';
 import * as jestGlobals from '@jest/globals';
@@ -22,4 +23,10 @@
     const file = exampleFile(`${name}/objectives.yaml`);
     expect((await settings.readSettingsFile(file, report.OBJECTIVES)).isOk).toBe(true);
   });
+
+  test.each(['quito', 'kerala'])('%s has valid settings of a VM', async (name) => {
+    const file = exampleFile(`${name}/vm.yaml`);
+    const read = await settings.readSettingsFile(file, node.NODE_SETTINGS);
+    expect(read.isErr ? read.error : []).toEqual([]);
+  });
 });
