--- a/packages/journal/src/ShardJournal.ts
+++ b/packages/journal/src/ShardJournal.ts
@@ -116,7 +116,11 @@
     const watch = new holderWatch.HolderWatch({ membership: members, clock: clockSource, pauses });
     const shared = { membership: members, clock: clockSource, hash };
     this.supervisor = new claimSupervisor.ClaimSupervisor(this.slots, {
-      ...{ ...shared, status: this.status, watch, pauses, suspicionMs },
+      ...shared,
+      status: this.status,
+      watch,
+      pauses,
+      suspicionMs,
     });
     const intervalMs = options.rebalanceIntervalMs ?? DEFAULT_REBALANCE_INTERVAL_MS;
     this.balancer = new shardBalancer.ShardBalancer(this.slots, { ...shared, intervalMs });
@@ -217,7 +221,13 @@
     const { options, status } = this;
     const { log, clock: clockSource, fold, network, logger } = options;
     const collaborators: SlotCollaborators<State, Body> = {
-      ...{ log, clock: clockSource, fold, logger, status, streamName, pauses },
+      log,
+      clock: clockSource,
+      fold,
+      logger,
+      status,
+      streamName,
+      pauses,
       self: network.self,
       link: new standbyLink.StandbyLink(network, clockSource),
       rate: new appendRate.AppendRate(clockSource, options.appendsPerSecond),
--- a/packages/journal/src/WriterQueue.ts
+++ b/packages/journal/src/WriterQueue.ts
@@ -172,7 +172,11 @@
     const { body } = entry;
     const kind = recordKinds.RECORD_KINDS.BODY;
     return journalRecord.encodeRecord({
-      ...{ id, shard: source.shard, epoch: source.epoch(), kind, body },
+      id,
+      shard: source.shard,
+      epoch: source.epoch(),
+      kind,
+      body,
     });
   }
 
--- a/packages/limits/src/IdealBucket.test.ts
+++ b/packages/limits/src/IdealBucket.test.ts
@@ -32,7 +32,12 @@
 
   test('refuse little when the owner dies and is replaced two seconds later', async () => {
     const result = await comparison.compareWithIdealBucket({
-      ...{ ratePerSecond: 100, burst: 20, load: 0.7, together: 1, skew: 0, durationMs: 10_000 },
+      ratePerSecond: 100,
+      burst: 20,
+      load: 0.7,
+      together: 1,
+      skew: 0,
+      durationMs: 10_000,
       random: createRandom(),
       disturb: (fleet, now) => {
         if (now === 2_000) fleet.kill(0);
--- a/packages/node/src/VmProcess.ts
+++ b/packages/node/src/VmProcess.ts
@@ -119,7 +119,9 @@
     const { random } = Math;
     const follower = new configuration.ConfigurationFollower({
       ...vmContext.partsOf(this.clock, 'configuration'),
-      ...{ log, network, random },
+      log,
+      network,
+      random,
       peers: () =>
         pickRandom
           .pickPeers(members, network.self, CONFIGURATION_PEERS, random)
@@ -183,7 +185,9 @@
     const shards = await journal.ShardJournal.start<programs.ShardState, programs.JournalBody>({
       ...vmContext.partsOf(context.clock, 'journal'),
       ...context.settings.journal,
-      ...{ log, network, membership: members },
+      log,
+      network,
+      membership: members,
       fold: new programs.ProgramsFold(clock),
       claimListener: {
         beforeClaim: (shard) => made.hook?.beforeClaim(shard),
@@ -193,7 +197,9 @@
     store.add(shards);
     const admission = new limits.FleetAdmission({
       ...vmContext.partsOf(context.clock, 'limits'),
-      ...{ network, journal: shards, membership: members },
+      network,
+      journal: shards,
+      membership: members,
       configuration: context.configuration,
     });
     made.hook = admission;
--- a/packages/node/src/createHome.ts
+++ b/packages/node/src/createHome.ts
@@ -26,7 +26,11 @@
   const home = store.add(
     new programs.Home({
       ...vmContext.partsOf(context.clock, 'home'),
-      ...{ shards, calls, network, configuration, memory },
+      shards,
+      calls,
+      network,
+      configuration,
+      memory,
     }),
   );
   store.add(home.onProgramEnded(({ route, spanMs }) => metrics.observeProgram(route, spanMs)));
@@ -53,14 +57,20 @@
   const reports = context.store.add(new programs.OutcomeReports({ shards, network, clock }));
   const keyed = new programs.KeyedCaller({
     ...vmContext.partsOf(context.clock, 'home'),
-    ...{ shards, services: caller, client, reports },
+    shards,
+    services: caller,
+    client,
+    reports,
   });
   const authority = new programs.Authority(shards);
   const running = new programs.RunningCalls(context.configuration, clock);
   const common = {
     models: new programs.ModelCaller(shared),
     services: new programs.ServiceRuns(caller, keyed, authority),
-    ...{ authority, scheduler, running, clock },
+    authority,
+    scheduler,
+    running,
+    clock,
   };
   const reservations = new programs.Reservations(shards);
   return new programs.HomeCalls({
@@ -81,7 +91,10 @@
 ): quarantineExchange.QuarantineExchange {
   const { network, members, clock, random, store } = context;
   return new quarantineExchange.QuarantineExchange({
-    ...{ network, members, clock, random },
+    network,
+    members,
+    clock,
+    random,
     crashes: store.add(new targets.CrashFingerprints(clock)),
     journal: (fingerprint) => journalQuarantine(shards, fingerprint),
   });
