Withdraw a refused intent by its own id, never by its key

Cause: found by reading. A home remembered by key that its refused intent was never sent; when another home's intent for the same key had counted since, and that home was lost, the first one took the intent for its own, withdrew it and sent the call again.

--- a/packages/programs/src/KeyedCaller.ts
+++ b/packages/programs/src/KeyedCaller.ts
@@ -50,7 +50,7 @@
  * in the life of that claim, and nothing else ever does.
  */
 export class KeyedCaller {
-  /** Keys whose intent was refused but may count, with nothing sent. */
+  /** Intents of this process that were refused but may count, with nothing sent. */
   private readonly neverSent = new Set<string>();
 
   public constructor(private readonly options: KeyedCallerOptions) {}
@@ -74,7 +74,7 @@
     }
     if (known.answer !== undefined) return trueMyth.Result.ok(known.answer);
     if (known.outcome === records.RESOLUTIONS.RAN) return trueMyth.Result.err(resolvedAsRan());
-    if (this.neverSent.has(keyed.callKey)) return this.startAfresh(keyed, known.intentId);
+    if (this.neverSent.has(known.intentId)) return this.startAfresh(keyed, known.intentId);
     return this.resolveByQuery(keyed, { id: known.intentId, target: known.target });
   }
 
@@ -97,7 +97,7 @@
   ): Promise<Outcome<RecordedAnswer>> {
     const withdrawn = await this.withdraw(keyed, intentId, errors.createFault('log-unavailable'));
     if (!this.isKeyFree(keyed)) return withdrawn;
-    this.neverSent.delete(keyed.callKey);
+    this.neverSent.delete(intentId);
     return this.start(keyed);
   }
 
@@ -147,7 +147,7 @@
       { replicateInOutage: false },
     );
     if (result.isOk) return undefined;
-    if (result.error.details?.mayCount === true) this.neverSent.add(keyed.callKey);
+    if (result.error.details?.mayCount === true) this.neverSent.add(intent.id);
     return faults.withSent(result.error, false);
   }
 
