--- a/packages/node/src/createHome.ts
+++ b/packages/node/src/createHome.ts
@@ -21,13 +21,14 @@
 ): programs.HomeCalls {
   const { store, network, configuration, metrics } = context;
   const quarantine = store.add(createQuarantine(context, shards));
-  const calls = createCalls(context, shards, parts, quarantine);
+  const { calls, keyed } = createCalls(context, shards, parts, quarantine);
   const memory = store.add(createMemory(context, parts));
   const home = store.add(
     new programs.Home({
       ...vmContext.partsOf(context.clock, 'home'),
       shards,
       calls,
+      keyed,
       network,
       configuration,
       memory,
@@ -47,7 +48,7 @@
   shards: Shards,
   parts: TargetParts,
   crashes: programs.CrashRecord,
-): programs.HomeCalls {
+): { calls: programs.HomeCalls; keyed: programs.KeyedCaller } {
   const { clock, random } = context;
   const { scheduler, client, directory } = parts;
   const retries = new targets.RetryBudget(RETRY_BUDGET);
@@ -73,7 +74,7 @@
     clock,
   };
   const reservations = new programs.Reservations(shards);
-  return new programs.HomeCalls({
+  const calls = new programs.HomeCalls({
     shards,
     running,
     turns: new programs.ProgramTurns({ ...common, shards, directory, reservations }),
@@ -83,6 +84,7 @@
     }),
     clock,
   });
+  return { calls, keyed };
 }
 
 function createQuarantine(
--- a/packages/programs/src/Home.ts
+++ b/packages/programs/src/Home.ts
@@ -10,6 +10,7 @@
 import * as faults from './faults.js';
 import * as expiry from './expiry.js';
 import type * as homeCalls from './HomeCalls.js';
+import type * as keyedCaller from './KeyedCaller.js';
 import * as messages from './messages.js';
 import * as programIds from './programIds.js';
 import * as records from './records.js';
@@ -19,6 +20,7 @@
   CallRequest,
   InDoubtCall,
   JournalBody,
+  KeyedCall,
   MemoryRelease,
   Outcome,
   ProgramState,
@@ -34,6 +36,7 @@
 export interface HomeOptions {
   readonly shards: journal.Journal<ShardState, JournalBody>;
   readonly calls: homeCalls.HomeCalls;
+  readonly keyed: Pick<keyedCaller.KeyedCaller, 'isRunning'>;
   readonly network: wire.PeerNetwork;
   readonly configuration: configuration.ConfigurationView;
   readonly memory: MemoryRelease;
@@ -257,8 +260,8 @@
     const calls: InDoubtCall[] = [];
     for (let shard = 0; shard < this.options.shards.shardCount; shard += 1) {
       const owned = this.options.shards.owned(shard);
-      const inDoubt = [...(owned?.state.keyedCalls.values() ?? [])].filter(
-        (call) => call.outcome === undefined,
+      const inDoubt = [...(owned?.state.keyedCalls.values() ?? [])].filter((call) =>
+        this.isInDoubt(call),
       );
       inDoubt.forEach((call) => {
         calls.push({
@@ -288,7 +291,7 @@
     const owned = this.options.shards.owned(shard);
     if (owned === undefined) return trueMyth.Result.err(errors.createFault('not-owner'));
     const call = owned.state.keyedCalls.get(request.callKey);
-    if (call === undefined || call.outcome !== undefined) {
+    if (call === undefined || !this.isInDoubt(call)) {
       return trueMyth.Result.err(errors.createFault('not-found', 'The call is not in doubt.'));
     }
     const appended = await this.options.shards.append(
@@ -299,6 +302,11 @@
     return appended.map(() => ({ resolved: true }));
   }
 
+  /** A call that still runs here will have an outcome, so nobody may decide on it. */
+  private isInDoubt(call: KeyedCall): boolean {
+    return call.outcome === undefined && !this.options.keyed.isRunning(call.intentId);
+  }
+
   private async expirePrograms(): Promise<void> {
     while (!this.controller.signal.aborted) {
       await this.options.clock.sleep(EXPIRY_INTERVAL_MS, this.controller.signal);
--- a/packages/programs/src/KeyedCaller.test.ts
+++ b/packages/programs/src/KeyedCaller.test.ts
@@ -21,6 +21,7 @@
   const fold = new programsFold.ProgramsFold(clock);
   const state = fold.createState();
   const sent: string[] = [];
+  const seen: boolean[] = [];
   const refused: JournalBody[] = [];
   const position = { offset: 0, epoch: 1, ageMs: 0 };
   const apply = (body: JournalBody): void => fold.apply(state, body, position);
@@ -35,12 +36,14 @@
     return trueMyth.Result.ok({ durability, offset: 0, epoch: 1 });
   };
   const place = { target: 'service', dispose: () => undefined };
-  const caller = new keyedCaller.KeyedCaller({
+  const caller: keyedCaller.KeyedCaller = new keyedCaller.KeyedCaller({
     shards: { isLogAvailable: () => true, owned: () => ({ state }), append },
     services: {
       acquire: async () => trueMyth.Result.ok(place),
       dispatch: async () => {
         sent.push(KEY);
+        const [intent] = [...state.keyedCalls.values()];
+        seen.push(caller.isRunning(intent?.intentId ?? ''));
         return trueMyth.Result.ok(trueMyth.Result.ok(ANSWER));
       },
     },
@@ -56,7 +59,7 @@
     requestDigest: 'd',
     idempotencyKey: 'k',
   } as unknown as Keyed;
-  return { run: () => caller.run(keyed), apply, refused, sent };
+  return { run: () => caller.run(keyed), apply, refused, sent, seen };
 }
 
 describe('KeyedCaller', () => {
@@ -69,6 +72,15 @@
     expect(sent).toEqual([KEY]);
   });
 
+  test('tells a call that runs from one in doubt', async () => {
+    const { run, apply, refused, sent, seen } = createFixture();
+    await run();
+    refused.forEach(apply);
+    await run();
+    expect(sent).toEqual([KEY]);
+    expect(seen).toEqual([true]);
+  });
+
   test("never runs a call again for another home's intent with the same key", async () => {
     const { run, apply, refused, sent } = createFixture();
     await run();
--- a/packages/programs/src/KeyedCaller.ts
+++ b/packages/programs/src/KeyedCaller.ts
@@ -50,6 +50,9 @@
  * in the life of that claim, and nothing else ever does.
  */
 export class KeyedCaller {
+  /** Intents of this process whose calls run now. */
+  private readonly running = new Set<string>();
+
   /** Intents of this process that were refused but may count, with nothing sent. */
   private readonly neverSent = new Set<string>();
 
@@ -64,6 +67,11 @@
     return known === undefined ? this.start(keyed) : this.answerKnown(keyed, known);
   }
 
+  /** Whether the call of an intent runs here now, so that it is not in doubt. */
+  public isRunning(intentId: string): boolean {
+    return this.running.has(intentId);
+  }
+
   /** Tells how an intent of an earlier attempt ended; it is never dispatched again. */
   private async answerKnown(
     keyed: PreparedKeyedCall,
@@ -114,6 +122,7 @@
     if (acquired.isErr) return trueMyth.Result.err(acquired.error);
     const place = acquired.value;
     const intent: Intent = { id: ulid.ulid(), target: place.target };
+    this.running.add(intent.id);
     try {
       const intended = await this.intend(keyed, intent);
       if (intended !== undefined) return trueMyth.Result.err(intended);
@@ -121,6 +130,7 @@
       if (sent.isErr) return await this.withdraw(keyed, intent.id, sent.error);
       return await this.conclude(keyed, intent, sent.value, excluded);
     } finally {
+      this.running.delete(intent.id);
       place.dispose();
     }
   }
