--- a/packages/programs/src/ProgramTurns.ts
+++ b/packages/programs/src/ProgramTurns.ts
@@ -89,6 +89,12 @@
       ? await this.complete(call, program, requestDigest, result.value)
       : trueMyth.Result.err<journal.AppendReceipt, errors.Fault>(result.error);
     if (ended.isErr) {
+      // What the turn has generated counts, although its record may not. One that came second to
+      // another record of the turn has been counted with it.
+      const isCounted = ended.error.kind === 'stream-interrupted';
+      if (result.isOk && !isCounted && this.isCurrent(call.shard, program)) {
+        await this.options.reservations.settle(call.shard, program, result.value.used);
+      }
       buffer.end(faults.faultItem(ended.error));
       return;
     }
