Take the key of a service call from its one place

The entry's service handler made the call key again that programs.callKeyOf makes, and programIds.shardKeyOf was used by nobody.

--- a/packages/entry/src/ServiceHandler.ts
+++ b/packages/entry/src/ServiceHandler.ts
@@ -134,12 +134,8 @@
 
 /** The shard key of a call that must find its earlier attempts; nothing for any other. */
 function shardKeyOf(request: programs.CallRequest): string | undefined {
-  const { call, program, workspace, route } = request;
-  if (program !== undefined) return programs.rootOf(program);
-  if (call.kind !== configuration.CALL_KINDS.SERVICE || call.idempotencyKey === undefined) {
-    return undefined;
-  }
-  return programs.createCallKey(workspace, route, program, call.idempotencyKey);
+  const { program } = request;
+  return program === undefined ? programs.callKeyOf(request) : programs.rootOf(program);
 }
 
 function readPath(exchange: CallerExchange): Outcome<{ route: string; rest: string }> {
--- a/packages/programs/src/programIds.ts
+++ b/packages/programs/src/programIds.ts
@@ -31,11 +31,6 @@
   return JSON.stringify([...scope, idempotencyKey]);
 }
 
-/** The text whose hash decides the shard of a call. */
-export function shardKeyOf(program: string | undefined, callKey: string): string {
-  return program === undefined ? callKey : rootOf(program);
-}
-
 /** The shard key of a call key as `createCallKey` makes it; nothing for any other text. */
 export function shardKeyOfCallKey(callKey: string): string | undefined {
   const parts = parseParts(callKey);
