Serve the users' platform: keyed log, homes of programs, turns, allowances, gateway, platform/

The first whole path on the users' platform. platform/ translates settings, configuration, targets' entries and both sides' HTTP into the product's types. New packages hold the decisions: keyed-log (direct and through peers), program-homes (budgets by watermark), turns, allowances, gateway.

--- /dev/null
+++ b/packages/allowances/src/Types.ts
@@ -0,0 +1,15 @@
+import type * as clock from '@limpettack/clock';
+
+/** The limit of one workspace over the whole fleet. */
+export interface WorkspaceLimit {
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
+/** Finds the limit of a workspace; nothing when it has none. */
+export type LimitLookup = (workspace: string) => WorkspaceLimit | undefined;
+
+/** Whether a request may go on. */
+export type Admission =
+  | { readonly isAdmitted: true }
+  | { readonly isAdmitted: false; readonly retryAfterMs: clock.Milliseconds };
--- /dev/null
+++ b/packages/gateway/src/CallContext.ts
@@ -0,0 +1,51 @@
+import type * as clock from '@limpettack/clock';
+import * as choosePool from './choosePool.js';
+import * as routeKinds from './RouteKinds.js';
+import type { Call, Route, TargetRequest, Workspace } from './Types.js';
+
+/** A request that is allowed, with what follows from its route. */
+export class CallContext {
+  /** When its time is over, on the process's own clock. */
+  public readonly deadline: clock.Milliseconds;
+
+  public readonly pool: string;
+
+  /** Requests with the same text do better at the same target. */
+  public readonly affinity: string | undefined;
+
+  public constructor(
+    public readonly call: Call,
+    public readonly route: Route,
+    public readonly workspace: Workspace | undefined,
+  ) {
+    const patienceMs = Math.min(call.patienceMs ?? route.timeoutMs, route.timeoutMs);
+    this.deadline = call.receivedAt + patienceMs;
+    const subject = call.place?.program ?? call.affinity;
+    this.pool = choosePool.choosePool(route, subject ?? call.id) ?? '';
+    const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
+    this.affinity = isStream ? (subject ?? call.id) : this.stickyAffinity();
+  }
+
+  /** The request as it goes to a target. */
+  public toRequest(now: clock.Milliseconds, changes: Partial<TargetRequest> = {}): TargetRequest {
+    const { call, route, workspace } = this;
+    return {
+      id: call.id,
+      method: call.method,
+      host: call.host,
+      path: call.path,
+      headers: call.headers,
+      body: call.body,
+      workspace: workspace?.name,
+      priority: workspace?.priority ?? route.priority,
+      timeLeftMs: Math.max(1, this.deadline - now),
+      lastEventId: call.lastEventId,
+      mayReuseIdle: route.kind === routeKinds.ROUTE_KINDS.REPEATABLE || route.isResumable,
+      ...changes,
+    };
+  }
+
+  private stickyAffinity(): string | undefined {
+    return this.route.isSticky ? this.call.affinity : undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/TablesHolder.ts
@@ -0,0 +1,40 @@
+import * as lifetime from '@limpettack/lifetime';
+import type * as logging from '@limpettack/logging';
+import * as routeMatcher from './RouteMatcher.js';
+import type { Route, Tables } from './Types.js';
+
+/** The tables in force. Their version never goes back within the life of a process. */
+export class TablesHolder {
+  private tables: Tables | undefined;
+
+  private matcher = new routeMatcher.RouteMatcher([]);
+
+  private readonly emitter = new lifetime.Emitter<Tables>();
+
+  /** Fires with each new version. */
+  public readonly onChange = this.emitter.event;
+
+  public constructor(private readonly logger: logging.Logger) {}
+
+  public get current(): Tables | undefined {
+    return this.tables;
+  }
+
+  /** Takes tables into force unless later ones are. */
+  public offer(tables: Tables): void {
+    const former = this.tables?.version;
+    if (former !== undefined && tables.version <= former) return;
+    this.tables = tables;
+    this.matcher = new routeMatcher.RouteMatcher(tables.routes);
+    this.logger.info('New tables are in force.', {
+      version: tables.version,
+      count: tables.routes.length,
+      reason: former === undefined ? 'first version' : `after version ${former}`,
+    });
+    this.emitter.fire(tables);
+  }
+
+  public match(host: string, path: string): Route | undefined {
+    return this.matcher.match(host, path);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/TargetSelector.ts
@@ -0,0 +1,28 @@
+import * as chooseTarget from './chooseTarget.js';
+import type * as targetRegistry from './TargetRegistry.js';
+import type * as targetScores from './TargetScores.js';
+import type { Target } from './Types.js';
+
+/** Finds a target for a call among those that may get new work. */
+export class TargetSelector {
+  public constructor(
+    private readonly registry: targetRegistry.TargetRegistry,
+    private readonly scores: targetScores.TargetScores,
+    private readonly ownFailureDomain: string,
+  ) {}
+
+  /** Nothing when no target is left. */
+  public select(
+    pool: string,
+    affinity: string | undefined,
+    excluded: ReadonlySet<string>,
+  ): Target | undefined {
+    const candidates = this.registry.usable(pool).filter(({ id }) => !excluded.has(id));
+    return chooseTarget.chooseTarget({
+      candidates,
+      scores: this.scores.compare(candidates.map(({ id }) => id)),
+      affinity,
+      ownFailureDomain: this.ownFailureDomain,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/TargetSender.ts
@@ -0,0 +1,74 @@
+import type * as clock from '@limpettack/clock';
+import type * as logging from '@limpettack/logging';
+import * as sendFailures from './SendFailures.js';
+import type * as targetScores from './TargetScores.js';
+import type {
+  AnswerHandler,
+  AnswerHead,
+  Exchange,
+  SendFailure,
+  Target,
+  TargetRequest,
+  TargetTransport,
+} from './Types.js';
+
+/** What the sender needs. */
+export interface TargetSenderOptions {
+  readonly transport: TargetTransport;
+  readonly scores: targetScores.TargetScores;
+  readonly clock: clock.Clock;
+  readonly logger: logging.Logger;
+}
+
+/** Sends requests and keeps score of how their targets serve them. */
+export class TargetSender {
+  public constructor(private readonly options: TargetSenderOptions) {}
+
+  public send(target: Target, request: TargetRequest, handler: AnswerHandler): Exchange {
+    const { clock: time, scores, transport } = this.options;
+    const sentAt = time.now();
+    let isOver = false;
+    let hasBegun = false;
+    const finish = (): void => {
+      if (!isOver) scores.noteDone(target.id);
+      isOver = true;
+    };
+    scores.noteSent(target.id);
+    const exchange = transport.send(target, request, {
+      onHead: (head: AnswerHead) => handler.onHead(head),
+      onData: (chunk: Uint8Array) => {
+        if (!hasBegun) scores.noteFirst(target.id, time.now() - sentAt);
+        hasBegun = true;
+        handler.onData(chunk);
+      },
+      onEnd: () => {
+        finish();
+        handler.onEnd();
+      },
+      onFailure: (failure: SendFailure) => {
+        finish();
+        this.noteFailure(target, request, failure);
+        handler.onFailure(failure);
+      },
+    });
+    return {
+      abort: () => {
+        finish();
+        exchange.abort();
+      },
+    };
+  }
+
+  private noteFailure(target: Target, request: TargetRequest, failure: SendFailure): void {
+    const { logger, scores } = this.options;
+    if (failure.kind === sendFailures.SEND_FAILURES.NOT_RUN) scores.noteFull(target.id);
+    else scores.noteFailure(target.id);
+    logger.warn('A target did not answer.', {
+      request: request.id,
+      target: target.id,
+      kind: failure.kind,
+      reason: failure.reason,
+      spanMs: Math.round(request.timeLeftMs),
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/admitCaller.ts
@@ -0,0 +1,31 @@
+import * as errors from '@limpettack/errors';
+import * as trueMyth from 'true-myth';
+import type * as tablesHolder from './TablesHolder.js';
+import type { Call, Route, Workspace } from './Types.js';
+
+/** A request that the tables allow. */
+export interface AdmittedCall {
+  readonly route: Route;
+  /** Nothing on routes that are open to all. */
+  readonly workspace: Workspace | undefined;
+}
+
+/** Decides by the tables alone whether a request is allowed. */
+export function admitCaller(
+  holder: Pick<tablesHolder.TablesHolder, 'current' | 'match'>,
+  call: Pick<Call, 'host' | 'path' | 'key'>,
+): trueMyth.Result<AdmittedCall, errors.Fault> {
+  const tables = holder.current;
+  if (tables === undefined) return refuse('not-ready');
+  const route = holder.match(call.host, call.path);
+  if (route === undefined) return refuse('route-unknown');
+  const workspace = call.key === undefined ? undefined : tables.workspacesByKey.get(call.key);
+  if (workspace === undefined && tables.needsKeys && !route.isOpen) {
+    return refuse(call.key === undefined ? 'key-required' : 'key-unknown');
+  }
+  return trueMyth.Result.ok({ route, workspace });
+}
+
+function refuse(kind: errors.ErrorKind): trueMyth.Result<AdmittedCall, errors.Fault> {
+  return trueMyth.Result.err(errors.createFault(kind));
+}
--- /dev/null
+++ b/packages/gateway/src/chooseTarget.ts
@@ -0,0 +1,60 @@
+import * as keyedLog from '@limpettack/keyed-log';
+import type * as targetScores from './TargetScores.js';
+import type { Target } from './Types.js';
+
+/** How far above the mean a target's calls may lie before its turn goes to the next one. */
+const LOAD_FACTOR = 1.5;
+
+/** Calls that a target may always get, however few the others have. */
+const ALWAYS_ALLOWED = 2;
+
+/** What a choice rests on. */
+export interface Choice {
+  readonly candidates: readonly Target[];
+  readonly scores: ReadonlyMap<string, targetScores.TargetScore>;
+  /** Calls with the same text do better at the same target; nothing where that is all one. */
+  readonly affinity: string | undefined;
+  readonly ownFailureDomain: string;
+}
+
+/**
+ * Chooses a target. With an affinity: the first by rendezvous hashing that is neither failing,
+ * slow nor loaded far above the others, so that a prompt's cached prefix is found again and no
+ * popular one overloads its target. Without: the least loaded one, near ones first.
+ */
+export function chooseTarget(choice: Choice): Target | undefined {
+  const { affinity, candidates } = choice;
+  const sound = candidates.filter((target) => isSound(choice, target));
+  const from = sound.length > 0 ? sound : candidates.filter((target) => !isPaused(choice, target));
+  const last = from.length > 0 ? from : candidates;
+  return affinity === undefined ? chooseLeastLoaded(choice, last) : chooseByHash(choice, last);
+}
+
+function chooseByHash(choice: Choice, candidates: readonly Target[]): Target | undefined {
+  const ranked = keyedLog.rankByRendezvous(choice.affinity ?? '', candidates, ({ id }) => id);
+  const total = candidates.reduce((sum, target) => sum + inFlight(choice, target), 0);
+  const bound = ALWAYS_ALLOWED + (LOAD_FACTOR * total) / Math.max(1, candidates.length);
+  return ranked.find((target) => inFlight(choice, target) < bound) ?? ranked[0];
+}
+
+function chooseLeastLoaded(choice: Choice, candidates: readonly Target[]): Target | undefined {
+  const distance = (target: Target): number =>
+    target.failureDomain === choice.ownFailureDomain ? 0 : 1;
+  return [...candidates].sort(
+    (left, right) =>
+      inFlight(choice, left) - inFlight(choice, right) || distance(left) - distance(right),
+  )[0];
+}
+
+function isSound(choice: Choice, target: Target): boolean {
+  const score = choice.scores.get(target.id);
+  return score === undefined || (!score.isPaused && !score.isSlow);
+}
+
+function isPaused(choice: Choice, target: Target): boolean {
+  return choice.scores.get(target.id)?.isPaused ?? false;
+}
+
+function inFlight(choice: Choice, target: Target): number {
+  return choice.scores.get(target.id)?.inFlight ?? 0;
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,11 @@
+/** The way of a request from a caller to a target. */
+export * from './Types.js';
+export * from './RouteKinds.js';
+export * from './SendFailures.js';
+export * from './CrashWatch.js';
+export * from './Gateway.js';
+export * from './TablesHolder.js';
+export * from './TargetRegistry.js';
+export * from './TargetScores.js';
+export * from './TargetSelector.js';
+export * from './TargetSender.js';
--- /dev/null
+++ b/packages/keyed-log/src/PartitionWriter.ts
@@ -0,0 +1,143 @@
+import type * as clock from '@limpettack/clock';
+import type * as logging from '@limpettack/logging';
+import * as trueMyth from 'true-myth';
+import * as logFailures from './LogFailures.js';
+import type {
+  AppendReceipt,
+  KeyedLog,
+  KeyedRecord,
+  LogFailure,
+  LogResult,
+  PartitionName,
+} from './Types.js';
+
+/** Records and bytes of one append at most; the rest waits for the next one. */
+const RECORDS_PER_APPEND = 256;
+const BYTES_PER_APPEND = 1_500_000;
+
+/** What a writer needs. */
+export interface PartitionWriterOptions {
+  readonly log: KeyedLog;
+  readonly partition: PartitionName;
+  readonly clock: clock.Clock;
+  readonly logger: logging.Logger;
+  /** Unique for each life of the process. */
+  readonly producer: string;
+  /** Time between two attempts of one append. */
+  readonly retryMs: clock.Milliseconds;
+}
+
+interface WaitingRecord {
+  readonly record: KeyedRecord;
+  readonly giveUpAt: clock.Milliseconds;
+  readonly settle: (result: LogResult<AppendReceipt>) => void;
+}
+
+/**
+ * Appends records to one partition. Records that come while an append is under way share the next
+ * one, and an append whose answer is lost is repeated under its identity until it is answered.
+ */
+export class PartitionWriter {
+  private waiting: WaitingRecord[] = [];
+
+  private isRunning = false;
+
+  private sequence = 0;
+
+  private life = 0;
+
+  public constructor(private readonly options: PartitionWriterOptions) {}
+
+  /**
+   * Appends a record. A failure after the time limit leaves open whether the record is kept,
+   * unless its kind says that nothing was done.
+   */
+  public append(record: KeyedRecord, timeoutMs: clock.Milliseconds): Promise<LogResult<AppendReceipt>> {
+    return new Promise((settle) => {
+      const giveUpAt = this.options.clock.now() + timeoutMs;
+      this.waiting.push({ record, giveUpAt, settle });
+      if (!this.isRunning) this.run();
+    });
+  }
+
+  private async run(): Promise<void> {
+    this.isRunning = true;
+    while (this.waiting.length > 0) await this.appendBatch(this.takeBatch());
+    this.isRunning = false;
+  }
+
+  private takeBatch(): readonly WaitingRecord[] {
+    let bytes = 0;
+    let count = 0;
+    while (count < this.waiting.length && count < RECORDS_PER_APPEND) {
+      bytes += this.waiting[count]?.record.value?.length ?? 0;
+      if (count > 0 && bytes > BYTES_PER_APPEND) break;
+      count += 1;
+    }
+    return this.waiting.splice(0, count);
+  }
+
+  private async appendBatch(batch: readonly WaitingRecord[]): Promise<void> {
+    const { clock: time, log, partition, retryMs } = this.options;
+    const records = batch.map(({ record }) => record);
+    let open = batch;
+    for (;;) {
+      const result = await log.append(partition, records, { identity: this.identity() });
+      if (result.isOk) {
+        this.sequence += 1;
+        open.forEach(({ settle }) => settle(result));
+        return;
+      }
+      open = this.settleExpired(open, result.error);
+      if (this.isFinal(result.error)) {
+        open.forEach(({ settle }) => settle(trueMyth.Result.err(result.error)));
+        return;
+      }
+      // An append that may have taken effect keeps its number until it is answered, also when
+      // nobody waits for it any more: the number must not stand for other records.
+      if (open.length === 0 && result.error.kind === logFailures.LOG_FAILURES.UNAVAILABLE) {
+        this.startNewLife();
+        return;
+      }
+      if (open.length === 0 && this.waiting.length > 0) {
+        this.startNewLife();
+        return;
+      }
+      await time.sleep(retryMs);
+    }
+  }
+
+  private identity(): { readonly producer: string; readonly sequence: number } {
+    return { producer: `${this.options.producer}.${this.life}`, sequence: this.sequence };
+  }
+
+  /** Goes on under a fresh producer, for which the log expects no particular number. */
+  private startNewLife(): void {
+    this.life += 1;
+    this.sequence = 0;
+  }
+
+  private isFinal(error: LogFailure): boolean {
+    const { FENCED, FULL } = logFailures.LOG_FAILURES;
+    if (error.kind === FENCED) this.startNewLife();
+    return error.kind === FENCED || error.kind === FULL;
+  }
+
+  private settleExpired(
+    batch: readonly WaitingRecord[],
+    error: LogFailure,
+  ): readonly WaitingRecord[] {
+    const now = this.options.clock.now();
+    const expired = batch.filter(({ giveUpAt }) => giveUpAt <= now);
+    expired.forEach(({ settle }) => settle(trueMyth.Result.err(error)));
+    if (expired.length > 0) {
+      const { logger, partition } = this.options;
+      logger.warn('Records could not be appended in time.', {
+        kind: partition.topic,
+        count: expired.length,
+        reason: error.message,
+      });
+    }
+    return batch.filter(({ giveUpAt }) => giveUpAt > now);
+  }
+}
--- /dev/null
+++ b/packages/keyed-log/src/index.ts
@@ -0,0 +1,9 @@
+/** The platform's keyed log as the product sees it, direct and through peers. */
+export * from './Types.js';
+export * from './LogFailures.js';
+export * from './KeyedFollower.js';
+export * from './PartitionWriter.js';
+export * from './RelayedLog.js';
+export * from './readAllNewest.js';
+export * from './readNewestOf.js';
+export * from './partitionOf.js';
--- /dev/null
+++ b/packages/keyed-log/src/messages.ts
@@ -0,0 +1,57 @@
+import type * as wire from '@limpettack/wire';
+import * as zod from 'zod';
+import * as logFailures from './LogFailures.js';
+
+const PARTITION = zod.object({ topic: zod.string(), partition: zod.number() });
+
+const BYTES = zod.custom<Uint8Array>((value) => value instanceof Uint8Array);
+
+const RECORD = zod.object({
+  key: zod.string(),
+  value: BYTES.optional(),
+});
+
+const APPEND = zod.object({
+  call: zod.literal('append'),
+  partition: PARTITION,
+  records: zod.array(RECORD).readonly(),
+  options: zod.object({
+    identity: zod.object({ producer: zod.string(), sequence: zod.number() }),
+    expectedEnd: zod.number().optional(),
+  }),
+});
+
+const NEWEST = zod.object({
+  call: zod.literal('newest'),
+  partition: PARTITION,
+  after: zod.string().optional(),
+});
+
+const READ = zod.object({
+  call: zod.literal('read'),
+  partition: PARTITION,
+  from: zod.number(),
+  waitMs: zod.number(),
+});
+
+const REQUEST = zod.discriminatedUnion('call', [APPEND, NEWEST, READ]);
+
+const RESPONSE = zod.object({
+  failure: zod
+    .object({ kind: zod.enum(logFailures.LOG_FAILURES), message: zod.string() })
+    .optional(),
+  value: zod.unknown().optional(),
+});
+
+/** A call of the log that a peer makes for another. */
+export type LogCallRequest = zod.infer<typeof REQUEST>;
+
+/** What came of a call of the log. */
+export type LogCallResponse = zod.infer<typeof RESPONSE>;
+
+/** Makes a call of the log for a peer that does not reach it. */
+export const LOG_CALL: wire.PeerMethod<LogCallRequest, LogCallResponse> = {
+  name: 'log.call',
+  request: REQUEST,
+  response: RESPONSE,
+};
--- /dev/null
+++ b/packages/keyed-log/src/readAllNewest.ts
@@ -0,0 +1,28 @@
+import * as trueMyth from 'true-myth';
+import type { KeyedLog, LogResult, PartitionName, StoredRecord } from './Types.js';
+
+/** The newest record of every key, and an offset from which reading on misses nothing. */
+export interface PartitionState {
+  readonly records: readonly StoredRecord[];
+  readonly endOffset: number;
+}
+
+/** Reads the newest record of every key of a partition. */
+export async function readAllNewest(
+  log: KeyedLog,
+  partition: PartitionName,
+): Promise<LogResult<PartitionState>> {
+  const records: StoredRecord[] = [];
+  let endOffset: number | undefined;
+  let after: string | undefined;
+  for (;;) {
+    const page = await log.newest(partition, after);
+    if (page.isErr) return trueMyth.Result.err(page.error);
+    // Pages are no snapshot: only what lies before the first page's end is surely among them.
+    endOffset ??= page.value.endOffset;
+    records.push(...page.value.records);
+    after = page.value.records.at(-1)?.key;
+    if (!page.value.hasMore || after === undefined) break;
+  }
+  return trueMyth.Result.ok({ records, endOffset });
+}
--- /dev/null
+++ b/packages/program-homes/src/HomeClient.ts
@@ -0,0 +1,105 @@
+import type * as clock from '@limpettack/clock';
+import * as errors from '@limpettack/errors';
+import * as keyedLog from '@limpettack/keyed-log';
+import type * as logging from '@limpettack/logging';
+import type * as membership from '@limpettack/membership';
+import * as wire from '@limpettack/wire';
+import * as trueMyth from 'true-myth';
+import * as homeServer from './HomeServer.js';
+import * as messages from './messages.js';
+import type { Grant, ProgramBudgets, Reservation, Settlement } from './Types.js';
+
+/** Time for the first home to answer: above a hop and an append. */
+const RESERVE_TIMEOUT_MS = 1_300;
+
+/** Homes that are asked for one reservation. */
+const HOMES_ASKED = 2;
+
+/** Time for a settlement to be taken. */
+const SETTLE_TIMEOUT_MS = 1_000;
+
+/** When to come back when no home can be reached. */
+const COME_BACK_MS = 500;
+
+/** What the client needs. */
+export interface HomeClientOptions {
+  readonly server: homeServer.HomeServer;
+  readonly network: wire.PeerNetwork;
+  readonly membership: Pick<membership.Membership, 'available'>;
+  readonly clock: clock.Clock;
+  readonly logger: logging.Logger;
+  readonly partitionCount: number;
+}
+
+/** Reserves and settles at the home of each program. */
+export class HomeClient implements ProgramBudgets {
+  public constructor(private readonly options: HomeClientOptions) {}
+
+  /** @inheritdoc */
+  public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
+    const { logger } = this.options;
+    for (const address of this.homesOf(reservation.program).slice(0, HOMES_ASKED)) {
+      const result = await this.reserveAt(address, reservation);
+      if (result.isOk) return trueMyth.Result.ok(result.value);
+      const { fault, message } = result.error;
+      if (fault !== undefined && fault.kind !== 'shutting-down') return trueMyth.Result.err(fault);
+      logger.warn('The home of a program did not answer.', {
+        request: reservation.call,
+        program: reservation.program,
+        peer: address,
+        reason: message,
+      });
+    }
+    const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs: COME_BACK_MS };
+    return trueMyth.Result.err(errors.createFault('home-unavailable', undefined, overrides));
+  }
+
+  /** @inheritdoc */
+  public settle(settlement: Settlement): void {
+    const { network, server } = this.options;
+    const [address] = this.homesOf(settlement.program);
+    if (address === undefined) return;
+    if (address === network.self.address) {
+      server.settle(settlement, network.self.address);
+      return;
+    }
+    const options = { timeoutMs: SETTLE_TIMEOUT_MS };
+    network
+      .request(address, messages.SETTLE, settlement, options)
+      .then((result) => this.noteSettled(settlement, result));
+  }
+
+  private async reserveAt(
+    address: string,
+    reservation: Reservation,
+  ): Promise<wire.PeerResult<Grant>> {
+    const { network, server } = this.options;
+    if (address !== network.self.address) {
+      const options = { timeoutMs: RESERVE_TIMEOUT_MS };
+      return network.request(address, messages.RESERVE, reservation, options);
+    }
+    const result = await server.reserve(reservation);
+    if (result.isOk) return trueMyth.Result.ok(result.value);
+    const { error } = result;
+    const kind = wire.PEER_FAILURES.REFUSED;
+    return trueMyth.Result.err({ kind, message: error.message, fault: error });
+  }
+
+  private noteSettled(settlement: Settlement, result: wire.PeerResult<unknown>): void {
+    if (result.isOk) return;
+    // The home counts the whole reservation in its place.
+    this.options.logger.warn('A turn could not be settled.', {
+      request: settlement.call,
+      program: settlement.program,
+      reason: result.error.message,
+    });
+  }
+
+  private homesOf(program: string): readonly string[] {
+    const { membership: members, partitionCount } = this.options;
+    const partition = keyedLog.partitionOf(program, partitionCount);
+    return homeServer
+      .rankOwners(partition, members.available())
+      .map(({ address }) => address);
+  }
+}
--- /dev/null
+++ b/packages/program-homes/src/HomePartition.ts
@@ -0,0 +1,277 @@
+import type * as clock from '@limpettack/clock';
+import * as errors from '@limpettack/errors';
+import * as keyedLog from '@limpettack/keyed-log';
+import type * as logging from '@limpettack/logging';
+import * as trueMyth from 'true-myth';
+import * as programAccount from './ProgramAccount.js';
+import * as watermarkRecord from './watermarkRecord.js';
+import type { Grant, Reservation, Settlement } from './Types.js';
+
+/** The topic with the watermarks of programs. */
+const TOPIC = 'keyed.programs';
+
+/** Turns ahead of which a watermark is written, so that most turns wait for no append. */
+const TURNS_AHEAD = 3;
+
+/** How long a reservation waits for its watermark to be written. */
+const WRITE_WAIT_MS = 1_000;
+
+/** Time between two attempts to write or to load. */
+const RETRY_MS = 100;
+
+/** Programs without use for so long are removed from the log. Above any stated retention. */
+const IDLE_PROGRAM_MS = 600_000;
+
+/** When to come back while the log cannot be reached. */
+const COME_BACK_MS = 600;
+
+/** What a partition needs. */
+export interface HomePartitionOptions {
+  readonly partition: number;
+  readonly log: keyedLog.KeyedLog;
+  readonly clock: clock.Clock;
+  readonly logger: logging.Logger;
+  /** Unique for each life of the process. */
+  readonly producer: string;
+  /** Asks former owners to write what they have not used. */
+  readonly releaseElsewhere: () => Promise<void>;
+}
+
+/**
+ * The accounts of the programs of one partition. Appends expect the end that this process knows,
+ * so that no record of another owner can be overlooked: on a conflict all is read again.
+ */
+export class HomePartition {
+  private readonly accounts = new Map<string, programAccount.ProgramAccount>();
+
+  private readonly wanted = new Map<string, number>();
+
+  private readonly waiters = new Set<() => void>();
+
+  private end: number | undefined;
+
+  private loading: Promise<boolean> | undefined;
+
+  private isWriting = false;
+
+  private isClosed = false;
+
+  /** Counts the producers under which this process has written here. */
+  private life = 0;
+
+  private sequence = 0;
+
+  /** The records of an append that may have taken effect. */
+  private unanswered: ReadonlyMap<string, number> | undefined;
+
+  public constructor(private readonly options: HomePartitionOptions) {}
+
+  /** Sets tokens aside. Waits for the log only if too much would be handed out without a record. */
+  public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
+    const { clock: time } = this.options;
+    if (!(await this.ensureLoaded())) return trueMyth.Result.err(unavailable());
+    const { budgetTokens, call, mostTokens, previousTurn, program } = reservation;
+    const account = this.account(program);
+    if (!account.holds(mostTokens, budgetTokens, time.now())) {
+      return trueMyth.Result.err(this.exhausted(reservation, account));
+    }
+    account.reserve(call, mostTokens, time.now());
+    this.raise(program, account, mostTokens, budgetTokens);
+    if (!account.isCovered(mostTokens) && !(await this.covered(account, mostTokens))) {
+      account.cancel(call);
+      return trueMyth.Result.err(unavailable());
+    }
+    const writer = previousTurn === undefined ? undefined : account.writerOf(previousTurn);
+    return trueMyth.Result.ok(writer === undefined ? {} : { writer });
+  }
+
+  /** Gives back what a turn has not used. */
+  public settle(settlement: Settlement, writer: string): void {
+    const account = this.accounts.get(settlement.program);
+    if (account === undefined) return;
+    account.settle(settlement.call, settlement.tokens, this.options.clock.now());
+    if (settlement.isKept) account.noteWriter(settlement.call, writer);
+  }
+
+  /** Writes what has really been used, so that the next owner counts no more, and lets go. */
+  public async release(): Promise<void> {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    if (this.end === undefined) return;
+    this.accounts.forEach((account, program) => {
+      if (account.watermark > account.committedTokens) {
+        this.wanted.set(program, account.committedTokens);
+      }
+    });
+    if (this.wanted.size === 0) return;
+    if (!this.isWriting) await this.write();
+    else await this.written(() => this.wanted.size === 0, RETRY_MS * 3);
+  }
+
+  private account(program: string): programAccount.ProgramAccount {
+    const known = this.accounts.get(program);
+    if (known !== undefined) return known;
+    const account = new programAccount.ProgramAccount(0, 0, this.options.clock.now());
+    this.accounts.set(program, account);
+    return account;
+  }
+
+  private raise(
+    program: string,
+    account: programAccount.ProgramAccount,
+    turnTokens: number,
+    budgetTokens: number,
+  ): void {
+    if (account.committedTokens + turnTokens <= account.watermark) return;
+    const ahead = account.committedTokens + TURNS_AHEAD * turnTokens;
+    const watermark = Math.max(account.committedTokens, Math.min(ahead, budgetTokens));
+    if (watermark <= account.watermark) return;
+    this.wanted.set(program, Math.max(watermark, this.wanted.get(program) ?? 0));
+    if (!this.isWriting) this.write();
+  }
+
+  private covered(
+    account: programAccount.ProgramAccount,
+    turnTokens: number,
+  ): Promise<boolean> {
+    return this.written(() => account.isCovered(turnTokens), WRITE_WAIT_MS);
+  }
+
+  /** Waits until a condition holds that only writes can bring about. */
+  private written(condition: () => boolean, timeoutMs: clock.Milliseconds): Promise<boolean> {
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        timer.cancel();
+        this.waiters.delete(check);
+        resolve(condition());
+      };
+      const check = (): void => {
+        if (condition()) finish();
+      };
+      const timer = this.options.clock.startTimer(timeoutMs, finish);
+      this.waiters.add(check);
+    });
+  }
+
+  private async write(): Promise<void> {
+    this.isWriting = true;
+    while (this.wanted.size > 0 && this.end !== undefined) await this.writeBatch();
+    this.isWriting = false;
+  }
+
+  private async writeBatch(): Promise<void> {
+    const batch = this.unanswered ?? new Map(this.wanted);
+    const records = [...batch].map(([key, watermark]) => ({
+      key,
+      value: watermarkRecord.encodeWatermark({ watermark, writer: this.options.producer }),
+    }));
+    const result = await this.options.log.append(this.name, records, {
+      identity: { producer: this.producer, sequence: this.sequence },
+      expectedEnd: this.end,
+    });
+    this.unanswered = undefined;
+    if (result.isOk) {
+      this.sequence += 1;
+      this.end = result.value.endOffset;
+      batch.forEach((watermark, program) => this.noteWritten(program, watermark));
+      [...this.waiters].forEach((check) => check());
+      return;
+    }
+    // An append that may have taken effect is repeated unchanged until it is answered.
+    if (result.error.kind === keyedLog.LOG_FAILURES.LOST) this.unanswered = batch;
+    else await this.recover(result.error.kind);
+    if (this.isClosed) this.wanted.clear();
+    else await this.options.clock.sleep(RETRY_MS);
+  }
+
+  private noteWritten(program: string, watermark: number): void {
+    this.accounts.get(program)?.noteWritten(watermark);
+    if (this.wanted.get(program) === watermark) this.wanted.delete(program);
+  }
+
+  /** Another owner has written: what it may have handed out counts as spent. */
+  private async recover(kind: keyedLog.LogFailureKind): Promise<void> {
+    const { CONFLICT, FENCED } = keyedLog.LOG_FAILURES;
+    if (kind !== CONFLICT && kind !== FENCED) return;
+    const { logger, partition } = this.options;
+    logger.warn('Another owner has written to a partition of programs.', { shard: partition });
+    this.life += 1;
+    this.sequence = 0;
+    await this.load();
+  }
+
+  private async ensureLoaded(): Promise<boolean> {
+    if (this.end !== undefined) return true;
+    this.loading ??= this.loadFirst().finally(() => {
+      this.loading = undefined;
+    });
+    return this.loading;
+  }
+
+  private async loadFirst(): Promise<boolean> {
+    await this.options.releaseElsewhere();
+    const loaded = await this.load();
+    const { logger, partition } = this.options;
+    if (loaded) logger.info('Programs of a partition were read.', { shard: partition, count: this.accounts.size });
+    return loaded;
+  }
+
+  private async load(): Promise<boolean> {
+    const state = await keyedLog.readAllNewest(this.options.log, this.name);
+    if (state.isErr) return false;
+    state.value.records.forEach((record) => this.takeRecord(record));
+    this.end = state.value.endOffset;
+    return true;
+  }
+
+  private takeRecord({ key, value }: keyedLog.StoredRecord): void {
+    const { clock: time, logger, producer } = this.options;
+    const record = watermarkRecord.decodeWatermark(value);
+    if (record === undefined) {
+      logger.error('A watermark in the log cannot be read.', { program: key });
+      return;
+    }
+    const { watermark, writer } = record;
+    const known = this.accounts.get(key);
+    if (known !== undefined && writer === producer) {
+      this.noteWritten(key, watermark);
+      return;
+    }
+    this.accounts.set(key, new programAccount.ProgramAccount(watermark, watermark, time.now()));
+    this.wanted.delete(key);
+  }
+
+  private get producer(): string {
+    return `${this.options.producer}.${this.options.partition}.${this.life}`;
+  }
+
+  private get name(): keyedLog.PartitionName {
+    return { topic: TOPIC, partition: this.options.partition };
+  }
+
+  private exhausted(
+    reservation: Reservation,
+    account: programAccount.ProgramAccount,
+  ): errors.Fault {
+    const { budgetTokens, call, mostTokens, program } = reservation;
+    this.options.logger.info('The budget of a program holds no further turn.', {
+      request: call,
+      program,
+      count: account.committedTokens,
+      reason: `budget ${budgetTokens}, turn ${mostTokens}, watermark ${account.watermark}`,
+    });
+    return errors.createFault('budget-exhausted');
+  }
+
+  /** Removes programs that have not been used for long. Call from time to time. */
+  public removeIdle(): void {
+    const horizon = this.options.clock.now() - IDLE_PROGRAM_MS;
+    this.accounts.forEach((account, program) => {
+      if (account.lastUsedAt < horizon) this.accounts.delete(program);
+    });
+  }
+}
+
+function unavailable(): errors.Fault {
+  return errors.createFault('log-unavailable', undefined, { retryAfterMs: COME_BACK_MS });
+}
--- /dev/null
+++ b/packages/program-homes/src/ProgramAccount.ts
@@ -0,0 +1,109 @@
+import type * as clock from '@limpettack/clock';
+
+/** A turn that is not settled by then counts as if it had used all that it reserved. */
+const RESERVATION_MS = 15_000;
+
+/** The writers of the latest turns that are remembered for each program. */
+const WRITERS_KEPT = 64;
+
+interface OpenReservation {
+  readonly tokens: number;
+  readonly expiresAt: clock.Milliseconds;
+}
+
+/**
+ * The budget of one program. The watermark is in the log: it is a promise never to have handed out
+ * more than that and one further turn, so it is all that a later home needs to know.
+ */
+export class ProgramAccount {
+  private readonly reservations = new Map<string, OpenReservation>();
+
+  private readonly writers = new Map<string, string>();
+
+  private reservedTokens = 0;
+
+  private usedAt: clock.Milliseconds;
+
+  public constructor(
+    /** Tokens that have been handed out, as far as this home knows, or more. */
+    private spentTokens: number,
+    /** The watermark in the log. */
+    private writtenTokens: number,
+    now: clock.Milliseconds,
+  ) {
+    this.usedAt = now;
+  }
+
+  /** Tokens that have been handed out or may still be. */
+  public get committedTokens(): number {
+    return this.spentTokens + this.reservedTokens;
+  }
+
+  /** The watermark in the log. */
+  public get watermark(): number {
+    return this.writtenTokens;
+  }
+
+  /** When the account was last used. */
+  public get lastUsedAt(): clock.Milliseconds {
+    return this.usedAt;
+  }
+
+  /** Whether the budget holds one more turn. */
+  public holds(tokens: number, budgetTokens: number, now: clock.Milliseconds): boolean {
+    this.expire(now);
+    return this.committedTokens + tokens <= budgetTokens;
+  }
+
+  /** Sets tokens aside for a turn. */
+  public reserve(call: string, tokens: number, now: clock.Milliseconds): void {
+    this.usedAt = now;
+    const earlier = this.reservations.get(call);
+    this.reservedTokens += tokens - (earlier?.tokens ?? 0);
+    this.reservations.set(call, { tokens, expiresAt: now + RESERVATION_MS });
+  }
+
+  /** Ends a turn's reservation; nothing is counted twice when it had expired. */
+  public settle(call: string, tokens: number, now: clock.Milliseconds): void {
+    const reservation = this.reservations.get(call);
+    if (reservation === undefined) return;
+    this.usedAt = now;
+    this.reservations.delete(call);
+    this.reservedTokens -= reservation.tokens;
+    this.spentTokens += tokens;
+  }
+
+  /** Takes back a reservation whose turn was never sent. */
+  public cancel(call: string): void {
+    this.settle(call, 0, this.usedAt);
+  }
+
+  /** Whether what may have been handed out without a record stays within one turn. */
+  public isCovered(turnTokens: number): boolean {
+    return this.committedTokens <= this.writtenTokens + turnTokens;
+  }
+
+  /** Notes that the log holds a watermark. */
+  public noteWritten(watermark: number): void {
+    this.writtenTokens = watermark;
+  }
+
+  public noteWriter(turn: string, address: string): void {
+    this.writers.set(turn, address);
+    const [oldest] = this.writers.keys();
+    if (this.writers.size > WRITERS_KEPT && oldest !== undefined) this.writers.delete(oldest);
+  }
+
+  public writerOf(turn: string): string | undefined {
+    return this.writers.get(turn);
+  }
+
+  private expire(now: clock.Milliseconds): void {
+    const expired = [...this.reservations].filter(([, { expiresAt }]) => expiresAt <= now);
+    expired.forEach(([call, { tokens }]) => {
+      this.reservations.delete(call);
+      this.reservedTokens -= tokens;
+      this.spentTokens += tokens;
+    });
+  }
+}
--- /dev/null
+++ b/packages/program-homes/src/Types.ts
@@ -0,0 +1,42 @@
+import type * as errors from '@limpettack/errors';
+import type * as trueMyth from 'true-myth';
+
+/** What a turn asks of the program's home before it is sent to a target. */
+export interface Reservation {
+  readonly program: string;
+  /** The turn's request. */
+  readonly call: string;
+  /** Tokens that all turns of the program may generate. */
+  readonly budgetTokens: number;
+  /** Tokens that this turn may generate at most. */
+  readonly mostTokens: number;
+  /** The turn whose history the new one goes on from. */
+  readonly previousTurn?: string | undefined;
+}
+
+/** What the home answers. */
+export interface Grant {
+  /** Where the process is that wrote the previous turn, if the home knows. */
+  readonly writer?: string | undefined;
+}
+
+/** How a turn ended. */
+export interface Settlement {
+  readonly program: string;
+  readonly call: string;
+  /** Tokens that were handed to the caller. */
+  readonly tokens: number;
+  /** Whether the turn is kept, so that later ones may go on from it. */
+  readonly isKept: boolean;
+}
+
+/** Budgets of programs as an entry sees them. */
+export interface ProgramBudgets {
+  /**
+   * Sets tokens of the program's budget aside. Faults, all not run: `budget-exhausted`,
+   * `home-unavailable`, `log-unavailable`.
+   */
+  reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>>;
+  /** Gives back what the turn has not used. */
+  settle(settlement: Settlement): void;
+}
--- /dev/null
+++ b/packages/program-homes/src/messages.ts
@@ -0,0 +1,43 @@
+import type * as wire from '@limpettack/wire';
+import * as zod from 'zod';
+
+const RESERVATION = zod.object({
+  program: zod.string(),
+  call: zod.string(),
+  budgetTokens: zod.number(),
+  mostTokens: zod.number(),
+  previousTurn: zod.string().optional(),
+});
+
+const GRANT = zod.object({ writer: zod.string().optional() });
+
+const SETTLEMENT = zod.object({
+  program: zod.string(),
+  call: zod.string(),
+  tokens: zod.number(),
+  isKept: zod.boolean(),
+});
+
+const RELEASE = zod.object({ partition: zod.number() });
+
+const NOTHING = zod.object({});
+
+/** Sets tokens of a program's budget aside. */
+export const RESERVE: wire.PeerMethod<zod.infer<typeof RESERVATION>, zod.infer<typeof GRANT>> = {
+  name: 'home.reserve',
+  request: RESERVATION,
+  response: GRANT,
+};
+
+/** Reports how a turn ended. */
+export const SETTLE: wire.PeerMethod<zod.infer<typeof SETTLEMENT>, zod.infer<typeof NOTHING>> = {
+  name: 'home.settle',
+  request: SETTLEMENT,
+  response: NOTHING,
+};
+
+/** Asks the former owner of a partition to write what it has not used and to let go. */
+export const RELEASE_PARTITION: wire.PeerMethod<
+  zod.infer<typeof RELEASE>,
+  zod.infer<typeof NOTHING>
+> = { name: 'home.release', request: RELEASE, response: NOTHING };
--- a/packages/targets/src/CrashFingerprints.ts
+++ b/packages/targets/src/CrashFingerprints.ts
@@ -33,7 +33,16 @@
   /** Fires with a fingerprint that is quarantined by what this process saw. */
   public readonly onQuarantine = this.quarantine.event;
 
-  public constructor(private readonly time: clock.Clock) {}
+  /** @param deathsToQuarantine Different targets that must have died for a quarantine. */
+  public constructor(
+    private readonly time: clock.Clock,
+    private readonly deathsToQuarantine = DEATHS_TO_QUARANTINE,
+  ) {}
+
+  /** Whether any request is suspected. */
+  public get hasSuspects(): boolean {
+    return this.suspicions.size > 0;
+  }
 
   /** Whether a request is refused. */
   public isQuarantined(fingerprint: string): boolean {
@@ -55,7 +64,7 @@
     // as a lost failure domain. Only a death after the first one is another piece of evidence.
     if (earlier && sentAt < earlier.lastDeathAt) return false;
     const targets = new Set([...(earlier?.targets ?? []), target]);
-    if (targets.size >= DEATHS_TO_QUARANTINE) {
+    if (targets.size >= this.deathsToQuarantine) {
       this.learn(fingerprint);
       this.quarantine.fire(fingerprint);
       return true;
