Spend a workspace's limit on programs under way; hold events until a budget is recorded

In an outage of the store a turn over its budget's record was refused though its target could already work.

--- a/packages/allowances/src/AllowanceClient.ts
+++ b/packages/allowances/src/AllowanceClient.ts
@@ -6,7 +6,8 @@
 import * as allowanceOwner from './AllowanceOwner.js';
 import * as messages from './messages.js';
 import * as shares from './shares.js';
-import type { Admission, LimitLookup, WorkspaceLimit } from './Types.js';
+import * as programActivity from './ProgramActivity.js';
+import type { Admission, AdmissionRequest, LimitLookup, WorkspaceLimit } from './Types.js';
 
 /** Requests that came within this span are the estimate of what the next span needs. */
 const DEMAND_SPAN_MS = 200;
@@ -38,13 +39,18 @@
 }
 
 interface Allowance {
+  readonly activity: programActivity.ProgramActivity;
   tokens: number;
+  begins: number;
+  /** Programs that wait for leave to begin. */
+  beginsWanted: number;
   voidAt: clock.Milliseconds;
   /** Requests of the running span, for the estimate. */
   demand: number;
   demandSince: clock.Milliseconds;
   taking: Promise<messages.AllowanceAnswer | undefined> | undefined;
   refusedUntil: clock.Milliseconds;
+  beginsRefusedUntil: clock.Milliseconds;
   ownerPausedUntil: clock.Milliseconds;
   detached: limits.TokenBucket | undefined;
 }
@@ -56,16 +62,37 @@
   public constructor(private readonly options: AllowanceClientOptions) {}
 
   /** Takes one request from the limit of a workspace. */
-  public async admit(workspace: string): Promise<Admission> {
+  public async admit(request: AdmissionRequest): Promise<Admission> {
+    const { mayBegin, program, workspace } = request;
     const limit = this.options.limitOf(workspace);
     if (limit === undefined) return { isAdmitted: true };
     const allowance = this.allowanceOf(workspace);
+    const { clock: time } = this.options;
+    const begins =
+      mayBegin && program !== undefined && !allowance.activity.isKnown(program, time.now());
     this.noteDemand(allowance);
+    const admission = await this.take(workspace, allowance, limit, begins);
+    if (admission.isAdmitted && program !== undefined) {
+      allowance.activity.note(program, time.now());
+    }
+    return admission;
+  }
+
+  private async take(
+    workspace: string,
+    allowance: Allowance,
+    limit: WorkspaceLimit,
+    begins: boolean,
+  ): Promise<Admission> {
     for (;;) {
-      if (this.takeLocal(allowance)) return { isAdmitted: true };
+      if (this.takeLocal(allowance, begins)) return { isAdmitted: true };
       const now = this.options.clock.now();
-      if (allowance.refusedUntil > now) return refuse(allowance.refusedUntil - now);
+      const refusedUntil = begins
+        ? Math.max(allowance.refusedUntil, allowance.beginsRefusedUntil)
+        : allowance.refusedUntil;
+      if (refusedUntil > now) return refuse(refusedUntil - now);
       if (allowance.ownerPausedUntil > now) return this.admitDetached(allowance, limit);
+      if (begins) allowance.beginsWanted += 1;
       allowance.taking ??= this.takeFromOwner(workspace, allowance).finally(() => {
         allowance.taking = undefined;
       });
@@ -74,16 +101,14 @@
     }
   }
 
-  /** Takes one request if it is at hand; for what must go on without waiting. */
-  public noteFurtherRun(workspace: string): void {
-    const allowance = this.allowances.get(workspace);
-    if (allowance !== undefined) this.takeLocal(allowance);
-  }
-
-  private takeLocal(allowance: Allowance): boolean {
-    if (allowance.voidAt <= this.options.clock.now()) allowance.tokens = 0;
-    if (allowance.tokens < 1) return false;
+  private takeLocal(allowance: Allowance, begins: boolean): boolean {
+    if (allowance.voidAt <= this.options.clock.now()) {
+      allowance.tokens = 0;
+      allowance.begins = 0;
+    }
+    if (allowance.tokens < 1 || (begins && allowance.begins < 1)) return false;
     allowance.tokens -= 1;
+    if (begins) allowance.begins -= 1;
     return true;
   }
 
@@ -92,31 +117,39 @@
     allowance: Allowance,
   ): Promise<messages.AllowanceAnswer | undefined> {
     const { clock: time, logger } = this.options;
-    const count = this.expectedDemand(allowance);
-    const answer = await this.ask(workspace, count);
+    // What is at hand is given back by asking for less.
+    const isVoid = allowance.voidAt <= time.now();
+    const count = Math.max(0, this.expectedDemand(allowance) - (isVoid ? 0 : allowance.tokens));
+    const begins = Math.min(LARGEST_TAKE, allowance.beginsWanted);
+    allowance.beginsWanted = 0;
+    const activePrograms = allowance.activity.countActive(time.now());
+    const answer = await this.ask({ workspace, count, begins, activePrograms });
     const now = time.now();
     if (answer === undefined) {
       allowance.ownerPausedUntil = now + OWNER_PAUSE_MS;
       logger.warn('The owner of a limit did not answer.', { workspace, count });
       return undefined;
     }
-    allowance.tokens = answer.granted;
+    if (isVoid) allowance.tokens = 0;
+    allowance.tokens += answer.granted;
+    allowance.begins += answer.begins;
     allowance.voidAt = now + ALLOWANCE_MS;
-    allowance.refusedUntil = answer.granted > 0 ? 0 : now + answer.retryAfterMs;
+    if (count > 0) allowance.refusedUntil = answer.granted > 0 ? 0 : now + answer.retryAfterMs;
+    if (begins > 0) {
+      allowance.beginsRefusedUntil = answer.begins > 0 ? 0 : now + answer.retryAfterMs;
+    }
     return answer;
   }
 
   private async ask(
-    workspace: string,
-    count: number,
+    request: messages.AllowanceRequest,
   ): Promise<messages.AllowanceAnswer | undefined> {
     const { membership: members, network, owner } = this.options;
-    const member = allowanceOwner.ownerOf(workspace, members.available());
+    const member = allowanceOwner.ownerOf(request.workspace, members.available());
     if (member === undefined || member.name === network.self.name) {
-      return owner.take(workspace, count);
+      return owner.take(request, network.self.name);
     }
     const options = { timeoutMs: TAKE_TIMEOUT_MS };
-    const request = { workspace, count };
     const answer = await network.request(
       member.address,
       messages.TAKE_ALLOWANCE,
@@ -157,12 +190,16 @@
     const known = this.allowances.get(workspace);
     if (known !== undefined) return known;
     const created: Allowance = {
+      activity: new programActivity.ProgramActivity(),
       tokens: 0,
+      begins: 0,
+      beginsWanted: 0,
       voidAt: 0,
       demand: 0,
       demandSince: this.options.clock.now(),
       taking: undefined,
       refusedUntil: 0,
+      beginsRefusedUntil: 0,
       ownerPausedUntil: 0,
       detached: undefined,
     };
--- a/packages/allowances/src/Types.ts
+++ b/packages/allowances/src/Types.ts
@@ -9,6 +9,15 @@
 /** Finds the limit of a workspace; nothing when it has none. */
 export type LimitLookup = (workspace: string) => WorkspaceLimit | undefined;
 
+/** What is asked to be admitted. */
+export interface AdmissionRequest {
+  readonly workspace: string;
+  /** The program that the request belongs to. */
+  readonly program: string | undefined;
+  /** Whether the request may be the first of its program. */
+  readonly mayBegin: boolean;
+}
+
 /** Whether a request may go on. */
 export type Admission =
   | { readonly isAdmitted: true }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -11,6 +11,9 @@
 import * as wholeCall from './WholeCall.js';
 import type { Call, Reply } from './Types.js';
 
+/** Time between two questions whether the log holds the record of a budget. */
+const COVER_INTERVAL_MS = 100;
+
 /** What the gateway needs. */
 export interface GatewayParts extends streamCall.StreamCallParts, wholeCall.WholeCallParts {
   readonly tables: tablesHolder.TablesHolder;
@@ -53,7 +56,13 @@
       return;
     }
     if (workspace !== undefined) {
-      const admission = await this.parts.allowances.admit(workspace.name);
+      const admission = await this.parts.allowances.admit({
+        workspace: workspace.name,
+        program: call.place?.program,
+        // Calls of tools and turns that go on from others belong to programs under way.
+        mayBegin:
+          call.place?.budgetTokens !== undefined && call.place.previousTurn === undefined,
+      });
       if (!admission.isAdmitted) {
         const { retryAfterMs } = admission;
         this.refuse(call, reply, errors.createFault('rate-limited', undefined, { retryAfterMs }));
@@ -68,13 +77,12 @@
 
   private async runStream(context: callContext.CallContext, reply: Reply): Promise<void> {
     const { call } = context;
-    const { budgets } = this.parts;
     const grant = await this.reserve(call);
     if (grant.isErr) {
       this.refuse(call, reply, grant.error);
       return;
     }
-    const plan = await this.plan(context, grant.value.writer);
+    const plan = await this.plan(context, grant.value);
     if (plan.isErr) {
       this.settle(call, { tokens: 0, isComplete: false, isKept: false });
       this.refuse(call, reply, plan.error);
@@ -86,21 +94,31 @@
       plan.value,
       reply,
     ).run();
-    if (budgets !== undefined) this.settle(call, outcome);
+    this.settle(call, outcome);
   }
 
   private async reserve(
     call: Call,
   ): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
     const { place } = call;
-    if (place?.budgetTokens === undefined) return trueMyth.Result.ok({});
-    return this.parts.budgets.reserve({
-      program: place.program,
-      call: call.id,
-      budgetTokens: place.budgetTokens,
-      mostTokens: call.mostTokens,
-      ...(place.previousTurn === undefined ? {} : { previousTurn: place.previousTurn }),
-    });
+    const reservation = reservationOf(call);
+    if (reservation === undefined) return trueMyth.Result.ok({ isCovered: true });
+    return this.parts.budgets.reserve(reservation);
+  }
+
+  /** Waits until the turn's tokens may be handed out; false when its time is over before. */
+  private async covered(context: callContext.CallContext): Promise<boolean> {
+    const { budgets, clock: time, logger } = this.parts;
+    const { call, deadline } = context;
+    const reservation = reservationOf(call);
+    logger.info('An answer waits for the record of its budget.', { request: call.id });
+    while (reservation !== undefined && !call.gone.aborted && time.now() < deadline) {
+      const startedAt = time.now();
+      if (await budgets.cover(reservation)) return true;
+      const pause = COVER_INTERVAL_MS - (time.now() - startedAt);
+      if (pause > 0) await time.sleep(pause, call.gone);
+    }
+    return false;
   }
 
   private settle(call: Call, outcome: streamCall.StreamOutcome): void {
@@ -113,17 +131,19 @@
   /** Puts the history before the new input where the route keeps turns. */
   private async plan(
     context: callContext.CallContext,
-    writer: string | undefined,
+    grant: programHomes.Grant,
   ): Promise<trueMyth.Result<streamCall.StreamPlan, errors.Fault>> {
     const { call, pool, route, workspace } = context;
     const tokensPerEvent = this.parts.tables.current?.pools.get(pool)?.tokensPerEvent ?? 1;
     const previous = route.keepsTurns ? call.place?.previousTurn : undefined;
-    if (previous === undefined) return trueMyth.Result.ok({ body: call.body, tokensPerEvent });
-    const hints = writer === undefined ? {} : { writer };
+    const covered = grant.isCovered ? undefined : this.covered(context);
+    const shared = { tokensPerEvent, covered };
+    if (previous === undefined) return trueMyth.Result.ok({ body: call.body, ...shared });
+    const hints = grant.writer === undefined ? {} : { writer: grant.writer };
     const history = await this.parts.turns.history(previous, workspace?.name ?? '', hints);
     return history.map((contents) => ({
       body: Buffer.concat([...contents, call.body]),
-      tokensPerEvent,
+      ...shared,
     }));
   }
 
@@ -161,3 +181,15 @@
     return Math.round(this.parts.clock.now() - call.receivedAt);
   }
 }
+
+function reservationOf(call: Call): programHomes.Reservation | undefined {
+  const { place } = call;
+  if (place?.budgetTokens === undefined) return undefined;
+  return {
+    program: place.program,
+    call: call.id,
+    budgetTokens: place.budgetTokens,
+    mostTokens: call.mostTokens,
+    ...(place.previousTurn === undefined ? {} : { previousTurn: place.previousTurn }),
+  };
+}
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -1,7 +1,6 @@
 import type * as clock from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
 import type * as logging from '@limpettack/logging';
-import type * as programHomes from '@limpettack/program-homes';
 import type * as turns from '@limpettack/turns';
 import type * as callContext from './CallContext.js';
 import type * as crashWatch from './CrashWatch.js';
@@ -49,6 +48,8 @@
   readonly body: Uint8Array;
   /** Tokens in each event. */
   readonly tokensPerEvent: number;
+  /** Until then nothing may be handed to the caller; nothing when that is so from the start. */
+  readonly covered: Promise<boolean> | undefined;
 }
 
 /** How a stream has ended. */
@@ -73,6 +74,8 @@
 
   private lastEventId: number;
 
+  private lastCollectedId = -1;
+
   private eventsSent = 0;
 
   private readonly output: Buffer[] = [];
@@ -80,6 +83,9 @@
   /** The answer of a target that does not stream, such as an error. */
   private plainAnswer: { readonly head: AnswerHead; readonly chunks: Uint8Array[] } | undefined;
 
+  /** What the target has sent while nothing may be handed out yet. */
+  private held: (() => void)[] | undefined;
+
   private timer: clock.Timer | undefined;
 
   private silence: clock.Timer | undefined;
@@ -93,6 +99,7 @@
     private readonly reply: Reply,
   ) {
     this.lastEventId = context.call.lastEventId ?? -1;
+    if (plan.covered !== undefined) this.holdUntil(plan.covered);
   }
 
   /** Runs the call to the end of its stream. */
@@ -170,12 +177,14 @@
       this.plainAnswer.chunks.push(chunk);
       return;
     }
-    this.splitter.current.push(chunk).forEach((event) => this.passOn(event));
+    this.splitter.current
+      .push(chunk)
+      .forEach((event) => this.whenCovered(() => this.passOn(event)));
     if (this.target !== undefined) this.watchSilence(this.target, SILENCE_MS);
   }
 
   private passOn(event: eventSplitter.StreamEvent): void {
-    if (this.context.route.keepsTurns) this.collect(event);
+    this.collect(event);
     if (event.id !== undefined && event.id <= this.lastEventId) return;
     if (!this.reply.hasStarted && this.head !== undefined) this.reply.start(this.head);
     this.lastEventId = event.id ?? this.lastEventId;
@@ -183,11 +192,36 @@
     this.reply.write(event.bytes);
   }
 
+  /** Keeps the output of a turn, each event once. */
   private collect(event: eventSplitter.StreamEvent): void {
+    if (!this.context.route.keepsTurns) return;
+    if (event.id !== undefined && event.id <= this.lastCollectedId) return;
+    this.lastCollectedId = event.id ?? this.lastCollectedId;
     this.output.push(Buffer.from(eventSplitter.eventData(event)), LINE_FEED);
   }
 
+  private holdUntil(covered: Promise<boolean>): void {
+    const held: (() => void)[] = [];
+    this.held = held;
+    covered.then((isCovered) => {
+      if (!isCovered || this.isOver) return;
+      this.held = undefined;
+      held.forEach((step) => step());
+    });
+  }
+
+  private whenCovered(step: () => void): void {
+    if (this.held === undefined) step();
+    else this.held.push(step);
+  }
+
   private onEnd(): void {
+    if (this.isOver) return;
+    this.silence?.cancel();
+    this.whenCovered(() => this.finishStream());
+  }
+
+  private finishStream(): void {
     if (this.isOver) return;
     this.parts.crashes.noteCompleted(this.context);
     const { plainAnswer } = this;
@@ -216,7 +250,6 @@
   private async keepTurn(): Promise<void> {
     const { clock: time, turns: store } = this.parts;
     const { call, deadline, route, workspace } = this.context;
-    this.silence?.cancel();
     const kept = await store.keep(
       {
         id: call.id,
--- a/packages/program-homes/src/HomeClient.ts
+++ b/packages/program-homes/src/HomeClient.ts
@@ -9,9 +9,12 @@
 import * as messages from './messages.js';
 import type { Grant, ProgramBudgets, Reservation, Settlement } from './Types.js';
 
-/** Time for the first home to answer: above a hop and an append. */
+/** Time for a home to answer. A new home first reads its programs. */
 const RESERVE_TIMEOUT_MS = 1_300;
 
+/** Time for a home to say that the log holds enough: above its own wait. */
+const COVER_TIMEOUT_MS = 1_500;
+
 /** Homes that are asked for one reservation. */
 const HOMES_ASKED = 2;
 
@@ -54,6 +57,17 @@
     return trueMyth.Result.err(errors.createFault('home-unavailable', undefined, overrides));
   }
 
+  /** @inheritdoc */
+  public async cover(reservation: Reservation): Promise<boolean> {
+    const { network, server } = this.options;
+    const [address] = this.homesOf(reservation.program);
+    if (address === undefined) return false;
+    if (address === network.self.address) return server.cover(reservation);
+    const options = { timeoutMs: COVER_TIMEOUT_MS };
+    const answer = await network.request(address, messages.COVER, reservation, options);
+    return answer.isOk && answer.value.isCovered;
+  }
+
   /** @inheritdoc */
   public settle(settlement: Settlement): void {
     const { network, server } = this.options;
--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -13,7 +13,7 @@
 /** Turns ahead of which a watermark is written, so that most turns wait for no append. */
 const TURNS_AHEAD = 3;
 
-/** How long a reservation waits for its watermark to be written. */
+/** How long one request waits for a watermark to be written. */
 const WRITE_WAIT_MS = 1_000;
 
 /** Time between two attempts to write or to load. */
@@ -66,7 +66,7 @@
 
   public constructor(private readonly options: HomePartitionOptions) {}
 
-  /** Sets tokens aside. Waits for the log only if too much would be handed out without a record. */
+  /** Sets tokens aside, and has a watermark written that covers them and some turns more. */
   public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
     const { clock: time } = this.options;
     if (!(await this.ensureLoaded())) return trueMyth.Result.err(unavailable());
@@ -77,12 +77,19 @@
     }
     account.reserve(call, mostTokens, time.now());
     this.raise(program, account, mostTokens, budgetTokens);
-    if (!account.isCovered(mostTokens) && !(await this.covered(account, mostTokens))) {
-      account.cancel(call);
-      return trueMyth.Result.err(unavailable());
-    }
+    const isCovered = account.isCovered(mostTokens);
     const writer = previousTurn === undefined ? undefined : account.writerOf(previousTurn);
-    return trueMyth.Result.ok(writer === undefined ? {} : { writer });
+    return trueMyth.Result.ok(writer === undefined ? { isCovered } : { isCovered, writer });
+  }
+
+  /** Waits for a while until the log holds enough for a reserved turn. */
+  public async cover(reservation: Reservation): Promise<boolean> {
+    const { call, mostTokens, program } = reservation;
+    if (!(await this.ensureLoaded())) return false;
+    const account = this.account(program);
+    // The partition may have come here since the tokens were set aside.
+    if (!account.hasReserved(call) && (await this.reserve(reservation)).isErr) return false;
+    return this.written(() => account.isCovered(mostTokens), WRITE_WAIT_MS);
   }
 
   /** Gives back what a turn has not used. */
@@ -130,15 +137,9 @@
     if (!this.isWriting) this.write();
   }
 
-  private covered(
-    account: programAccount.ProgramAccount,
-    turnTokens: number,
-  ): Promise<boolean> {
-    return this.written(() => account.isCovered(turnTokens), WRITE_WAIT_MS);
-  }
-
   /** Waits until a condition holds that only writes can bring about. */
   private written(condition: () => boolean, timeoutMs: clock.Milliseconds): Promise<boolean> {
+    if (condition()) return Promise.resolve(true);
     return new Promise((resolve) => {
       const finish = (): void => {
         timer.cancel();
--- a/packages/program-homes/src/HomeServer.ts
+++ b/packages/program-homes/src/HomeServer.ts
@@ -37,6 +37,11 @@
   public constructor(private readonly options: HomeServerOptions) {
     const { network } = options;
     this.store.add(network.serve(messages.RESERVE, (request) => this.reserve(request)));
+    this.store.add(
+      network.serve(messages.COVER, async (request) =>
+        trueMyth.Result.ok({ isCovered: await this.cover(request) }),
+      ),
+    );
     this.store.add(
       network.serve(messages.SETTLE, async (request, from) => {
         this.settle(request, from.address);
@@ -57,6 +62,11 @@
     return this.partitionFor(reservation.program).reserve(reservation);
   }
 
+  /** Waits for a while until the log holds enough for a reserved turn. */
+  public cover(reservation: Reservation): Promise<boolean> {
+    return this.partitionFor(reservation.program).cover(reservation);
+  }
+
   /** Ends a turn's reservation. */
   public settle(settlement: Settlement, writer: string): void {
     const index = keyedLog.partitionOf(settlement.program, this.options.partitionCount);
--- a/packages/program-homes/src/ProgramAccount.ts
+++ b/packages/program-homes/src/ProgramAccount.ts
@@ -63,6 +63,11 @@
     this.reservations.set(call, { tokens, expiresAt: now + RESERVATION_MS });
   }
 
+  /** Whether tokens are set aside for a turn. */
+  public hasReserved(call: string): boolean {
+    return this.reservations.has(call);
+  }
+
   /** Ends a turn's reservation; nothing is counted twice when it had expired. */
   public settle(call: string, tokens: number, now: clock.Milliseconds): void {
     const reservation = this.reservations.get(call);
@@ -73,11 +78,6 @@
     this.spentTokens += tokens;
   }
 
-  /** Takes back a reservation whose turn was never sent. */
-  public cancel(call: string): void {
-    this.settle(call, 0, this.usedAt);
-  }
-
   /** Whether what may have been handed out without a record stays within one turn. */
   public isCovered(turnTokens: number): boolean {
     return this.committedTokens <= this.writtenTokens + turnTokens;
--- a/packages/program-homes/src/Types.ts
+++ b/packages/program-homes/src/Types.ts
@@ -16,6 +16,8 @@
 
 /** What the home answers. */
 export interface Grant {
+  /** Whether the log holds enough that the turn's tokens may be handed out at once. */
+  readonly isCovered: boolean;
   /** Where the process is that wrote the previous turn, if the home knows. */
   readonly writer?: string | undefined;
 }
@@ -37,6 +39,11 @@
    * `home-unavailable`, `log-unavailable`.
    */
   reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>>;
+  /**
+   * Waits until the log holds enough that the tokens of a reserved turn may be handed out. False
+   * when that takes too long; it can be asked for again.
+   */
+  cover(reservation: Reservation): Promise<boolean>;
   /** Gives back what the turn has not used. */
   settle(settlement: Settlement): void;
 }
--- a/packages/program-homes/src/messages.ts
+++ b/packages/program-homes/src/messages.ts
@@ -9,7 +9,9 @@
   previousTurn: zod.string().optional(),
 });
 
-const GRANT = zod.object({ writer: zod.string().optional() });
+const GRANT = zod.object({ isCovered: zod.boolean(), writer: zod.string().optional() });
+
+const COVERAGE = zod.object({ isCovered: zod.boolean() });
 
 const SETTLEMENT = zod.object({
   program: zod.string(),
@@ -29,6 +31,13 @@
   response: GRANT,
 };
 
+/** Waits until the log holds enough for a reserved turn. */
+export const COVER: wire.PeerMethod<zod.infer<typeof RESERVATION>, zod.infer<typeof COVERAGE>> = {
+  name: 'home.cover',
+  request: RESERVATION,
+  response: COVERAGE,
+};
+
 /** Reports how a turn ended. */
 export const SETTLE: wire.PeerMethod<zod.infer<typeof SETTLEMENT>, zod.infer<typeof NOTHING>> = {
   name: 'home.settle',
