Give each ownership of a partition its own producer; wait for a limit in order of need

Cause: a process that got a partition back began again with the producer and sequence number of its first ownership, so the log took its appends for repeats and answered without storing them; the next home then knew nothing. Ruled out: split views (the conditional append stops them, test). Each ownership now has a producer of its own, a closed partition grants nothing, and only a program's first home may hand out a turn ahead of the record. Test first: HomePartition.test.ts, the second.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,8 @@
 const ROOT = import.meta.dirname;
 const PACKAGE_FOLDERS = fs
   .readdirSync(path.join(ROOT, 'packages'))
-  .map((name) => path.join(ROOT, 'packages', name));
+  .map((name) => path.join(ROOT, 'packages', name))
+  .concat(path.join(ROOT, 'platform'));
 
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**', 'out/**'] },
@@ -51,7 +52,7 @@
     },
   },
   {
-    files: ['**/*.test.ts', 'tests/**/*.ts', 'benchmarks/**/*', 'demo/**/*'],
+    files: ['**/*.test.ts', 'tests/**/*.ts', 'benchmarks/**/*', 'demo/**/*', 'platform/build.mjs'],
     rules: {
       'import-x/no-extraneous-dependencies': [
         'error',
--- a/packages/allowances/src/AllowanceOwner.ts
+++ b/packages/allowances/src/AllowanceOwner.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@limpettack/clock';
 import * as keyedLog from '@limpettack/keyed-log';
 import * as lifetime from '@limpettack/lifetime';
+import type * as logging from '@limpettack/logging';
 import type * as membership from '@limpettack/membership';
 import type * as wire from '@limpettack/wire';
 import * as trueMyth from 'true-myth';
@@ -16,6 +17,7 @@
   readonly network: wire.PeerNetwork;
   readonly membership: Pick<membership.Membership, 'available' | 'onChange'>;
   readonly clock: clock.Clock;
+  readonly logger: logging.Logger;
   readonly limitOf: LimitLookup;
 }
 
@@ -27,24 +29,24 @@
 
   public constructor(private readonly options: AllowanceOwnerOptions) {
     this.store.add(
-      options.network.serve(messages.TAKE_ALLOWANCE, async (request, from) =>
-        trueMyth.Result.ok(this.take(request, from.name)),
+      options.network.serve(messages.TAKE_ALLOWANCE, async (request) =>
+        trueMyth.Result.ok(await this.take(request)),
       ),
     );
     this.store.add(options.membership.onChange(() => this.forgetForeign()));
   }
 
-  /** Hands out up to a number of requests and of begins of programs. */
-  public take(request: messages.AllowanceRequest, from: string): messages.AllowanceAnswer {
+  /** Hands out requests of a workspace. */
+  public async take(request: messages.AllowanceRequest): Promise<messages.AllowanceAnswer> {
+    const { clock: time, limitOf, logger } = this.options;
     const { workspace } = request;
-    const limit = this.options.limitOf(workspace);
-    if (limit === undefined) {
-      return { granted: UNLIMITED_GRANT, begins: UNLIMITED_GRANT, retryAfterMs: 0 };
-    }
-    const now = this.options.clock.now();
-    const owned = this.owned.get(workspace) ?? new ownedLimit.OwnedLimit(limit, now);
-    this.owned.set(workspace, owned);
-    return owned.take(request, from, limit, now);
+    const limit = limitOf(workspace);
+    if (limit === undefined) return { granted: UNLIMITED_GRANT, retryAfterMs: 0 };
+    const known = this.owned.get(workspace);
+    if (known !== undefined) return known.take(request, limit);
+    const created = new ownedLimit.OwnedLimit({ workspace, limit, clock: time, logger });
+    this.owned.set(workspace, created);
+    return created.take(request, limit);
   }
 
   /** @inheritdoc */
@@ -56,9 +58,12 @@
   private forgetForeign(): void {
     const { membership: members, network } = this.options;
     const available = members.available();
-    [...this.owned.keys()]
-      .filter((workspace) => ownerOf(workspace, available)?.name !== network.self.name)
-      .forEach((workspace) => this.owned.delete(workspace));
+    [...this.owned]
+      .filter(([workspace]) => ownerOf(workspace, available)?.name !== network.self.name)
+      .forEach(([workspace, limit]) => {
+        this.owned.delete(workspace);
+        limit.close();
+      });
   }
 }
 
--- a/packages/allowances/src/OwnedLimit.ts
+++ b/packages/allowances/src/OwnedLimit.ts
@@ -1,111 +1,173 @@
 import type * as clock from '@limpettack/clock';
 import * as limits from '@limpettack/limits';
+import type * as logging from '@limpettack/logging';
 import type * as messages from './messages.js';
-import * as programCapacity from './programCapacity.js';
 import * as shares from './shares.js';
 import type { WorkspaceLimit } from './Types.js';
+import * as waitPolicy from './waitPolicy.js';
 
-/** What a process said of its programs counts for so long. */
-const REPORT_MS = 1_500;
+/** At most this often a workspace under pressure is logged. */
+const LOG_INTERVAL_MS = 1_000;
 
-/** The span over which the rate of requests is measured. */
-const RATE_SPAN_MS = 1_000;
+/** The shortest wait for the refill, so that timers do not follow each other too closely. */
+const SHORTEST_TIMER_MS = 5;
 
-/** Weight of the latest span in the smoothed requests of a program. */
-const SMOOTHING = 0.3;
-
-/** The fewest programs under way that tell what a program needs. */
-const TELLING_PROGRAMS = 3;
-
-/** When a program that may not begin is to come back: others have ended by then. */
-const BEGIN_AGAIN_MS = 500;
-
-const MILLISECONDS_PER_SECOND = 1_000;
+interface Waiter {
+  readonly request: messages.AllowanceRequest;
+  readonly giveUpAt: clock.Milliseconds;
+  readonly settle: (answer: messages.AllowanceAnswer) => void;
+}
 
-interface Report {
-  readonly activePrograms: number;
-  readonly at: clock.Milliseconds;
+/** What an owned limit needs. */
+export interface OwnedLimitOptions {
+  readonly workspace: string;
+  readonly limit: WorkspaceLimit;
+  readonly clock: clock.Clock;
+  readonly logger: logging.Logger;
 }
 
-/** The limit of one workspace, at its owner. */
+/** The limit of one workspace, at its owner: one bucket, and the queue of those who wait for it. */
 export class OwnedLimit {
   private readonly bucket: limits.TokenBucket;
 
-  private readonly reports = new Map<string, Report>();
+  private limit: WorkspaceLimit;
 
-  private programRate = programCapacity.DEFAULT_PROGRAM_RATE;
+  /** Calls of programs under way. */
+  private going: Waiter[] = [];
 
-  private grantedInSpan = 0;
+  /** First calls of programs. They have their turn when none of the others waits. */
+  private beginning: Waiter[] = [];
 
-  private spanSince: clock.Milliseconds;
+  private timer: clock.Timer | undefined;
 
-  public constructor(
-    private limit: WorkspaceLimit,
-    now: clock.Milliseconds,
-  ) {
+  private refused = 0;
+
+  private loggedAt = 0;
+
+  public constructor(private readonly options: OwnedLimitOptions) {
+    const { clock: time, limit } = options;
+    this.limit = limit;
     const shared = shares.ownerLimit(limit);
-    this.bucket = new limits.TokenBucket(shares.startTokens(shared), now, shared);
-    this.spanSince = now;
+    this.bucket = new limits.TokenBucket(shares.startTokens(shared), time.now(), shared);
   }
 
-  /** Hands out requests and begins of programs. */
+  /** Hands out requests, now or after a short wait; none when that would take too long. */
   public take(
     request: messages.AllowanceRequest,
-    from: string,
     limit: WorkspaceLimit,
-    now: clock.Milliseconds,
-  ): messages.AllowanceAnswer {
-    this.settle(limit, now);
-    const begins = this.takeBegins(request, from, now);
-    const granted = Math.max(0, Math.min(request.count, Math.floor(this.bucket.level)));
-    this.bucket.take(granted);
-    this.grantedInSpan += granted;
-    if (granted > 0) return { granted, begins, retryAfterMs: BEGIN_AGAIN_MS };
-    return { granted, begins, retryAfterMs: this.bucket.timeFor(1 - this.bucket.level) };
+  ): Promise<messages.AllowanceAnswer> {
+    this.settle(limit);
+    const state = this.stateFor(request.isBegin);
+    const granted = this.grant(request, state);
+    if (granted > 0) return Promise.resolve({ granted, retryAfterMs: 0 });
+    const waitMs = waitPolicy.expectedWaitMs(state);
+    const longestMs = waitPolicy.longestWaitMs(request.isBegin);
+    if (waitMs > longestMs) return Promise.resolve(this.refuse(request, waitMs));
+    return new Promise((settle) => {
+      const queue = request.isBegin ? this.beginning : this.going;
+      queue.push({ request, giveUpAt: this.options.clock.now() + longestMs, settle });
+      this.schedule();
+    });
   }
 
-  private settle(limit: WorkspaceLimit, now: clock.Milliseconds): void {
-    this.bucket.settle(now, 0);
-    if (limit.burst !== this.limit.burst || limit.ratePerSecond !== this.limit.ratePerSecond) {
-      this.bucket.setLimit(shares.ownerLimit(limit));
-      this.bucket.settle(now, 0);
-      this.limit = limit;
-    }
-    if (now - this.spanSince > RATE_SPAN_MS) this.endSpan(now);
+  /** Refuses those who wait: another process owns the limit now. */
+  public close(): void {
+    this.timer?.cancel();
+    const waiters = [...this.going, ...this.beginning];
+    this.going = [];
+    this.beginning = [];
+    waiters.forEach(({ settle }) => settle({ granted: 0, retryAfterMs: 0 }));
   }
 
-  private takeBegins(
-    request: messages.AllowanceRequest,
-    from: string,
-    now: clock.Milliseconds,
-  ): number {
-    const { activePrograms } = request;
-    this.reports.set(from, { activePrograms, at: now });
-    const capacity = programCapacity.programCapacity({
-      limit: shares.ownerLimit(this.limit),
+  private stateFor(isBegin: boolean): waitPolicy.LimitState {
+    const waiting = isBegin ? [...this.going, ...this.beginning] : this.going;
+    return {
       level: this.bucket.level,
-      activePrograms: this.countPrograms(now),
-      programRate: this.programRate,
+      burst: this.bucket.burst,
+      ratePerSecond: this.bucket.ratePerSecond,
+      ahead: waiting.reduce((sum, { request }) => sum + request.needed, 0),
+    };
+  }
+
+  private grant(request: messages.AllowanceRequest, state: waitPolicy.LimitState): number {
+    const { expected, isBegin, needed } = request;
+    const granted = waitPolicy.grantNow(state, needed, expected, isBegin);
+    this.bucket.take(granted);
+    return granted;
+  }
+
+  private settle(limit: WorkspaceLimit): void {
+    this.bucket.settle(this.options.clock.now(), 0);
+    if (limit.burst === this.limit.burst && limit.ratePerSecond === this.limit.ratePerSecond)
+      return;
+    this.bucket.setLimit(shares.ownerLimit(limit));
+    this.bucket.settle(this.options.clock.now(), 0);
+    this.limit = limit;
+  }
+
+  private schedule(): void {
+    if (this.timer !== undefined || this.going.length + this.beginning.length === 0) return;
+    const missing = Math.max(0, 1 - this.bucket.level);
+    const delay = Math.max(SHORTEST_TIMER_MS, this.bucket.timeFor(missing));
+    this.timer = this.options.clock.startTimer(delay, () => {
+      this.timer = undefined;
+      this.serveWaiting();
+      this.schedule();
     });
-    const begins = Math.max(0, Math.min(request.begins, capacity));
-    this.reports.set(from, { activePrograms: activePrograms + begins, at: now });
-    return begins;
   }
 
-  private endSpan(now: clock.Milliseconds): void {
-    const seconds = (now - this.spanSince) / MILLISECONDS_PER_SECOND;
-    const programs = this.countPrograms(now);
-    if (programs >= TELLING_PROGRAMS) {
-      const latest = this.grantedInSpan / seconds / programs;
-      this.programRate += SMOOTHING * (latest - this.programRate);
+  private serveWaiting(): void {
+    this.bucket.settle(this.options.clock.now(), 0);
+    this.going = this.serveQueue(this.going);
+    if (this.going.length === 0) this.beginning = this.serveQueue(this.beginning);
+    else this.beginning = this.dropLate(this.beginning);
+  }
+
+  private serveQueue(queue: readonly Waiter[]): Waiter[] {
+    const rest = this.dropLate(queue);
+    while (rest.length > 0) {
+      const { request, settle } = rest[0]!;
+      const state = { ...this.stateFor(request.isBegin), ahead: 0 };
+      const granted = this.grant({ ...request, expected: 0 }, state);
+      if (granted === 0) break;
+      rest.shift();
+      settle({ granted, retryAfterMs: 0 });
     }
-    this.grantedInSpan = 0;
-    this.spanSince = now;
+    return rest;
   }
 
-  private countPrograms(now: clock.Milliseconds): number {
-    return [...this.reports.values()]
-      .filter(({ at }) => now - at < REPORT_MS)
-      .reduce((sum, { activePrograms }) => sum + activePrograms, 0);
+  private dropLate(queue: readonly Waiter[]): Waiter[] {
+    const now = this.options.clock.now();
+    queue
+      .filter(({ giveUpAt }) => giveUpAt <= now)
+      .forEach(({ request, settle }) => {
+        const waitMs = waitPolicy.expectedWaitMs(this.stateFor(request.isBegin));
+        settle(this.refuse(request, waitMs));
+      });
+    return queue.filter(({ giveUpAt }) => giveUpAt > now);
+  }
+
+  private refuse(
+    request: messages.AllowanceRequest,
+    waitMs: clock.Milliseconds,
+  ): messages.AllowanceAnswer {
+    this.refused += request.needed;
+    this.logPressure();
+    return { granted: 0, retryAfterMs: Math.ceil(waitMs) };
+  }
+
+  private logPressure(): void {
+    const { clock: time, logger, workspace } = this.options;
+    if (time.now() - this.loggedAt < LOG_INTERVAL_MS) return;
+    this.loggedAt = time.now();
+    const { burst, level, ratePerSecond } = this.bucket;
+    logger.info('A workspace asks for more than its limit.', {
+      workspace,
+      count: this.refused,
+      reason:
+        `${this.going.length} and ${this.beginning.length} wait, level ${level.toFixed(1)}, ` +
+        `rate ${ratePerSecond.toFixed(1)}/s, burst ${burst.toFixed(1)}`,
+    });
+    this.refused = 0;
   }
 }
--- a/packages/allowances/src/Types.ts
+++ b/packages/allowances/src/Types.ts
@@ -16,6 +16,8 @@
   readonly program: string | undefined;
   /** Whether the request may be the first of its program. */
   readonly mayBegin: boolean;
+  /** The longest that the request may wait for the limit. */
+  readonly patienceMs: clock.Milliseconds;
 }
 
 /** Whether a request may go on. */
--- a/packages/gateway/src/CrashWatch.ts
+++ b/packages/gateway/src/CrashWatch.ts
@@ -61,7 +61,12 @@
       .filter(({ name }) => name !== network.self.name)
       .forEach(({ address }) => {
         const options = { timeoutMs: NEWS_TIMEOUT_MS };
-        network.request(address, messages.TARGET_DEATH, { fingerprint, target: target.id }, options);
+        network.request(
+          address,
+          messages.TARGET_DEATH,
+          { fingerprint, target: target.id },
+          options,
+        );
       });
   }
 
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -11,6 +11,9 @@
 import * as wholeCall from './WholeCall.js';
 import type { Call, Reply } from './Types.js';
 
+/** The part of its time that a request may wait for the limit of its workspace. */
+const LIMIT_WAIT_SHARE = 0.3;
+
 /** Time between two questions whether the log holds the record of a budget. */
 const COVER_INTERVAL_MS = 100;
 
@@ -60,8 +63,8 @@
         workspace: workspace.name,
         program: call.place?.program,
         // Calls of tools and turns that go on from others belong to programs under way.
-        mayBegin:
-          call.place?.budgetTokens !== undefined && call.place.previousTurn === undefined,
+        mayBegin: call.place?.budgetTokens !== undefined && call.place.previousTurn === undefined,
+        patienceMs: LIMIT_WAIT_SHARE * (context.deadline - this.parts.clock.now()),
       });
       if (!admission.isAdmitted) {
         const { retryAfterMs } = admission;
@@ -88,19 +91,11 @@
       this.refuse(call, reply, plan.error);
       return;
     }
-    const outcome = await new streamCall.StreamCall(
-      this.parts,
-      context,
-      plan.value,
-      reply,
-    ).run();
+    const outcome = await new streamCall.StreamCall(this.parts, context, plan.value, reply).run();
     this.settle(call, outcome);
   }
 
-  private async reserve(
-    call: Call,
-  ): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
-    const { place } = call;
+  private async reserve(call: Call): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
     const reservation = reservationOf(call);
     if (reservation === undefined) return trueMyth.Result.ok({ isCovered: true });
     return this.parts.budgets.reserve(reservation);
--- a/packages/keyed-log/src/PartitionWriter.ts
+++ b/packages/keyed-log/src/PartitionWriter.ts
@@ -52,7 +52,10 @@
    * Appends a record. A failure after the time limit leaves open whether the record is kept,
    * unless its kind says that nothing was done.
    */
-  public append(record: KeyedRecord, timeoutMs: clock.Milliseconds): Promise<LogResult<AppendReceipt>> {
+  public append(
+    record: KeyedRecord,
+    timeoutMs: clock.Milliseconds,
+  ): Promise<LogResult<AppendReceipt>> {
     return new Promise((settle) => {
       const giveUpAt = this.options.clock.now() + timeoutMs;
       this.waiting.push({ record, giveUpAt, settle });
--- a/packages/keyed-log/src/RelayedLog.ts
+++ b/packages/keyed-log/src/RelayedLog.ts
@@ -164,12 +164,7 @@
     waitMs: clock.Milliseconds,
   ): Promise<LogResult<Value> | undefined> {
     const options = { timeoutMs: RELAY_TIMEOUT_MS + waitMs };
-    const answer = await this.options.network.request(
-      address,
-      messages.LOG_CALL,
-      request,
-      options,
-    );
+    const answer = await this.options.network.request(address, messages.LOG_CALL, request, options);
     if (answer.isErr) return undefined;
     const { failure, value } = answer.value;
     if (failure === undefined) {
@@ -185,9 +180,7 @@
     request: messages.LogCallRequest,
   ): Promise<trueMyth.Result<messages.LogCallResponse, never>> {
     const result = await this.runFor(request);
-    return trueMyth.Result.ok(
-      result.isOk ? { value: result.value } : { failure: result.error },
-    );
+    return trueMyth.Result.ok(result.isOk ? { value: result.value } : { failure: result.error });
   }
 
   private runFor(request: messages.LogCallRequest): Promise<LogResult<unknown>> {
--- a/packages/keyed-log/src/Types.ts
+++ b/packages/keyed-log/src/Types.ts
@@ -3,7 +3,8 @@
 import type * as logFailures from './LogFailures.js';
 
 /** The name of a way in which a call of the log fails. */
-export type LogFailureKind = (typeof logFailures.LOG_FAILURES)[keyof typeof logFailures.LOG_FAILURES];
+export type LogFailureKind =
+  (typeof logFailures.LOG_FAILURES)[keyof typeof logFailures.LOG_FAILURES];
 
 /** Why a call of the log has no result. */
 export interface LogFailure {
--- a/packages/program-homes/src/HomeClient.ts
+++ b/packages/program-homes/src/HomeClient.ts
@@ -21,6 +21,9 @@
 /** Time for a settlement to be taken. */
 const SETTLE_TIMEOUT_MS = 1_000;
 
+/** Faults with which a home says that another one is to be asked. */
+const ELSEWHERE: ReadonlySet<errors.ErrorKind> = new Set(['shutting-down', 'not-owner']);
+
 /** When to come back when no home can be reached. */
 const COME_BACK_MS = 500;
 
@@ -45,7 +48,7 @@
       const result = await this.reserveAt(address, reservation);
       if (result.isOk) return trueMyth.Result.ok(result.value);
       const { fault, message } = result.error;
-      if (fault !== undefined && fault.kind !== 'shutting-down') return trueMyth.Result.err(fault);
+      if (fault !== undefined && !ELSEWHERE.has(fault.kind)) return trueMyth.Result.err(fault);
       logger.warn('The home of a program did not answer.', {
         request: reservation.call,
         program: reservation.program,
@@ -112,8 +115,6 @@
   private homesOf(program: string): readonly string[] {
     const { membership: members, partitionCount } = this.options;
     const partition = keyedLog.partitionOf(program, partitionCount);
-    return homeServer
-      .rankOwners(partition, members.available())
-      .map(({ address }) => address);
+    return homeServer.rankOwners(partition, members.available()).map(({ address }) => address);
   }
 }
--- /dev/null
+++ b/packages/program-homes/src/HomePartition.test.ts
@@ -0,0 +1,112 @@
+import * as jestGlobals from '@jest/globals';
+import * as clock from '@limpettack/clock';
+import * as keyedLog from '@limpettack/keyed-log';
+import * as homeFixtures from './testing/homeFixtures.js';
+import type { Reservation } from './Types.js';
+
+const { describe, expect, test } = jestGlobals;
+
+const TURN = 100;
+const BUDGET = 400;
+
+describe('HomePartition', () => {
+  test('hands out no more than the budget, however often the partition changes hands', async () => {
+    const log = homeFixtures.createLog();
+    let handedOut = 0;
+    for (let owner = 0; owner < 6; owner += 1) {
+      const home = homeFixtures.createPartition({ log, producer: `home-${owner}` });
+      for (let turn = 0; turn < 3; turn += 1) {
+        const call = `${owner}.${turn}`;
+        if ((await home.reserve(reservation(call))).isErr) break;
+        if (!(await home.cover(reservation(call)))) break;
+        home.settle({ program: 'p', call, tokens: 60, isKept: false }, 'here');
+        handedOut += 60;
+      }
+      await home.release();
+    }
+    expect(handedOut).toBeGreaterThan(0);
+    expect(handedOut).toBeLessThanOrEqual(BUDGET + TURN);
+  });
+
+  test('a partition that comes back to a process writes under a producer of its own', async () => {
+    const log = homeFixtures.createLog();
+    const fleet = homeFixtures.createFleet(log);
+    for (let round = 0; round < 5; round += 1) {
+      const call = `call-${round}`;
+      await fleet.server.reserve(reservation(call));
+      await fleet.server.cover(reservation(call));
+      fleet.server.settle({ program: 'p', call, tokens: TURN, isKept: false }, 'here');
+      await fleet.server.releaseAll();
+    }
+    const last = await fleet.server.reserve(reservation('last'));
+    expect(last.isErr && last.error.kind).toBe('budget-exhausted');
+    await fleet.dispose();
+  });
+
+  test('counts what an owner that vanished may have handed out', async () => {
+    const log = homeFixtures.createLog();
+    const first = homeFixtures.createPartition({ log, producer: 'first' });
+    await first.reserve(reservation('a'));
+    await first.cover(reservation('a'));
+    await homeFixtures.settleWrites();
+    const second = homeFixtures.createPartition({ log, producer: 'second' });
+    let granted = 0;
+    for (let turn = 0; turn < 8; turn += 1) {
+      if ((await second.reserve(reservation(`b${turn}`))).isOk) granted += TURN;
+    }
+    expect(granted).toBeLessThanOrEqual(BUDGET - TURN);
+  });
+
+  test('lets the first turn go at once and holds the next while the log is away', async () => {
+    const log = homeFixtures.createLog();
+    const time = new clock.SystemClock();
+    const home = homeFixtures.createPartition({ log, producer: 'home', time });
+    await home.reserve({ ...reservation('other'), program: 'other' });
+    log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
+    const first = await home.reserve(reservation('first'));
+    expect(first.isOk && first.value.isCovered).toBe(true);
+    const second = await home.reserve(reservation('second'));
+    expect(second.isOk && second.value.isCovered).toBe(false);
+    const covered = home.cover(reservation('second'));
+    log.outage = undefined;
+    expect(await covered).toBe(true);
+  });
+
+  test('writes again what may have been appended without an answer, once', async () => {
+    const log = homeFixtures.createLog();
+    const home = homeFixtures.createPartition({ log, producer: 'home' });
+    await home.reserve({ ...reservation('other'), program: 'other' });
+    log.losesAnswers = true;
+    await home.reserve(reservation('first'));
+    await home.reserve(reservation('second'));
+    await homeFixtures.settleWrites();
+    log.losesAnswers = false;
+    expect(await home.cover(reservation('second'))).toBe(true);
+    const state = await keyedLog.readAllNewest(log, homeFixtures.PARTITION);
+    expect(state.isOk && state.value.records.map(({ key }) => key)).toEqual(['other', 'p']);
+  });
+
+  test('an owner that another one has overtaken counts what that one wrote', async () => {
+    const log = homeFixtures.createLog();
+    const first = homeFixtures.createPartition({ log, producer: 'first' });
+    const second = homeFixtures.createPartition({ log, producer: 'second' });
+    await first.reserve(reservation('a'));
+    await first.cover(reservation('a'));
+    await second.reserve(reservation('b'));
+    await homeFixtures.settleWrites();
+    // The first owner does not know yet that it was overtaken: all that both grant must fit.
+    let granted = 2 * TURN;
+    for (let turn = 0; turn < 6; turn += 1) {
+      for (const home of [first, second]) {
+        const request = reservation(`${turn}.${home === first ? 'a' : 'b'}`);
+        const result = await home.reserve(request);
+        if (result.isOk && (await home.cover(request))) granted += TURN;
+      }
+    }
+    expect(granted).toBeLessThanOrEqual(BUDGET + TURN);
+  });
+});
+
+function reservation(call: string): Reservation {
+  return { program: 'p', call, budgetTokens: BUDGET, mostTokens: TURN };
+}
--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -31,12 +31,19 @@
   readonly log: keyedLog.KeyedLog;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
-  /** Unique for each life of the process. */
+  /** Unique for each time that a process owns a partition: the log knows repeated appends by it. */
   readonly producer: string;
   /** Asks former owners to write what they have not used. */
   readonly releaseElsewhere: () => Promise<void>;
 }
 
+/** Someone who waits for what only a write can bring about. */
+interface WriteWaiter {
+  readonly condition: () => boolean;
+  readonly resolve: (holds: boolean) => void;
+  timer?: clock.Timer;
+}
+
 /**
  * The accounts of the programs of one partition. Appends expect the end that this process knows,
  * so that no record of another owner can be overlooked: on a conflict all is read again.
@@ -46,7 +53,7 @@
 
   private readonly wanted = new Map<string, number>();
 
-  private readonly waiters = new Set<() => void>();
+  private readonly waiters = new Set<WriteWaiter>();
 
   private end: number | undefined;
 
@@ -70,6 +77,7 @@
   public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
     const { clock: time } = this.options;
     if (!(await this.ensureLoaded())) return trueMyth.Result.err(unavailable());
+    if (this.isClosed) return trueMyth.Result.err(errors.createFault('not-owner'));
     const { budgetTokens, call, mostTokens, previousTurn, program } = reservation;
     const account = this.account(program);
     if (!account.holds(mostTokens, budgetTokens, time.now())) {
@@ -118,7 +126,7 @@
   private account(program: string): programAccount.ProgramAccount {
     const known = this.accounts.get(program);
     if (known !== undefined) return known;
-    const account = new programAccount.ProgramAccount(0, 0, this.options.clock.now());
+    const account = new programAccount.ProgramAccount(0, 0, true, this.options.clock.now());
     this.accounts.set(program, account);
     return account;
   }
@@ -141,16 +149,21 @@
   private written(condition: () => boolean, timeoutMs: clock.Milliseconds): Promise<boolean> {
     if (condition()) return Promise.resolve(true);
     return new Promise((resolve) => {
-      const finish = (): void => {
-        timer.cancel();
-        this.waiters.delete(check);
+      const waiter: WriteWaiter = { condition, resolve };
+      waiter.timer = this.options.clock.startTimer(timeoutMs, () => {
+        this.waiters.delete(waiter);
         resolve(condition());
-      };
-      const check = (): void => {
-        if (condition()) finish();
-      };
-      const timer = this.options.clock.startTimer(timeoutMs, finish);
-      this.waiters.add(check);
+      });
+      this.waiters.add(waiter);
+    });
+  }
+
+  private wakeWaiters(): void {
+    this.waiters.forEach((waiter) => {
+      if (!waiter.condition()) return;
+      waiter.timer?.cancel();
+      this.waiters.delete(waiter);
+      waiter.resolve(true);
     });
   }
 
@@ -175,7 +188,7 @@
       this.sequence += 1;
       this.end = result.value.endOffset;
       batch.forEach((watermark, program) => this.noteWritten(program, watermark));
-      [...this.waiters].forEach((check) => check());
+      this.wakeWaiters();
       return;
     }
     // An append that may have taken effect is repeated unchanged until it is answered.
@@ -213,7 +226,11 @@
     await this.options.releaseElsewhere();
     const loaded = await this.load();
     const { logger, partition } = this.options;
-    if (loaded) logger.info('Programs of a partition were read.', { shard: partition, count: this.accounts.size });
+    if (loaded)
+      logger.info('Programs of a partition were read.', {
+        shard: partition,
+        count: this.accounts.size,
+      });
     return loaded;
   }
 
@@ -238,12 +255,15 @@
       this.noteWritten(key, watermark);
       return;
     }
-    this.accounts.set(key, new programAccount.ProgramAccount(watermark, watermark, time.now()));
+    this.accounts.set(
+      key,
+      new programAccount.ProgramAccount(watermark, watermark, false, time.now()),
+    );
     this.wanted.delete(key);
   }
 
   private get producer(): string {
-    return `${this.options.producer}.${this.options.partition}.${this.life}`;
+    return `${this.options.producer}.${this.life}`;
   }
 
   private get name(): keyedLog.PartitionName {
--- a/packages/program-homes/src/HomeServer.ts
+++ b/packages/program-homes/src/HomeServer.ts
@@ -34,6 +34,9 @@
 
   private readonly partitions = new Map<number, homePartition.HomePartition>();
 
+  /** Counts the partitions that were opened, each under a producer of its own. */
+  private openings = 0;
+
   public constructor(private readonly options: HomeServerOptions) {
     const { network } = options;
     this.store.add(network.serve(messages.RESERVE, (request) => this.reserve(request)));
@@ -88,12 +91,13 @@
     const index = keyedLog.partitionOf(program, partitionCount);
     const known = this.partitions.get(index);
     if (known !== undefined) return known;
+    this.openings += 1;
     const created = new homePartition.HomePartition({
       partition: index,
       log,
       clock: time,
       logger,
-      producer,
+      producer: `${producer}.${index}.${this.openings}`,
       releaseElsewhere: () => this.releaseElsewhere(index),
     });
     this.partitions.set(index, created);
--- a/packages/program-homes/src/ProgramAccount.ts
+++ b/packages/program-homes/src/ProgramAccount.ts
@@ -29,6 +29,11 @@
     private spentTokens: number,
     /** The watermark in the log. */
     private writtenTokens: number,
+    /**
+     * Whether no other home has had the program. Only its first home may hand out one turn more
+     * than the watermark: with each further home that did so, one more turn could be lost count of.
+     */
+    private readonly isFirstHome: boolean,
     now: clock.Milliseconds,
   ) {
     this.usedAt = now;
@@ -78,9 +83,10 @@
     this.spentTokens += tokens;
   }
 
-  /** Whether what may have been handed out without a record stays within one turn. */
+  /** Whether the log holds enough of what may have been handed out. */
   public isCovered(turnTokens: number): boolean {
-    return this.committedTokens <= this.writtenTokens + turnTokens;
+    const ahead = this.isFirstHome ? turnTokens : 0;
+    return this.committedTokens <= this.writtenTokens + ahead;
   }
 
   /** Notes that the log holds a watermark. */
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -185,10 +185,7 @@
     return answer.value.turns.find(({ id }) => id === turn);
   }
 
-  private *chainAtHand(
-    turn: string,
-    held: ReadonlySet<string>,
-  ): Generator<turnRecords.TurnRecord> {
+  private *chainAtHand(turn: string, held: ReadonlySet<string>): Generator<turnRecords.TurnRecord> {
     let next: string | undefined = turn;
     while (next !== undefined && !held.has(next)) {
       const record: turnRecords.TurnRecord | undefined = this.cache.get(next);
