--- a/packages/gateway/src/CrashWatch.ts
+++ b/packages/gateway/src/CrashWatch.ts
@@ -16,6 +16,9 @@
 /** Time for a peer to take news of a death. */
 const NEWS_TIMEOUT_MS = 500;
 
+/** What calls report and ask of requests that crash targets. */
+export type CrashNotes = Pick<CrashWatch, 'isRefused' | 'noteDeath' | 'noteCompleted'>;
+
 /** What the watch needs. */
 export interface CrashWatchOptions {
   readonly network: wire.PeerNetwork;
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -36,7 +36,7 @@
 export interface StreamCallParts {
   readonly selector: targetSelector.TargetSelector;
   readonly sender: targetSender.TargetSender;
-  readonly crashes: crashWatch.CrashWatch;
+  readonly crashes: crashWatch.CrashNotes;
   readonly turns: turns.TurnStore;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
--- /dev/null
+++ b/packages/gateway/src/WholeCall.test.ts
@@ -0,0 +1,99 @@
+import * as jestGlobals from '@jest/globals';
+import * as routeKinds from './RouteKinds.js';
+import * as sendFailures from './SendFailures.js';
+import * as fixtures from './testing/gatewayFixtures.js';
+import * as wholeCall from './WholeCall.js';
+import type { Call, Route } from './Types.js';
+
+const { describe, expect, test } = jestGlobals;
+
+const { LOST, NOT_RUN, NOT_SENT } = sendFailures.SEND_FAILURES;
+const ONCE = { kind: routeKinds.ROUTE_KINDS.ONCE, maximumAttempts: 3 };
+const TARGETS = ['one', 'two', 'three'].map((id) => fixtures.createTarget(id));
+
+async function run(
+  scripts: fixtures.Script[],
+  route: Partial<Route> = {},
+  call: Partial<Call> = {},
+): Promise<{ reply: fixtures.RecordedReply; sent: number; parts: fixtures.Parts }> {
+  const transport = new fixtures.ScriptedTransport(scripts);
+  const parts = fixtures.createParts(transport, TARGETS);
+  const reply = new fixtures.RecordedReply();
+  const context = fixtures.createContext(parts, route, call);
+  await new wholeCall.WholeCall(parts, context, reply).run();
+  return { reply, sent: transport.sent.length, parts };
+}
+
+describe('WholeCall', () => {
+  test('passes on the answer of the target', async () => {
+    const { reply } = await run([fixtures.answerWhole('hello')]);
+    expect(reply.answer?.body.toString()).toBe('hello');
+  });
+
+  test('a call that must not be repeated ends with an unknown outcome once it is lost', async () => {
+    const { reply, sent } = await run([fixtures.fail(LOST), fixtures.answerWhole('no')], ONCE);
+    expect(sent).toBe(1);
+    expect(reply.fault?.kind).toBe('target-failed');
+    expect(reply.fault?.run).toBe('unknown');
+  });
+
+  test('a call that must not be repeated goes on if it surely has not run', async () => {
+    const scripts = [fixtures.fail(NOT_RUN), fixtures.fail(NOT_SENT), fixtures.answerWhole('yes')];
+    const { reply, sent } = await run(scripts, ONCE);
+    expect(sent).toBe(3);
+    expect(reply.answer?.body.toString()).toBe('yes');
+  });
+
+  test('a repeatable call runs on as many targets as the route allows and no more', async () => {
+    const scripts = [fixtures.fail(LOST), fixtures.fail(LOST), fixtures.answerWhole('no')];
+    const { reply, sent } = await run(scripts);
+    expect(sent).toBe(2);
+    expect(reply.fault?.kind).toBe('target-failed');
+  });
+
+  test('a late repeatable call also goes to another target', async () => {
+    const scripts: fixtures.Script[] = [() => undefined, fixtures.answerWhole('second')];
+    const { reply, sent } = await run(scripts);
+    expect(sent).toBe(2);
+    expect(reply.answer?.body.toString()).toBe('second');
+  });
+
+  test('a call that no target takes is refused as not run before its time is over', async () => {
+    const scripts = Array.from({ length: 200 }, () => fixtures.fail(NOT_RUN));
+    const { reply } = await run(scripts, ONCE, { patienceMs: 200 });
+    expect(reply.fault?.kind).toBe('target-unavailable');
+    expect(reply.fault?.run).toBe('not-run');
+    expect(reply.fault?.retryAfterMs).toBeGreaterThan(0);
+  });
+
+  test('ends at the timeout of the route with an unknown outcome', async () => {
+    const { reply } = await run([() => undefined], { ...ONCE, timeoutMs: 100 });
+    expect(reply.fault?.kind).toBe('deadline-exceeded');
+  });
+
+  test('stops a repeatable call whose caller has gone, and lets the others run on', async () => {
+    const caller = new AbortController();
+    const hang: fixtures.Script = () => caller.abort();
+    const transport = new fixtures.ScriptedTransport([hang]);
+    const parts = fixtures.createParts(transport, TARGETS);
+    const context = fixtures.createContext(parts, {}, { gone: caller.signal });
+    await new wholeCall.WholeCall(parts, context, new fixtures.RecordedReply()).run();
+    expect(transport.aborted).toBe(1);
+    const late: fixtures.Script = (handler) => {
+      caller.abort();
+      fixtures.answerWhole('done')(handler);
+    };
+    const { reply } = await run([late], ONCE, { gone: caller.signal });
+    expect(reply.answer?.body.toString()).toBe('done');
+  });
+
+  test('a target that closes the connection is noted for the request', async () => {
+    const { parts } = await run([fixtures.fail(LOST, true), fixtures.answerWhole('ok')]);
+    expect(parts.deaths).toHaveLength(1);
+  });
+
+  test('passes on a server error of a target as it is when no other try is left', async () => {
+    const { reply } = await run([fixtures.answerWhole('bad', 500)], { maximumAttempts: 1 });
+    expect(reply.answer?.status).toBe(500);
+  });
+});
--- a/packages/gateway/src/WholeCall.ts
+++ b/packages/gateway/src/WholeCall.ts
@@ -32,7 +32,7 @@
 export interface WholeCallParts {
   readonly selector: targetSelector.TargetSelector;
   readonly sender: targetSender.TargetSender;
-  readonly crashes: crashWatch.CrashWatch;
+  readonly crashes: crashWatch.CrashNotes;
   readonly clock: clock.Clock;
 }
 
--- /dev/null
+++ b/packages/gateway/src/decisions.test.ts
@@ -0,0 +1,176 @@
+import * as jestGlobals from '@jest/globals';
+import * as clock from '@limpettack/clock';
+import * as logging from '@limpettack/logging';
+import * as chooseTarget from './chooseTarget.js';
+import * as choosePool from './choosePool.js';
+import * as eventSplitter from './EventSplitter.js';
+import * as routeMatcher from './RouteMatcher.js';
+import * as tablesHolder from './TablesHolder.js';
+import * as targetRegistry from './TargetRegistry.js';
+import * as targetScores from './TargetScores.js';
+import * as fixtures from './testing/gatewayFixtures.js';
+import type { Tables } from './Types.js';
+
+const { describe, expect, test } = jestGlobals;
+
+const TARGETS = ['one', 'two', 'three', 'four'].map((id) => fixtures.createTarget(id));
+
+describe('RouteMatcher', () => {
+  test('takes the longest prefix of the host and leaves out the query', () => {
+    const matcher = new routeMatcher.RouteMatcher([
+      fixtures.createRoute({ name: 'short', pathPrefix: '/a/' }),
+      fixtures.createRoute({ name: 'long', pathPrefix: '/a/b/' }),
+      fixtures.createRoute({ name: 'other', host: 'elsewhere', pathPrefix: '/' }),
+    ]);
+    expect(matcher.match('host', '/a/b/c')?.name).toBe('long');
+    expect(matcher.match('host', '/a/x?y=/a/b/')?.name).toBe('short');
+    expect(matcher.match('host', '/b/')).toBeUndefined();
+    expect(matcher.match('host', '/a')).toBeUndefined();
+  });
+});
+
+describe('TablesHolder', () => {
+  test('never goes back to an earlier version', () => {
+    const holder = new tablesHolder.TablesHolder(new logging.PartLogger('test'));
+    [4, 7, 5].forEach((version) => holder.offer(createTables(version)));
+    expect(holder.current?.version).toBe(7);
+  });
+});
+
+describe('choosePool', () => {
+  test('follows the weights and stays with the same text', () => {
+    const pools = [
+      { pool: 'most', weight: 90 },
+      { pool: 'few', weight: 10 },
+    ];
+    const route = fixtures.createRoute({ pools });
+    const chosen = Array.from({ length: 2_000 }, (_, index) =>
+      choosePool.choosePool(route, `program-${index}`),
+    );
+    const few = chosen.filter((pool) => pool === 'few').length;
+    expect(few).toBeGreaterThan(120);
+    expect(few).toBeLessThan(280);
+    expect(choosePool.choosePool(route, 'program-1')).toBe(chosen[1]);
+  });
+});
+
+describe('chooseTarget', () => {
+  test('stays with the target of the affinity until it is loaded far above the others', () => {
+    const scores = new targetScores.TargetScores(new clock.ManualClock());
+    const first = choose(scores, 'session');
+    expect(choose(scores, 'session')).toBe(first);
+    for (let sent = 0; sent < 5; sent += 1) scores.noteSent(first!);
+    expect(choose(scores, 'session')).not.toBe(first);
+  });
+
+  test('leaves out targets that fail, and comes back to them', () => {
+    const time = new clock.ManualClock();
+    const scores = new targetScores.TargetScores(time);
+    const first = choose(scores, 'session');
+    scores.noteFailure(first!);
+    expect(choose(scores, 'session')).not.toBe(first);
+    time.advance(600);
+    expect(choose(scores, 'session')).toBe(first);
+  });
+
+  test('leaves out a target that has become slow', () => {
+    const scores = new targetScores.TargetScores(new clock.ManualClock());
+    const slow = choose(scores, 'session')!;
+    TARGETS.forEach(({ id }) => scores.noteFirst(id, id === slow ? 900 : 100));
+    expect(choose(scores, 'session')).not.toBe(slow);
+  });
+
+  test('takes the least loaded target, near ones first, where there is no affinity', () => {
+    const scores = new targetScores.TargetScores(new clock.ManualClock());
+    const near = fixtures.createTarget('near', { failureDomain: 'b' });
+    const candidates = [...TARGETS, near];
+    const own = { candidates, affinity: undefined, ownFailureDomain: 'b' };
+    const ids = candidates.map(({ id }) => id);
+    expect(chooseTarget.chooseTarget({ ...own, scores: scores.compare(ids) })?.id).toBe('near');
+    scores.noteSent('near');
+    expect(chooseTarget.chooseTarget({ ...own, scores: scores.compare(ids) })?.id).not.toBe('near');
+  });
+
+  test('uses a failing target when no other is left', () => {
+    const scores = new targetScores.TargetScores(new clock.ManualClock());
+    TARGETS.forEach(({ id }) => scores.noteFailure(id));
+    expect(choose(scores, 'session')).toBeDefined();
+  });
+});
+
+describe('TargetRegistry', () => {
+  test('a draining target gets no new work, and neither does one that has gone', () => {
+    const registry = createRegistry(new clock.ManualClock(), () => 0);
+    registry.reset([fixtures.createTarget('one'), fixtures.createTarget('two')]);
+    registry.update(fixtures.createTarget('one', { isDraining: true }));
+    registry.remove('two');
+    expect(registry.usable('pool')).toEqual([]);
+  });
+
+  test('a target that is missing after an outage is kept until it could have come back', () => {
+    const time = new clock.ManualClock();
+    const doubt = { until: Number.POSITIVE_INFINITY };
+    const registry = createRegistry(time, () => doubt.until);
+    registry.reset([fixtures.createTarget('one')]);
+    doubt.until = time.now() + 300;
+    registry.remove('one');
+    expect(registry.usable('pool')).toHaveLength(1);
+    time.advance(3_000);
+    expect(registry.usable('pool')).toHaveLength(0);
+  });
+
+  test('a process that starts again under an id is another one', () => {
+    const registry = createRegistry(new clock.ManualClock(), () => 0);
+    const gone: string[] = [];
+    registry.onGone(({ incarnation }) => gone.push(incarnation));
+    registry.update(fixtures.createTarget('one', { incarnation: '1' }));
+    registry.update(fixtures.createTarget('one', { incarnation: '2' }));
+    expect(gone).toEqual(['1']);
+    expect(registry.isUsable(fixtures.createTarget('one', { incarnation: '1' }))).toBe(false);
+  });
+});
+
+describe('EventSplitter', () => {
+  test('finds the same events however the stream is cut', () => {
+    const whole = Buffer.concat([1, 2, 3].map(fixtures.eventBytes));
+    for (let size = 1; size < whole.length; size += 1) {
+      const splitter = new eventSplitter.EventSplitter();
+      const events = [];
+      for (let start = 0; start < whole.length; start += size) {
+        events.push(...splitter.push(whole.subarray(start, start + size)));
+      }
+      expect(events.map(({ id }) => id)).toEqual([1, 2, 3]);
+      expect(events.map(eventSplitter.eventData)).toEqual(['text 1', 'text 2', 'text 3']);
+      expect(splitter.heldBytes).toBe(0);
+    }
+  });
+});
+
+function choose(scores: targetScores.TargetScores, affinity: string): string | undefined {
+  return chooseTarget.chooseTarget({
+    candidates: TARGETS,
+    scores: scores.compare(TARGETS.map(({ id }) => id)),
+    affinity,
+    ownFailureDomain: 'a',
+  })?.id;
+}
+
+function createRegistry(
+  time: clock.Clock,
+  lapseDoubtUntil: () => number,
+): targetRegistry.TargetRegistry {
+  const logger = new logging.PartLogger('test');
+  return new targetRegistry.TargetRegistry({ clock: time, logger, lapseDoubtUntil });
+}
+
+function createTables(version: number): Tables {
+  return {
+    version,
+    routes: [],
+    pools: new Map(),
+    workspaces: new Map(),
+    workspacesByKey: new Map(),
+    needsKeys: false,
+    callerLimits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -0,0 +1,233 @@
+import * as clock from '@limpettack/clock';
+import * as logging from '@limpettack/logging';
+import * as trueMyth from 'true-myth';
+import * as callContext from '../CallContext.js';
+import * as routeKinds from '../RouteKinds.js';
+import * as targetRegistry from '../TargetRegistry.js';
+import * as targetScores from '../TargetScores.js';
+import * as targetSelector from '../TargetSelector.js';
+import * as targetSender from '../TargetSender.js';
+import type * as streamCall from '../StreamCall.js';
+import type {
+  AnswerHandler,
+  AnswerHead,
+  Call,
+  Reply,
+  Route,
+  SendFailureKind,
+  Target,
+  TargetRequest,
+  TargetTransport,
+  WholeAnswer,
+} from '../Types.js';
+import type * as errors from '@limpettack/errors';
+
+export const HEAD: AnswerHead = { status: 200, headers: ['server-seal', 'seal'] };
+
+export function createTarget(id: string, changes: Partial<Target> = {}): Target {
+  return {
+    id,
+    pool: 'pool',
+    address: '127.0.0.1:1',
+    failureDomain: 'a',
+    slots: 4,
+    isDraining: false,
+    incarnation: '1',
+    ...changes,
+  };
+}
+
+export function createRoute(changes: Partial<Route> = {}): Route {
+  return {
+    name: 'route',
+    host: 'host',
+    pathPrefix: '/',
+    kind: routeKinds.ROUTE_KINDS.REPEATABLE,
+    timeoutMs: 1_000,
+    objectiveMs: 50,
+    maximumAttempts: 2,
+    priority: 1,
+    isOpen: true,
+    isSticky: false,
+    isResumable: false,
+    keepsTurns: false,
+    retentionMs: 60_000,
+    pools: [{ pool: 'pool', weight: 1 }],
+    ...changes,
+  };
+}
+
+export function createCall(time: clock.Clock, changes: Partial<Call> = {}): Call {
+  return {
+    id: 'call-1',
+    method: 'POST',
+    host: 'host',
+    path: '/path',
+    headers: [],
+    body: Buffer.from('body'),
+    key: undefined,
+    patienceMs: 1_000,
+    receivedAt: time.now(),
+    place: undefined,
+    mostTokens: 100,
+    lastEventId: undefined,
+    affinity: undefined,
+    gone: new AbortController().signal,
+    ...changes,
+  };
+}
+
+/** What one request to a target is answered with. */
+export type Script = (handler: AnswerHandler) => void;
+
+/** A transport whose targets answer as scripted, one script a request in turn. */
+export class ScriptedTransport implements TargetTransport {
+  public readonly sent: { readonly target: string; readonly request: TargetRequest }[] = [];
+
+  public aborted = 0;
+
+  public constructor(private readonly scripts: Script[]) {}
+
+  /** @inheritdoc */
+  public send(target: Target, request: TargetRequest, handler: AnswerHandler): { abort(): void } {
+    this.sent.push({ target: target.id, request });
+    const script = this.scripts.shift();
+    let isAborted = false;
+    setImmediate(() => {
+      if (!isAborted) script?.(handler);
+    });
+    return {
+      abort: () => {
+        isAborted = true;
+        this.aborted += 1;
+      },
+    };
+  }
+}
+
+export function answerWhole(body: string, status = 200): Script {
+  return (handler) => {
+    handler.onHead({ ...HEAD, status });
+    handler.onData(Buffer.from(body));
+    handler.onEnd();
+  };
+}
+
+export function fail(kind: SendFailureKind, isDisconnect = false): Script {
+  return (handler) => handler.onFailure({ kind, reason: 'scripted', isDisconnect });
+}
+
+/** Sends events with the given ids, then ends or breaks off. */
+export function streamEvents(ids: readonly number[], end: 'end' | 'break' | 'hang'): Script {
+  return (handler) => {
+    handler.onHead(HEAD);
+    ids.forEach((id) => handler.onData(eventBytes(id)));
+    if (end === 'end') handler.onEnd();
+    if (end === 'break') {
+      handler.onFailure({ kind: 'lost', reason: 'scripted', isDisconnect: true });
+    }
+  };
+}
+
+export function eventBytes(id: number): Buffer {
+  return Buffer.from(`id: ${id}\ndata: text ${id}\n\n`);
+}
+
+/** A reply that notes what the caller gets. */
+export class RecordedReply implements Reply {
+  public fault: errors.Fault | undefined;
+
+  public answer: WholeAnswer | undefined;
+
+  public readonly chunks: string[] = [];
+
+  public outcome: 'open' | 'ended' | 'broken' = 'open';
+
+  public hasStarted = false;
+
+  public refuse(fault: errors.Fault): void {
+    this.fault = fault;
+  }
+
+  public send(answer: WholeAnswer): void {
+    this.answer = answer;
+  }
+
+  public start(): void {
+    this.hasStarted = true;
+  }
+
+  public write(chunk: Uint8Array): void {
+    this.chunks.push(Buffer.from(chunk).toString());
+  }
+
+  public end(): void {
+    this.outcome = 'ended';
+  }
+
+  public breakOff(): void {
+    this.outcome = 'broken';
+  }
+
+  /** The ids of the events that the caller has. */
+  public get eventIds(): readonly number[] {
+    return this.chunks.map((chunk) => Number(/id: (\d+)/.exec(chunk)?.[1]));
+  }
+}
+
+export interface Parts extends streamCall.StreamCallParts {
+  readonly registry: targetRegistry.TargetRegistry;
+  readonly deaths: string[];
+  readonly kept: string[];
+}
+
+/** The parts of a call over a scripted transport. */
+export function createParts(
+  transport: TargetTransport,
+  targets: readonly Target[],
+  changes: Partial<Parts> = {},
+): Parts {
+  const time = new clock.SystemClock();
+  const logger = new logging.PartLogger('test');
+  const registry = new targetRegistry.TargetRegistry({
+    clock: time,
+    logger,
+    lapseDoubtUntil: () => 0,
+  });
+  registry.reset(targets);
+  const scores = new targetScores.TargetScores(time);
+  const deaths: string[] = [];
+  const kept: string[] = [];
+  return {
+    registry,
+    deaths,
+    kept,
+    selector: new targetSelector.TargetSelector(registry, scores, 'a'),
+    sender: new targetSender.TargetSender({ transport, scores, clock: time, logger }),
+    crashes: {
+      noteDeath: (_context, target) => {
+        deaths.push(target.id);
+      },
+      noteCompleted: () => undefined,
+      isRefused: () => false,
+    },
+    turns: {
+      history: async () => trueMyth.Result.ok([]),
+      keep: async (turn) => {
+        kept.push(Buffer.from(turn.content).toString());
+        return trueMyth.Result.ok(undefined);
+      },
+    },
+    clock: time,
+    logger,
+    ...changes,
+  };
+}
+
+export function createContext(
+  parts: Parts,
+  route: Partial<Route> = {},
+  call: Partial<Call> = {},
+): callContext.CallContext {
+  return new callContext.CallContext(createCall(parts.clock, call), createRoute(route), undefined);
+}
--- /dev/null
+++ b/packages/keyed-log/src/KeyedFollower.test.ts
@@ -0,0 +1,100 @@
+import * as jestGlobals from '@jest/globals';
+import * as clock from '@limpettack/clock';
+import * as logging from '@limpettack/logging';
+import * as keyedFollower from './KeyedFollower.js';
+import * as logFailures from './LogFailures.js';
+import * as memoryKeyedLog from './testing/MemoryKeyedLog.js';
+import type { KeyedRecord, PartitionName } from './Types.js';
+
+const { afterEach, describe, expect, test } = jestGlobals;
+
+const PARTITION: PartitionName = { topic: 'keyed.test', partition: 0 };
+const followers: keyedFollower.KeyedFollower[] = [];
+
+afterEach(async () => {
+  await Promise.all(followers.splice(0).map((follower) => follower.dispose()));
+});
+
+describe('KeyedFollower', () => {
+  test('reads the newest of each key, then each new record', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    await append(log, [record('a', '1'), record('a', '2'), record('b', '1')]);
+    const seen = follow(log);
+    await until(() => seen.resets === 1);
+    expect(seen.values).toEqual({ a: '2', b: '1' });
+    await append(log, [record('b', '2'), { key: 'a' }]);
+    await until(() => seen.values['b'] === '2');
+    expect(seen.values).toEqual({ b: '2' });
+    expect(seen.resets).toBe(1);
+  });
+
+  test('starts again from the newest records when the history was dropped', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    await append(log, [record('a', '1')]);
+    const seen = follow(log);
+    await until(() => seen.resets === 1);
+    log.outage = logFailures.LOG_FAILURES.UNAVAILABLE;
+    await until(() => seen.follower.unreachableSince !== undefined);
+    log.outage = undefined;
+    await append(log, [record('a', '2'), record('a', '3')]);
+    log.compact(PARTITION);
+    await until(() => seen.values['a'] === '3');
+    expect(seen.follower.unreachableSince).toBeUndefined();
+    expect(seen.follower.reachableAgainAt).toBeDefined();
+  });
+});
+
+function follow(log: memoryKeyedLog.MemoryKeyedLog): {
+  readonly values: Record<string, string>;
+  resets: number;
+  follower: keyedFollower.KeyedFollower;
+} {
+  const seen = { values: {} as Record<string, string>, resets: 0 };
+  const take = ({ key, value }: KeyedRecord): void => {
+    if (value === undefined) delete seen.values[key];
+    else seen.values[key] = Buffer.from(value).toString();
+  };
+  const follower = new keyedFollower.KeyedFollower({
+    log,
+    partition: PARTITION,
+    handler: {
+      onReset: (records) => {
+        seen.resets += 1;
+        Object.keys(seen.values).forEach((key) => delete seen.values[key]);
+        records.forEach(take);
+      },
+      onRecord: take,
+      onCaughtUp: () => undefined,
+    },
+    clock: new clock.SystemClock(),
+    logger: new logging.PartLogger('test'),
+    waitMs: 10,
+    minimumIntervalMs: 10,
+    retryMs: 10,
+  });
+  followers.push(follower);
+  follower.start();
+  return Object.assign(seen, { follower });
+}
+
+function record(key: string, value: string): KeyedRecord {
+  return { key, value: Buffer.from(value) };
+}
+
+let sequence = 0;
+
+async function append(
+  log: memoryKeyedLog.MemoryKeyedLog,
+  records: readonly KeyedRecord[],
+): Promise<void> {
+  sequence += 1;
+  await log.append(PARTITION, records, { identity: { producer: 'test', sequence } });
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+}
--- /dev/null
+++ b/packages/keyed-log/src/PartitionWriter.test.ts
@@ -0,0 +1,83 @@
+import * as jestGlobals from '@jest/globals';
+import * as clock from '@limpettack/clock';
+import * as logging from '@limpettack/logging';
+import * as fastCheck from 'fast-check';
+import * as logFailures from './LogFailures.js';
+import * as partitionWriter from './PartitionWriter.js';
+import * as readAllNewest from './readAllNewest.js';
+import * as memoryKeyedLog from './testing/MemoryKeyedLog.js';
+import type { LogFailureKind, PartitionName } from './Types.js';
+
+const { describe, expect, test } = jestGlobals;
+
+const PARTITION: PartitionName = { topic: 'keyed.test', partition: 0 };
+const { LOST, UNAVAILABLE } = logFailures.LOG_FAILURES;
+const WAIT_MS = 500;
+
+describe('PartitionWriter', () => {
+  test('records that come during an append share the next one', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const writer = createWriter(log);
+    await Promise.all(['a', 'b', 'c', 'd'].map((key) => writer.append({ key, value }, WAIT_MS)));
+    expect(log.appendCount).toBe(2);
+  });
+
+  test('an append whose answer was lost is not made twice', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const writer = createWriter(log);
+    log.losesAnswers = true;
+    const first = writer.append({ key: 'a', value }, WAIT_MS);
+    setTimeout(() => {
+      log.losesAnswers = false;
+    }, 20);
+    const receipt = await first;
+    expect(receipt.isOk && receipt.value.endOffset).toBe(1);
+  });
+
+  test('gives up in time, and later records are written all the same', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const writer = createWriter(log);
+    log.outage = UNAVAILABLE;
+    expect((await writer.append({ key: 'a', value }, 30)).isErr).toBe(true);
+    log.outage = undefined;
+    expect((await writer.append({ key: 'b', value }, WAIT_MS)).isOk).toBe(true);
+  });
+
+  test('every acknowledged record is kept, whatever is lost or refused on the way', async () => {
+    const failure = fastCheck.constantFrom<LogFailureKind>(LOST, UNAVAILABLE);
+    await fastCheck.assert(
+      fastCheck.asyncProperty(
+        fastCheck.array(failure, { maxLength: 6 }),
+        fastCheck.integer({ min: 1, max: 12 }),
+        async (failures, count) => {
+          const log = new memoryKeyedLog.MemoryKeyedLog();
+          log.failures.push(...failures);
+          const writer = createWriter(log);
+          const keys = Array.from({ length: count }, (_, index) => `key-${index}`);
+          const results = await Promise.all(
+            keys.map((key) => writer.append({ key, value }, WAIT_MS)),
+          );
+          const state = await readAllNewest.readAllNewest(log, PARTITION);
+          const kept = state.isOk ? state.value.records.map(({ key }) => key) : [];
+          const acknowledged = keys.filter((_, index) => results[index]?.isOk);
+          expect(kept).toEqual(expect.arrayContaining(acknowledged));
+          expect(state.isOk && state.value.endOffset).toBe(kept.length);
+        },
+      ),
+      { seed: 7, numRuns: 60 },
+    );
+  });
+});
+
+const value = Buffer.from('value');
+
+function createWriter(log: memoryKeyedLog.MemoryKeyedLog): partitionWriter.PartitionWriter {
+  return new partitionWriter.PartitionWriter({
+    log,
+    partition: PARTITION,
+    clock: new clock.SystemClock(),
+    logger: new logging.PartLogger('test'),
+    producer: 'writer',
+    retryMs: 2,
+  });
+}
--- /dev/null
+++ b/packages/keyed-log/src/RelayedLog.test.ts
@@ -0,0 +1,95 @@
+import * as jestGlobals from '@jest/globals';
+import * as clock from '@limpettack/clock';
+import * as logging from '@limpettack/logging';
+import * as wire from '@limpettack/wire';
+import * as logFailures from './LogFailures.js';
+import * as relayedLog from './RelayedLog.js';
+import * as memoryKeyedLog from './testing/MemoryKeyedLog.js';
+import type { AppendOptions, KeyedLog, PartitionName } from './Types.js';
+
+const { afterEach, describe, expect, test } = jestGlobals;
+
+const PARTITION: PartitionName = { topic: 'keyed.test', partition: 0 };
+const { UNAVAILABLE } = logFailures.LOG_FAILURES;
+const RECORD = { key: 'a', value: Buffer.from('1') };
+const networks: wire.FleetNetwork[] = [];
+
+afterEach(async () => {
+  await Promise.all(networks.splice(0).map((network) => network.dispose()));
+});
+
+describe('RelayedLog', () => {
+  test('a process that the log turns away reads and writes through a peer', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const [cutOff] = await createLogs([unreachable(), log]);
+    const appended = await cutOff!.append(PARTITION, [RECORD], options(0));
+    expect(appended.isOk && appended.value.endOffset).toBe(1);
+    const page = await cutOff!.read(PARTITION, 0, { waitMs: 0 });
+    expect(page.isOk && Buffer.from(page.value.records[0]!.value!).toString()).toBe('1');
+    expect(cutOff!.isCutOff).toBe(true);
+  });
+
+  test('a conflict that a peer meets is passed on as one', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const [cutOff] = await createLogs([unreachable(), log]);
+    const result = await cutOff!.append(PARTITION, [RECORD], { ...options(0), expectedEnd: 5 });
+    expect(result.isErr && result.error.kind).toBe(logFailures.LOG_FAILURES.CONFLICT);
+  });
+
+  test('fails when nobody reaches the log, and goes its own way again afterwards', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    log.outage = UNAVAILABLE;
+    const [first] = await createLogs([log, unreachable()]);
+    expect((await first!.newest(PARTITION)).isErr).toBe(true);
+    log.outage = undefined;
+    expect((await first!.newest(PARTITION)).isOk).toBe(true);
+    expect(first!.isCutOff).toBe(false);
+  });
+});
+
+function options(sequence: number): AppendOptions {
+  return { identity: { producer: 'test', sequence } };
+}
+
+function unreachable(): KeyedLog {
+  const log = new memoryKeyedLog.MemoryKeyedLog();
+  log.outage = UNAVAILABLE;
+  return log;
+}
+
+async function createLogs(direct: readonly KeyedLog[]): Promise<relayedLog.RelayedLog[]> {
+  const time = new clock.SystemClock();
+  const logger = new logging.PartLogger('test');
+  const created = direct.map(
+    (_, index) =>
+      new wire.FleetNetwork({
+        name: `vm-${index}`,
+        incarnation: '1',
+        failureDomain: 'a',
+        secret: 'a secret of the tests',
+        host: '127.0.0.1',
+        port: 0,
+        clock: time,
+        logger,
+      }),
+  );
+  networks.push(...created);
+  await Promise.all(created.map((network) => network.listen()));
+  const members = created.map(({ self }) => ({
+    ...self,
+    state: 'available' as const,
+    listed: true,
+    leaving: false,
+  }));
+  return created.map(
+    (network, index) =>
+      new relayedLog.RelayedLog({
+        direct: direct[index]!,
+        network,
+        membership: { available: () => members },
+        clock: time,
+        logger,
+        random: () => 0.5,
+      }),
+  );
+}
--- a/packages/logging/src/index.ts
+++ b/packages/logging/src/index.ts
@@ -1,3 +1,5 @@
 /** Structured logs with a fixed prefix for each part. */
 export * from './Types.js';
 export * from './PartLogger.js';
+export * from './BoundedOutput.js';
+export * from './useOutput.js';
