--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -1,5 +1,9 @@
 export default {
-  testMatch: ['<rootDir>/packages/*/src/**/*.test.ts', '<rootDir>/tests/**/*.test.ts'],
+  testMatch: [
+    '<rootDir>/packages/*/src/**/*.test.ts',
+    '<rootDir>/platform/src/**/*.test.ts',
+    '<rootDir>/tests/**/*.test.ts',
+  ],
   extensionsToTreatAsEsm: ['.ts'],
   transform: {
     '^.+\\.ts$': [
--- a/packages/keyed-log/src/PartitionWriter.ts
+++ b/packages/keyed-log/src/PartitionWriter.ts
@@ -1,4 +1,5 @@
 import type * as clock from '@limpettack/clock';
+import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
 import * as logFailures from './LogFailures.js';
@@ -15,6 +16,12 @@
 const RECORDS_PER_APPEND = 256;
 const BYTES_PER_APPEND = 1_500_000;
 
+/** Why records were not appended when the writer has been disposed of. */
+const STOPPED: LogFailure = {
+  kind: logFailures.LOG_FAILURES.LOST,
+  message: 'The process stops.',
+};
+
 /** What a writer needs. */
 export interface PartitionWriterOptions {
   readonly log: KeyedLog;
@@ -37,9 +44,11 @@
  * Appends records to one partition. Records that come while an append is under way share the next
  * one, and an append whose answer is lost is repeated under its identity until it is answered.
  */
-export class PartitionWriter {
+export class PartitionWriter implements lifetime.Disposable {
   private waiting: WaitingRecord[] = [];
 
+  private readonly stopping = new AbortController();
+
   private isRunning = false;
 
   private sequence = 0;
@@ -63,6 +72,11 @@
     });
   }
 
+  /** Gives up what could not be appended yet. */
+  public dispose(): void {
+    this.stopping.abort();
+  }
+
   private async run(): Promise<void> {
     this.isRunning = true;
     while (this.waiting.length > 0) await this.appendBatch(this.takeBatch());
@@ -84,7 +98,7 @@
     const { clock: time, log, partition, retryMs } = this.options;
     const records = batch.map(({ record }) => record);
     let open = batch;
-    for (;;) {
+    while (!this.stopping.signal.aborted) {
       const result = await log.append(partition, records, { identity: this.identity() });
       if (result.isOk) {
         this.sequence += 1;
@@ -106,8 +120,9 @@
         this.startNewLife();
         return;
       }
-      await time.sleep(retryMs);
+      await time.sleep(retryMs, this.stopping.signal);
     }
+    open.forEach(({ settle }) => settle(trueMyth.Result.err(STOPPED)));
   }
 
   private identity(): { readonly producer: string; readonly sequence: number } {
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -150,6 +150,7 @@
   /** @inheritdoc */
   public dispose(): void {
     clearInterval(this.removals);
+    this.writers.forEach((writer) => writer.dispose());
     this.served.dispose();
   }
 
