--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -5,6 +5,8 @@
 import * as sendFailures from './SendFailures.js';
 import * as streamCall from './StreamCall.js';
 import * as fixtures from './testing/gatewayFixtures.js';
+import * as recordedReply from './testing/RecordedReply.js';
+import * as scriptedTransport from './testing/ScriptedTransport.js';
 import type { Call, Route } from './Types.js';
 
 const { describe, expect, test } = jestGlobals;
@@ -16,22 +18,22 @@
 const TARGETS = ['one', 'two', 'three'].map((id) => fixtures.createTarget(id));
 
 interface Run {
-  readonly reply: fixtures.RecordedReply;
+  readonly reply: recordedReply.RecordedReply;
   readonly outcome: streamCall.StreamOutcome;
-  readonly transport: fixtures.ScriptedTransport;
+  readonly transport: scriptedTransport.ScriptedTransport;
   readonly parts: fixtures.Parts;
 }
 
 async function run(
-  scripts: fixtures.Script[],
+  scripts: scriptedTransport.Script[],
   route: Partial<Route>,
   call: Partial<Call> = {},
   changes: Partial<fixtures.Parts> & { covered?: Promise<boolean> } = {},
 ): Promise<Run> {
-  const transport = new fixtures.ScriptedTransport(scripts);
+  const transport = new scriptedTransport.ScriptedTransport(scripts);
   const { covered, ...partChanges } = changes;
   const parts = fixtures.createParts(transport, TARGETS, partChanges);
-  const reply = new fixtures.RecordedReply();
+  const reply = new recordedReply.RecordedReply();
   const context = fixtures.createContext(parts, route, call);
   const plan = { body: context.call.body, tokensPerEvent: 20, covered };
   const outcome = await new streamCall.StreamCall(parts, context, plan, reply).run();
@@ -63,7 +65,7 @@
   });
 
   test('a stream that ends within an event is not complete', async () => {
-    const script: fixtures.Script = (handler) => {
+    const script: scriptedTransport.Script = (handler) => {
       handler.onHead(fixtures.HEAD);
       handler.onData(fixtures.eventBytes(1));
       handler.onData(Buffer.from('id: 2\ndata: ha'));
@@ -128,9 +130,11 @@
     const covered = new Promise<boolean>((resolve) => {
       release = resolve;
     });
-    const transport = new fixtures.ScriptedTransport([fixtures.streamEvents([1, 2], 'end')]);
+    const transport = new scriptedTransport.ScriptedTransport([
+      fixtures.streamEvents([1, 2], 'end'),
+    ]);
     const parts = fixtures.createParts(transport, TARGETS);
-    const reply = new fixtures.RecordedReply();
+    const reply = new recordedReply.RecordedReply();
     const context = fixtures.createContext(parts, STREAM);
     const plan = { body: context.call.body, tokensPerEvent: 20, covered };
     const running = new streamCall.StreamCall(parts, context, plan, reply).run();
@@ -146,7 +150,7 @@
 
   test('a caller that goes away stops the target', async () => {
     const caller = new AbortController();
-    const script: fixtures.Script = (handler) => {
+    const script: scriptedTransport.Script = (handler) => {
       fixtures.streamEvents([1], 'hang')(handler);
       caller.abort();
     };
--- a/packages/gateway/src/WholeCall.test.ts
+++ b/packages/gateway/src/WholeCall.test.ts
@@ -2,6 +2,8 @@
 import * as routeKinds from './RouteKinds.js';
 import * as sendFailures from './SendFailures.js';
 import * as fixtures from './testing/gatewayFixtures.js';
+import * as recordedReply from './testing/RecordedReply.js';
+import * as scriptedTransport from './testing/ScriptedTransport.js';
 import * as wholeCall from './WholeCall.js';
 import type { Call, Route } from './Types.js';
 
@@ -12,13 +14,13 @@
 const TARGETS = ['one', 'two', 'three'].map((id) => fixtures.createTarget(id));
 
 async function run(
-  scripts: fixtures.Script[],
+  scripts: scriptedTransport.Script[],
   route: Partial<Route> = {},
   call: Partial<Call> = {},
-): Promise<{ reply: fixtures.RecordedReply; sent: number; parts: fixtures.Parts }> {
-  const transport = new fixtures.ScriptedTransport(scripts);
+): Promise<{ reply: recordedReply.RecordedReply; sent: number; parts: fixtures.Parts }> {
+  const transport = new scriptedTransport.ScriptedTransport(scripts);
   const parts = fixtures.createParts(transport, TARGETS);
-  const reply = new fixtures.RecordedReply();
+  const reply = new recordedReply.RecordedReply();
   const context = fixtures.createContext(parts, route, call);
   await new wholeCall.WholeCall(parts, context, reply).run();
   return { reply, sent: transport.sent.length, parts };
@@ -52,7 +54,7 @@
   });
 
   test('a late repeatable call also goes to another target', async () => {
-    const scripts: fixtures.Script[] = [() => undefined, fixtures.answerWhole('second')];
+    const scripts: scriptedTransport.Script[] = [() => undefined, fixtures.answerWhole('second')];
     const { reply, sent } = await run(scripts);
     expect(sent).toBe(2);
     expect(reply.answer?.body.toString()).toBe('second');
@@ -73,13 +75,13 @@
 
   test('stops a repeatable call whose caller has gone, and lets the others run on', async () => {
     const caller = new AbortController();
-    const hang: fixtures.Script = () => caller.abort();
-    const transport = new fixtures.ScriptedTransport([hang]);
+    const hang: scriptedTransport.Script = () => caller.abort();
+    const transport = new scriptedTransport.ScriptedTransport([hang]);
     const parts = fixtures.createParts(transport, TARGETS);
     const context = fixtures.createContext(parts, {}, { gone: caller.signal });
-    await new wholeCall.WholeCall(parts, context, new fixtures.RecordedReply()).run();
+    await new wholeCall.WholeCall(parts, context, new recordedReply.RecordedReply()).run();
     expect(transport.aborted).toBe(1);
-    const late: fixtures.Script = (handler) => {
+    const late: scriptedTransport.Script = (handler) => {
       caller.abort();
       fixtures.answerWhole('done')(handler);
     };
--- /dev/null
+++ b/packages/gateway/src/testing/RecordedReply.ts
@@ -0,0 +1,44 @@
+import type * as errors from '@limpettack/errors';
+import type { Reply, WholeAnswer } from '../Types.js';
+
+/** A reply that notes what the caller gets. */
+export class RecordedReply implements Reply {
+  public fault: errors.Fault | undefined;
+
+  public answer: WholeAnswer | undefined;
+
+  public readonly chunks: string[] = [];
+
+  public outcome: 'open' | 'ended' | 'broken' = 'open';
+
+  public hasStarted = false;
+
+  public refuse(fault: errors.Fault): void {
+    this.fault = fault;
+  }
+
+  public send(answer: WholeAnswer): void {
+    this.answer = answer;
+  }
+
+  public start(): void {
+    this.hasStarted = true;
+  }
+
+  public write(chunk: Uint8Array): void {
+    this.chunks.push(Buffer.from(chunk).toString());
+  }
+
+  public end(): void {
+    this.outcome = 'ended';
+  }
+
+  public breakOff(): void {
+    this.outcome = 'broken';
+  }
+
+  /** The ids of the events that the caller has. */
+  public get eventIds(): readonly number[] {
+    return this.chunks.map((chunk) => Number(/id: (\d+)/.exec(chunk)?.[1]));
+  }
+}
--- a/packages/gateway/src/testing/gatewayFixtures.ts
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -8,19 +8,15 @@
 import * as targetSelector from '../TargetSelector.js';
 import * as targetSender from '../TargetSender.js';
 import type * as streamCall from '../StreamCall.js';
+import type { Script } from './ScriptedTransport.js';
 import type {
-  AnswerHandler,
   AnswerHead,
   Call,
-  Reply,
   Route,
   SendFailureKind,
   Target,
-  TargetRequest,
   TargetTransport,
-  WholeAnswer,
 } from '../Types.js';
-import type * as errors from '@limpettack/errors';
 
 export const HEAD: AnswerHead = { status: 200, headers: ['server-seal', 'seal'] };
 
@@ -77,34 +73,6 @@
   };
 }
 
-/** What one request to a target is answered with. */
-export type Script = (handler: AnswerHandler) => void;
-
-/** A transport whose targets answer as scripted, one script a request in turn. */
-export class ScriptedTransport implements TargetTransport {
-  public readonly sent: { readonly target: string; readonly request: TargetRequest }[] = [];
-
-  public aborted = 0;
-
-  public constructor(private readonly scripts: Script[]) {}
-
-  /** @inheritdoc */
-  public send(target: Target, request: TargetRequest, handler: AnswerHandler): { abort(): void } {
-    this.sent.push({ target: target.id, request });
-    const script = this.scripts.shift();
-    let isAborted = false;
-    setImmediate(() => {
-      if (!isAborted) script?.(handler);
-    });
-    return {
-      abort: () => {
-        isAborted = true;
-        this.aborted += 1;
-      },
-    };
-  }
-}
-
 export function answerWhole(body: string, status = 200): Script {
   return (handler) => {
     handler.onHead({ ...HEAD, status });
@@ -133,48 +101,6 @@
   return Buffer.from(`id: ${id}\ndata: text ${id}\n\n`);
 }
 
-/** A reply that notes what the caller gets. */
-export class RecordedReply implements Reply {
-  public fault: errors.Fault | undefined;
-
-  public answer: WholeAnswer | undefined;
-
-  public readonly chunks: string[] = [];
-
-  public outcome: 'open' | 'ended' | 'broken' = 'open';
-
-  public hasStarted = false;
-
-  public refuse(fault: errors.Fault): void {
-    this.fault = fault;
-  }
-
-  public send(answer: WholeAnswer): void {
-    this.answer = answer;
-  }
-
-  public start(): void {
-    this.hasStarted = true;
-  }
-
-  public write(chunk: Uint8Array): void {
-    this.chunks.push(Buffer.from(chunk).toString());
-  }
-
-  public end(): void {
-    this.outcome = 'ended';
-  }
-
-  public breakOff(): void {
-    this.outcome = 'broken';
-  }
-
-  /** The ids of the events that the caller has. */
-  public get eventIds(): readonly number[] {
-    return this.chunks.map((chunk) => Number(/id: (\d+)/.exec(chunk)?.[1]));
-  }
-}
-
 export interface Parts extends streamCall.StreamCallParts {
   readonly registry: targetRegistry.TargetRegistry;
   readonly deaths: string[];
--- a/packages/keyed-log/src/KeyedFollower.test.ts
+++ b/packages/keyed-log/src/KeyedFollower.test.ts
@@ -23,7 +23,7 @@
     await until(() => seen.resets === 1);
     expect(seen.values).toEqual({ a: '2', b: '1' });
     await append(log, [record('b', '2'), { key: 'a' }]);
-    await until(() => seen.values['b'] === '2');
+    await until(() => seen.values.b === '2');
     expect(seen.values).toEqual({ b: '2' });
     expect(seen.resets).toBe(1);
   });
@@ -38,7 +38,7 @@
     log.outage = undefined;
     await append(log, [record('a', '2'), record('a', '3')]);
     log.compact(PARTITION);
-    await until(() => seen.values['a'] === '3');
+    await until(() => seen.values.a === '3');
     expect(seen.follower.unreachableSince).toBeUndefined();
     expect(seen.follower.reachableAgainAt).toBeDefined();
   });
--- a/packages/keyed-log/src/PartitionWriter.test.ts
+++ b/packages/keyed-log/src/PartitionWriter.test.ts
@@ -13,6 +13,7 @@
 const PARTITION: PartitionName = { topic: 'keyed.test', partition: 0 };
 const { LOST, UNAVAILABLE } = logFailures.LOG_FAILURES;
 const WAIT_MS = 500;
+const value = Buffer.from('value');
 
 describe('PartitionWriter', () => {
   test('records that come during an append share the next one', async () => {
@@ -69,8 +70,6 @@
   });
 });
 
-const value = Buffer.from('value');
-
 function createWriter(log: memoryKeyedLog.MemoryKeyedLog): partitionWriter.PartitionWriter {
   return new partitionWriter.PartitionWriter({
     log,
