Log how each request ended, with its targets, and serve counters and latency histograms

One line a request now tells route, outcome, last target, number of targets, version and time; the metrics address serves calls, refusals, admissions and first tokens. The fingerprint of a request is only worked out while some request is refused for crashing targets.

--- a/packages/gateway/src/CallContext.ts
+++ b/packages/gateway/src/CallContext.ts
@@ -10,6 +10,9 @@
 
   public readonly pool: string;
 
+  /** The targets that the request was sent to, in their order. */
+  public readonly targets: string[] = [];
+
   /** Requests with the same text do better at the same target. */
   public readonly affinity: string | undefined;
 
--- a/packages/gateway/src/CrashWatch.ts
+++ b/packages/gateway/src/CrashWatch.ts
@@ -43,7 +43,8 @@
 
   /** Whether a request is refused because targets have died of it. */
   public isRefused(context: callContext.CallContext): boolean {
-    return this.fingerprints.isQuarantined(fingerprintOf(context));
+    const { fingerprints } = this;
+    return fingerprints.hasQuarantined && fingerprints.isQuarantined(fingerprintOf(context));
   }
 
   /** Notes that a target closed the connection while it ran a request, and tells the peers. */
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,10 +1,12 @@
 import type * as allowances from '@limpettack/allowances';
 import * as errors from '@limpettack/errors';
 import type * as logging from '@limpettack/logging';
+import type * as metrics from '@limpettack/metrics';
 import type * as programHomes from '@limpettack/program-homes';
 import * as trueMyth from 'true-myth';
 import * as admitCaller from './admitCaller.js';
 import * as callContext from './CallContext.js';
+import * as observedReply from './ObservedReply.js';
 import * as routeKinds from './RouteKinds.js';
 import * as streamCall from './StreamCall.js';
 import type * as tablesHolder from './TablesHolder.js';
@@ -23,8 +25,12 @@
   readonly allowances: Pick<allowances.AllowanceClient, 'admit'>;
   readonly budgets: programHomes.ProgramBudgets;
   readonly logger: logging.Logger;
+  readonly metrics: metrics.Metrics;
 }
 
+/** The route of requests that match none, in metrics and logs. */
+const NO_ROUTE = '';
+
 /** The way of each request: allowed, within its limits, sent to a target, answered. */
 export class Gateway {
   private inFlight = 0;
@@ -39,56 +45,71 @@
   /** Handles a request to its end. */
   public async handle(call: Call, reply: Reply): Promise<void> {
     this.inFlight += 1;
+    const admitted = admitCaller.admitCaller(this.parts.tables, call);
+    const route = admitted.isOk ? admitted.value.route.name : NO_ROUTE;
+    const observed = new observedReply.ObservedReply(reply, () =>
+      this.parts.metrics.observeFirstToken(route, this.age(call)),
+    );
     try {
-      await this.serve(call, reply);
+      if (admitted.isErr) {
+        observed.refuse(admitted.error);
+        this.noteEnd(call, route, observed.result, undefined);
+        return;
+      }
+      const { workspace } = admitted.value;
+      const context = new callContext.CallContext(call, admitted.value.route, workspace);
+      await this.serve(context, observed);
+      this.noteEnd(call, route, observed.result, context);
     } finally {
       this.inFlight -= 1;
     }
   }
 
-  private async serve(call: Call, reply: Reply): Promise<void> {
-    const admitted = admitCaller.admitCaller(this.parts.tables, call);
-    if (admitted.isErr) {
-      this.refuse(call, reply, admitted.error);
-      return;
-    }
-    const { route, workspace } = admitted.value;
-    const context = new callContext.CallContext(call, route, workspace);
+  private async serve(context: callContext.CallContext, reply: Reply): Promise<void> {
+    const { route } = context;
     if (this.parts.crashes.isRefused(context)) {
-      this.refuse(call, reply, errors.createFault('request-quarantined'));
+      reply.refuse(errors.createFault('request-quarantined'));
       return;
     }
-    if (workspace !== undefined) {
-      const admission = await this.parts.allowances.admit({
-        workspace: workspace.name,
-        program: call.place?.program,
-        // Calls of tools and turns that go on from others belong to programs under way.
-        mayBegin: call.place?.budgetTokens !== undefined && call.place.previousTurn === undefined,
-        patienceMs: LIMIT_WAIT_SHARE * (context.deadline - this.parts.clock.now()),
-      });
-      if (!admission.isAdmitted) {
-        const { retryAfterMs } = admission;
-        this.refuse(call, reply, errors.createFault('rate-limited', undefined, { retryAfterMs }));
-        return;
-      }
+    const refusal = await this.checkLimit(context);
+    if (refusal !== undefined) {
+      reply.refuse(refusal);
+      return;
     }
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
     if (isStream) await this.runStream(context, reply);
     else await new wholeCall.WholeCall(this.parts, context, reply).run();
-    this.logEnd(context, reply);
+  }
+
+  /** Takes the request from its workspace's limit; a fault when the limit does not hold it. */
+  private async checkLimit(context: callContext.CallContext): Promise<errors.Fault | undefined> {
+    const { call, deadline, workspace } = context;
+    if (workspace === undefined) return undefined;
+    const admission = await this.parts.allowances.admit({
+      workspace: workspace.name,
+      program: call.place?.program,
+      // Calls of tools and turns that go on from others belong to programs under way.
+      mayBegin: call.place?.budgetTokens !== undefined && call.place.previousTurn === undefined,
+      patienceMs: LIMIT_WAIT_SHARE * (deadline - this.parts.clock.now()),
+    });
+    const answer = admission.isAdmitted ? 'admitted' : 'refused';
+    this.parts.metrics.countAdmission(workspace.name, answer);
+    if (admission.isAdmitted) return undefined;
+    const { retryAfterMs } = admission;
+    return errors.createFault('rate-limited', undefined, { retryAfterMs });
   }
 
   private async runStream(context: callContext.CallContext, reply: Reply): Promise<void> {
     const { call } = context;
     const grant = await this.reserve(call);
     if (grant.isErr) {
-      this.refuse(call, reply, grant.error);
+      reply.refuse(grant.error);
       return;
     }
     const plan = await this.plan(context, grant.value);
     if (plan.isErr) {
       this.settle(call, { tokens: 0, isComplete: false, isKept: false });
-      this.refuse(call, reply, plan.error);
+      reply.refuse(plan.error);
       return;
     }
     const outcome = await new streamCall.StreamCall(this.parts, context, plan.value, reply).run();
@@ -142,27 +163,26 @@
     }));
   }
 
-  private refuse(call: Call, reply: Reply, fault: errors.Fault): void {
-    this.parts.logger.info('A request was refused.', {
-      request: call.id,
-      kind: fault.kind,
-      reason: fault.message,
-      spanMs: this.age(call),
-      ...(call.place === undefined ? {} : { program: call.place.program }),
-      ...this.versionField(),
-    });
-    reply.refuse(fault);
-  }
-
-  private logEnd(context: callContext.CallContext, reply: Reply): void {
-    const { call, route, workspace } = context;
-    this.parts.logger.info('A request has ended.', {
+  private noteEnd(
+    call: Call,
+    route: string,
+    result: observedReply.ReplyOutcome,
+    context: callContext.CallContext | undefined,
+  ): void {
+    const { logger, metrics } = this.parts;
+    const spanMs = this.age(call);
+    const workspace = context?.workspace?.name;
+    metrics.observeCall(route, workspace ?? '', result.outcome, spanMs);
+    if (result.outcome === 'refused') metrics.countRefusal(result.kind);
+    logger.info('A request has ended.', {
       request: call.id,
-      kind: route.name,
-      reason: reply.hasStarted ? 'answered' : 'not answered',
-      spanMs: this.age(call),
-      ...(workspace === undefined ? {} : { workspace: workspace.name }),
+      route,
+      kind: result.kind,
+      reason: result.reason,
+      spanMs,
+      ...(workspace === undefined ? {} : { workspace }),
       ...(call.place === undefined ? {} : { program: call.place.program }),
+      ...targetFields(context),
       ...this.versionField(),
     });
   }
@@ -177,6 +197,12 @@
   }
 }
 
+/** The last target that a call was sent to, and how many there were. */
+function targetFields(context: callContext.CallContext | undefined): logging.LogFields {
+  const target = context?.targets.at(-1);
+  return target === undefined ? {} : { target, count: context!.targets.length };
+}
+
 function reservationOf(call: Call): programHomes.Reservation | undefined {
   const { place } = call;
   if (place?.budgetTokens === undefined) return undefined;
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -131,6 +131,7 @@
   private sendTo(target: Target): void {
     const now = this.parts.clock.now();
     this.tried.add(target.id);
+    this.context.targets.push(target.id);
     this.runs += 1;
     this.splitter.current = new eventSplitter.EventSplitter();
     this.plainAnswer = undefined;
--- a/packages/gateway/src/WholeCall.ts
+++ b/packages/gateway/src/WholeCall.ts
@@ -101,6 +101,7 @@
     let head: AnswerHead | undefined;
     let size = 0;
     this.tried.add(target.id);
+    this.context.targets.push(target.id);
     this.runs += 1;
     const exchange = sender.send(target, this.context.toRequest(now), {
       onHead: (received) => {
--- a/packages/logging/src/Types.ts
+++ b/packages/logging/src/Types.ts
@@ -4,6 +4,7 @@
   readonly program?: string;
   readonly workspace?: string;
   readonly target?: string;
+  readonly route?: string;
   readonly peer?: string;
   readonly shard?: number;
   readonly epoch?: number;
--- a/packages/targets/src/CrashFingerprints.ts
+++ b/packages/targets/src/CrashFingerprints.ts
@@ -39,6 +39,11 @@
     private readonly deathsToQuarantine = DEATHS_TO_QUARANTINE,
   ) {}
 
+  /** Whether any request is refused. */
+  public get hasQuarantined(): boolean {
+    return this.quarantined.size > 0;
+  }
+
   /** Whether any request is suspected. */
   public get hasSuspects(): boolean {
     return this.suspicions.size > 0;
