--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
 import * as keyedLog from '@limpettack/keyed-log';
+import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
 import * as programAccount from './ProgramAccount.js';
@@ -51,7 +52,7 @@
  * The accounts of the programs of one partition. Appends expect the end that this process knows,
  * so that no record of another owner can be overlooked: on a conflict all is read again.
  */
-export class HomePartition {
+export class HomePartition implements lifetime.Disposable {
   private readonly accounts = new Map<string, programAccount.ProgramAccount>();
 
   private readonly wanted = new Map<string, number>();
@@ -126,6 +127,11 @@
     else await this.written(() => this.wanted.size === 0, RETRY_MS * 3);
   }
 
+  /** Writes no more. What the log does not hold yet counts for the next owner by its watermark. */
+  public dispose(): void {
+    this.isClosed = true;
+  }
+
   private account(program: string): programAccount.ProgramAccount {
     const known = this.accounts.get(program);
     if (known !== undefined) return known;
--- a/packages/program-homes/src/HomeServer.ts
+++ b/packages/program-homes/src/HomeServer.ts
@@ -83,6 +83,7 @@
 
   /** @inheritdoc */
   public async dispose(): Promise<void> {
+    this.partitions.forEach((partition) => partition.dispose());
     await this.store.dispose();
   }
 
