--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -14,7 +14,7 @@
   .concat(path.join(ROOT, 'platform'));
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'target/**'] },
   airbnb.plugins.stylistic,
   airbnb.plugins.importX,
   airbnb.plugins.node,
