--- a/packages/gateway/src/TargetSender.ts
+++ b/packages/gateway/src/TargetSender.ts
@@ -12,6 +12,8 @@
   TargetTransport,
 } from './Types.js';
 
+const SERVER_ERROR = 500;
+
 /** What the sender needs. */
 export interface TargetSenderOptions {
   readonly transport: TargetTransport;
@@ -35,7 +37,11 @@
     };
     scores.noteSent(target.id);
     const exchange = transport.send(target, request, {
-      onHead: (head: AnswerHead) => handler.onHead(head),
+      onHead: (head: AnswerHead) => {
+        // Health says little of a target that fails part of its work; what it answers does.
+        if (head.status >= SERVER_ERROR) scores.noteFailure(target.id);
+        handler.onHead(head);
+      },
       onData: (chunk: Uint8Array) => {
         if (!hasBegun) scores.noteFirst(target.id, time.now() - sentAt);
         hasBegun = true;
--- a/packages/gateway/src/WholeCall.test.ts
+++ b/packages/gateway/src/WholeCall.test.ts
@@ -94,6 +94,21 @@
     expect(parts.deaths).toHaveLength(1);
   });
 
+  test('a target that answers with server errors is left aside for a while', async () => {
+    const scripts = Array.from({ length: 6 }, () => fixtures.answerWhole('good'));
+    const transport = new scriptedTransport.ScriptedTransport([
+      fixtures.answerWhole('bad', 500),
+      ...scripts,
+    ]);
+    const parts = fixtures.createParts(transport, TARGETS);
+    for (let call = 0; call < 6; call += 1) {
+      const context = fixtures.createContext(parts, { ...ONCE, isSticky: true }, { affinity: 'a' });
+      await new wholeCall.WholeCall(parts, context, new recordedReply.RecordedReply()).run();
+    }
+    const [first, ...later] = transport.sent.map(({ target }) => target);
+    expect(later).not.toContain(first);
+  });
+
   test('passes on a server error of a target as it is when no other try is left', async () => {
     const { reply } = await run([fixtures.answerWhole('bad', 500)], { maximumAttempts: 1 });
     expect(reply.answer?.status).toBe(500);
