Leave room for one more turn below what a watermark runs ahead

A program of two turns' budget that lost its home during the first turn got 402 at the next home, though its budget held the second.

--- a/packages/program-homes/src/HomePartition.test.ts
+++ b/packages/program-homes/src/HomePartition.test.ts
@@ -68,6 +68,17 @@
     expect((await second.reserve(reservation('c'))).isOk).toBe(true);
   });
 
+  test('what is ahead of use ends no program whose budget holds one more turn', async () => {
+    const log = homeFixtures.createLog();
+    const small = { ...reservation('a'), budgetTokens: 2 * TURN };
+    const first = homeFixtures.createPartition({ log, producer: 'first' });
+    await first.reserve(small);
+    await first.cover(small);
+    first.dispose();
+    const second = homeFixtures.createPartition({ log, producer: 'second' });
+    expect((await second.reserve({ ...small, call: 'b' })).isOk).toBe(true);
+  });
+
   test('covers nothing that is not on record while the log is away', async () => {
     const log = homeFixtures.createLog();
     const home = homeFixtures.createPartition({ log, producer: 'home' });
--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -189,7 +189,8 @@
   ): void {
     if (account.committedTokens + turnTokens <= account.watermark) return;
     const ahead = account.committedTokens + TURNS_AHEAD * turnTokens;
-    const watermark = Math.max(account.committedTokens, Math.min(ahead, budgetTokens));
+    // What is ahead leaves room for one more turn, so that no later home ends a program for it.
+    const watermark = Math.max(account.committedTokens, Math.min(ahead, budgetTokens - turnTokens));
     if (watermark <= account.watermark) return;
     this.wanted.set(program, Math.max(watermark, this.wanted.get(program) ?? 0));
     if (!this.isWriting) this.write();
