--- /dev/null
+++ b/packages/program-homes/src/HomePartition.property.test.ts
@@ -0,0 +1,147 @@
+import * as jestGlobals from '@jest/globals';
+import * as keyedLog from '@limpettack/keyed-log';
+import * as fastCheck from 'fast-check';
+import * as homePartition from './HomePartition.js';
+import * as homeFixtures from './testing/homeFixtures.js';
+
+const { describe, expect, test } = jestGlobals;
+
+const TURN = 100;
+const BUDGET = 500;
+const HOMES = 3;
+
+/** One step of a run. */
+type Step =
+  | { readonly kind: 'turn'; readonly home: number; readonly share: number }
+  | { readonly kind: 'vanish' | 'release'; readonly home: number }
+  | { readonly kind: 'outage' | 'losing' | 'working' | 'compact' | 'pause' };
+
+const HOME = fastCheck.integer({ min: 0, max: HOMES - 1 });
+
+const STEP: fastCheck.Arbitrary<Step> = fastCheck.oneof(
+  {
+    weight: 6,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constant('turn' as const),
+      home: HOME,
+      share: fastCheck.integer({ min: 0, max: TURN }),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constantFrom('vanish' as const, 'release' as const),
+      home: HOME,
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fastCheck.record({
+      kind: fastCheck.constantFrom(
+        'outage' as const,
+        'losing' as const,
+        'working' as const,
+        'compact' as const,
+        'pause' as const,
+      ),
+    }),
+  },
+);
+
+describe('HomePartition', () => {
+  test('hands out no more than the budget, whichever homes there are and whatever the log does', async () => {
+    await fastCheck.assert(
+      fastCheck.asyncProperty(
+        fastCheck.array(STEP, { minLength: 5, maxLength: 25 }),
+        async (steps) => {
+          const run = createRun();
+          for (const step of steps) await run.take(step);
+          run.end();
+          expect(run.handedOut()).toBeLessThanOrEqual(BUDGET);
+        },
+      ),
+      { seed: 11, numRuns: 40 },
+    );
+  }, 60_000);
+});
+
+function createRun(): {
+  take(step: Step): Promise<void>;
+  end(): void;
+  handedOut(): number;
+} {
+  const log = homeFixtures.createLog();
+  let opened = 0;
+  let calls = 0;
+  let handedOut = 0;
+  const open = (): homePartition.HomePartition => {
+    opened += 1;
+    return homeFixtures.createPartition({ log, producer: `home-${opened}` });
+  };
+  const homes = Array.from({ length: HOMES }, open);
+
+  const runTurn = async (home: homePartition.HomePartition, share: number): Promise<void> => {
+    calls += 1;
+    const call = `call-${calls}`;
+    const request = { program: 'p', call, budgetTokens: BUDGET, mostTokens: TURN };
+    const granted = await home.reserve(request);
+    if (granted.isErr) return;
+    // A turn whose record takes too long is given up by its caller, with nothing handed out.
+    const isCovered = granted.value.isCovered || (await coveredSoon(home, request));
+    const tokens = isCovered ? share : 0;
+    handedOut += tokens;
+    home.settle({ program: 'p', call, tokens, isKept: false }, 'here');
+  };
+
+  const take = async (step: Step): Promise<void> => {
+    switch (step.kind) {
+      case 'turn':
+        await runTurn(homes[step.home]!, step.share);
+        break;
+      case 'vanish':
+        homes[step.home]!.dispose();
+        homes[step.home] = open();
+        break;
+      case 'release':
+        if (log.outage === undefined) await homes[step.home]!.release();
+        homes[step.home]!.dispose();
+        homes[step.home] = open();
+        break;
+      case 'outage':
+        log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
+        break;
+      case 'losing':
+        log.outage = undefined;
+        log.losesAnswers = true;
+        break;
+      case 'working':
+        log.outage = undefined;
+        log.losesAnswers = false;
+        break;
+      case 'compact':
+        log.compact(homeFixtures.PARTITION);
+        break;
+      default:
+        await homeFixtures.settleWrites();
+    }
+  };
+
+  return {
+    take,
+    end: () => homes.forEach((home) => home.dispose()),
+    handedOut: () => handedOut,
+  };
+}
+
+async function coveredSoon(
+  home: homePartition.HomePartition,
+  request: Parameters<homePartition.HomePartition['cover']>[0],
+): Promise<boolean> {
+  let late: NodeJS.Timeout | undefined;
+  const timeout = new Promise<boolean>((resolve) => {
+    late = setTimeout(() => resolve(false), 20);
+  });
+  const isCovered = await Promise.race([home.cover(request), timeout]);
+  clearTimeout(late);
+  return isCovered;
+}
