--- a/packages/gateway/src/chooseTarget.ts
+++ b/packages/gateway/src/chooseTarget.ts
@@ -20,7 +20,8 @@
 /**
  * Chooses a target. With an affinity: the first by rendezvous hashing that is neither failing,
  * slow nor loaded far above the others, so that a prompt's cached prefix is found again and no
- * popular one overloads its target. Without: the least loaded one, near ones first.
+ * popular one overloads its target; those of the own failure domain go first, because prompts are
+ * long. Without: the least loaded one, near ones first.
  */
 export function chooseTarget(choice: Choice): Target | undefined {
   const { affinity, candidates } = choice;
@@ -31,21 +32,28 @@
 }
 
 function chooseByHash(choice: Choice, candidates: readonly Target[]): Target | undefined {
-  const ranked = keyedLog.rankByRendezvous(choice.affinity ?? '', candidates, ({ id }) => id);
+  const hashed = keyedLog.rankByRendezvous(choice.affinity ?? '', candidates, ({ id }) => id);
+  const ranked = [
+    ...hashed.filter((target) => isNear(choice, target)),
+    ...hashed.filter((target) => !isNear(choice, target)),
+  ];
   const total = candidates.reduce((sum, target) => sum + inFlight(choice, target), 0);
   const bound = ALWAYS_ALLOWED + (LOAD_FACTOR * total) / Math.max(1, candidates.length);
   return ranked.find((target) => inFlight(choice, target) < bound) ?? ranked[0];
 }
 
 function chooseLeastLoaded(choice: Choice, candidates: readonly Target[]): Target | undefined {
-  const distance = (target: Target): number =>
-    target.failureDomain === choice.ownFailureDomain ? 0 : 1;
+  const distance = (target: Target): number => (isNear(choice, target) ? 0 : 1);
   return [...candidates].sort(
     (left, right) =>
       inFlight(choice, left) - inFlight(choice, right) || distance(left) - distance(right),
   )[0];
 }
 
+function isNear(choice: Choice, target: Target): boolean {
+  return target.failureDomain === choice.ownFailureDomain;
+}
+
 function isSound(choice: Choice, target: Target): boolean {
   const score = choice.scores.get(target.id);
   return score === undefined || (!score.isPaused && !score.isSlow);
