Redirect to the owner of a program's partition; ask limit and budget at once

A home that takes another one for the owner now names it; coverage and settlement go to the home that granted. After a conflict the next write waits no longer. Test first: HomeClient.test.ts.

--- a/packages/allowances/src/WorkspaceAllowance.ts
+++ b/packages/allowances/src/WorkspaceAllowance.ts
@@ -6,10 +6,10 @@
 import type { Admission, WorkspaceLimit } from './Types.js';
 
 /** Requests that came within this span are the estimate of what the next span needs. */
-const DEMAND_SPAN_MS = 200;
+const DEMAND_SPAN_MS = 500;
 
 /** What has been taken ahead is void after so long, so that no VM hoards. */
-const ALLOWANCE_MS = 500;
+const ALLOWANCE_MS = 1_000;
 
 /** After a failure to reach the owner it is not asked for so long. */
 const OWNER_PAUSE_MS = 500;
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -13,6 +13,18 @@
 import * as wholeCall from './WholeCall.js';
 import type { Call, Reply } from './Types.js';
 
+/** What calls get that draw on no budget. */
+const NO_BUDGET: trueMyth.Result<programHomes.Grant, errors.Fault> = trueMyth.Result.ok({
+  isCovered: true,
+});
+
+/** How a turn is settled that was not sent. */
+const NOTHING_HANDED_OUT: streamCall.StreamOutcome = {
+  tokens: 0,
+  isComplete: false,
+  isKept: false,
+};
+
 /** The part of its time that a request may wait for the limit of its workspace. */
 const LIMIT_WAIT_SHARE = 0.3;
 
@@ -71,14 +83,20 @@
       reply.refuse(errors.createFault('request-quarantined'));
       return;
     }
-    const refusal = await this.checkLimit(context);
+    const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
+    // The limit and the budget lie on two other VMs, so both are asked at once.
+    const [refusal, grant] = await Promise.all([
+      this.checkLimit(context),
+      isStream ? this.reserve(context.call) : NO_BUDGET,
+    ]);
     if (refusal !== undefined) {
+      if (grant.isOk) this.settle(context.call, NOTHING_HANDED_OUT);
       reply.refuse(refusal);
       return;
     }
-    const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
-    if (isStream) await this.runStream(context, reply);
-    else await new wholeCall.WholeCall(this.parts, context, reply).run();
+    if (!isStream) await new wholeCall.WholeCall(this.parts, context, reply).run();
+    else if (grant.isErr) reply.refuse(grant.error);
+    else await this.runStream(context, grant.value, reply);
   }
 
   /** Takes the request from its workspace's limit; a fault when the limit does not hold it. */
@@ -99,16 +117,15 @@
     return errors.createFault('rate-limited', undefined, { retryAfterMs });
   }
 
-  private async runStream(context: callContext.CallContext, reply: Reply): Promise<void> {
+  private async runStream(
+    context: callContext.CallContext,
+    grant: programHomes.Grant,
+    reply: Reply,
+  ): Promise<void> {
     const { call } = context;
-    const grant = await this.reserve(call);
-    if (grant.isErr) {
-      reply.refuse(grant.error);
-      return;
-    }
-    const plan = await this.plan(context, grant.value);
+    const plan = await this.plan(context, grant);
     if (plan.isErr) {
-      this.settle(call, { tokens: 0, isComplete: false, isKept: false });
+      this.settle(call, NOTHING_HANDED_OUT);
       reply.refuse(plan.error);
       return;
     }
@@ -118,7 +135,7 @@
 
   private async reserve(call: Call): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
     const reservation = reservationOf(call);
-    if (reservation === undefined) return trueMyth.Result.ok({ isCovered: true });
+    if (reservation === undefined) return NO_BUDGET;
     return this.parts.budgets.reserve(reservation);
   }
 
--- /dev/null
+++ b/packages/program-homes/src/HomeClient.test.ts
@@ -0,0 +1,63 @@
+import * as jestGlobals from '@jest/globals';
+import * as homeFixtures from './testing/homeFixtures.js';
+import type { Reservation } from './Types.js';
+
+const { afterEach, describe, expect, test } = jestGlobals;
+
+const fleets: homeFixtures.HomeFleet[] = [];
+
+afterEach(async () => {
+  await Promise.all(fleets.splice(0).map((fleet) => fleet.dispose()));
+});
+
+async function createFleet(count: number): Promise<homeFixtures.HomeFleet> {
+  const fleet = await homeFixtures.createHomeFleet(count);
+  fleets.push(fleet);
+  return fleet;
+}
+
+describe('HomeClient', () => {
+  test('follows a home that takes another one for the owner, and opens no second one', async () => {
+    const fleet = await createFleet(3);
+    // The second VM has not met the owner yet and takes the third one for it.
+    fleet.hide({ from: 1, member: 0 });
+    const program = fleet.findProgram(
+      (name) => fleet.ownerAsSeenBy(0, name) === 0 && fleet.ownerAsSeenBy(1, name) === 2,
+    );
+    await fleet.clients[0]!.reserve(reservation(program, 'a'));
+    const answer = await fleet.clients[1]!.reserve(reservation(program, 'b'));
+    expect(answer.isOk).toBe(true);
+    expect(fleet.servers.map((server) => server.ownedCount)).toEqual([1, 0, 0]);
+  });
+
+  test('another home serves when the owner has vanished without a sign', async () => {
+    const fleet = await createFleet(3);
+    const program = fleet.programOwnedBy(0);
+    await fleet.networks[0]!.dispose();
+    const answer = await fleet.clients[1]!.reserve(reservation(program, 'a'));
+    expect(answer.isOk).toBe(true);
+  });
+
+  test('asks the home that granted a reservation whether it is covered', async () => {
+    const fleet = await createFleet(2);
+    const program = fleet.programOwnedBy(0);
+    const request = reservation(program, 'a');
+    await fleet.clients[1]!.reserve(request);
+    expect(await fleet.clients[1]!.cover(request)).toBe(true);
+  });
+
+  test('sets tokens aside anew when the partition has gone elsewhere', async () => {
+    const fleet = await createFleet(2);
+    const program = fleet.programOwnedBy(0);
+    const request = reservation(program, 'a');
+    await fleet.clients[1]!.reserve(request);
+    await fleet.servers[0]!.releaseAll();
+    let isCovered = false;
+    while (!isCovered) isCovered = await fleet.clients[1]!.cover(request);
+    expect(isCovered).toBe(true);
+  });
+});
+
+function reservation(program: string, call: string): Reservation {
+  return { program, call, budgetTokens: 1_000, mostTokens: 100 };
+}
--- a/packages/program-homes/src/HomeClient.ts
+++ b/packages/program-homes/src/HomeClient.ts
@@ -15,8 +15,8 @@
 /** Time for a home to say that the log holds enough: above its own wait. */
 const COVER_TIMEOUT_MS = 1_500;
 
-/** Homes that are asked for one reservation. */
-const HOMES_ASKED = 2;
+/** Homes that are asked for one reservation, one after the other. */
+const ATTEMPTS = 3;
 
 /** Time for a settlement to be taken. */
 const SETTLE_TIMEOUT_MS = 1_000;
@@ -39,22 +39,31 @@
 
 /** Reserves and settles at the home of each program. */
 export class HomeClient implements ProgramBudgets {
+  /** The homes that granted the reservations of the calls under way. */
+  private readonly grantedBy = new Map<string, string>();
+
   public constructor(private readonly options: HomeClientOptions) {}
 
   /** @inheritdoc */
   public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
-    const { logger } = this.options;
-    for (const address of this.homesOf(reservation.program).slice(0, HOMES_ASKED)) {
-      const result = await this.reserveAt(address, reservation);
-      if (result.isOk) return trueMyth.Result.ok(result.value);
+    const [first, second] = this.homesOf(reservation.program);
+    let address = first;
+    let isInsisting = false;
+    for (let attempt = 0; attempt < ATTEMPTS && address !== undefined; attempt += 1) {
+      const result = await this.reserveAt(address, reservation, isInsisting);
+      if (result.isOk) {
+        this.grantedBy.set(reservation.call, address);
+        return trueMyth.Result.ok(result.value);
+      }
       const { fault, message } = result.error;
       if (fault !== undefined && !ELSEWHERE.has(fault.kind)) return trueMyth.Result.err(fault);
-      logger.warn('The home of a program did not answer.', {
-        request: reservation.call,
-        program: reservation.program,
-        peer: address,
-        reason: message,
-      });
+      this.logElsewhere(reservation, address, message);
+      const owner = fault?.details?.[homeServer.OWNER_DETAIL];
+      // A home that takes another one for the owner names it. Where that fails, one of the two that
+      // this process takes for the owner has to serve.
+      isInsisting = typeof owner !== 'string';
+      if (typeof owner === 'string') address = owner;
+      else address = address === first ? (second ?? first) : first;
     }
     const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs: COME_BACK_MS };
     return trueMyth.Result.err(errors.createFault('home-unavailable', undefined, overrides));
@@ -62,19 +71,19 @@
 
   /** @inheritdoc */
   public async cover(reservation: Reservation): Promise<boolean> {
-    const { network, server } = this.options;
-    const [address] = this.homesOf(reservation.program);
-    if (address === undefined) return false;
-    if (address === network.self.address) return server.cover(reservation);
-    const options = { timeoutMs: COVER_TIMEOUT_MS };
-    const answer = await network.request(address, messages.COVER, reservation, options);
-    return answer.isOk && answer.value.isCovered;
+    const address = this.grantedBy.get(reservation.call);
+    const isCovered = address === undefined ? undefined : await this.coverAt(address, reservation);
+    if (isCovered !== undefined) return isCovered;
+    // The partition has gone elsewhere since the tokens were set aside.
+    const again = await this.reserve(reservation);
+    return again.isOk && again.value.isCovered;
   }
 
   /** @inheritdoc */
   public settle(settlement: Settlement): void {
     const { network, server } = this.options;
-    const [address] = this.homesOf(settlement.program);
+    const address = this.grantedBy.get(settlement.call);
+    this.grantedBy.delete(settlement.call);
     if (address === undefined) return;
     if (address === network.self.address) {
       server.settle(settlement, network.self.address);
@@ -89,19 +98,39 @@
   private async reserveAt(
     address: string,
     reservation: Reservation,
+    isInsisting: boolean,
   ): Promise<wire.PeerResult<Grant>> {
     const { network, server } = this.options;
     if (address !== network.self.address) {
       const options = { timeoutMs: RESERVE_TIMEOUT_MS };
-      return network.request(address, messages.RESERVE, reservation, options);
+      const request = { ...reservation, isInsisting };
+      return network.request(address, messages.RESERVE, request, options);
     }
-    const result = await server.reserve(reservation);
+    const result = await server.reserve(reservation, isInsisting);
     if (result.isOk) return trueMyth.Result.ok(result.value);
     const { error } = result;
     const kind = wire.PEER_FAILURES.REFUSED;
     return trueMyth.Result.err({ kind, message: error.message, fault: error });
   }
 
+  /** Nothing when the home that granted the reservation cannot tell. */
+  private async coverAt(address: string, reservation: Reservation): Promise<boolean | undefined> {
+    const { network, server } = this.options;
+    if (address === network.self.address) return server.cover(reservation);
+    const options = { timeoutMs: COVER_TIMEOUT_MS };
+    const answer = await network.request(address, messages.COVER, reservation, options);
+    return answer.isOk ? answer.value.isCovered : undefined;
+  }
+
+  private logElsewhere(reservation: Reservation, address: string, reason: string): void {
+    this.options.logger.warn('The home of a program did not serve.', {
+      request: reservation.call,
+      program: reservation.program,
+      peer: address,
+      reason,
+    });
+  }
+
   private noteSettled(settlement: Settlement, result: wire.PeerResult<unknown>): void {
     if (result.isOk) return;
     // The home counts the whole reservation in its place.
--- a/packages/program-homes/src/HomePartition.test.ts
+++ b/packages/program-homes/src/HomePartition.test.ts
@@ -32,12 +32,12 @@
     const fleet = homeFixtures.createFleet(log);
     for (let round = 0; round < 5; round += 1) {
       const call = `call-${round}`;
-      await fleet.server.reserve(reservation(call));
+      await fleet.server.reserve(reservation(call), false);
       await fleet.server.cover(reservation(call));
       fleet.server.settle({ program: 'p', call, tokens: TURN, isKept: false }, 'here');
       await fleet.server.releaseAll();
     }
-    const last = await fleet.server.reserve(reservation('last'));
+    const last = await fleet.server.reserve(reservation('last'), false);
     expect(last.isErr && last.error.kind).toBe('budget-exhausted');
     await fleet.dispose();
   });
--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -243,10 +243,11 @@
       return;
     }
     // An append that may have taken effect is repeated unchanged until it is answered.
-    if (result.error.kind === keyedLog.LOG_FAILURES.LOST) this.unanswered = batch;
-    else await this.recover(result.error.kind);
+    const { kind } = result.error;
+    if (kind === keyedLog.LOG_FAILURES.LOST) this.unanswered = batch;
+    const isRead = isOvertaken(kind) && (await this.readAgain());
     if (this.isClosed) this.wanted.clear();
-    else await this.options.clock.sleep(RETRY_MS);
+    else if (!isRead) await this.options.clock.sleep(RETRY_MS);
   }
 
   private noteWritten(program: string, watermark: number): void {
@@ -255,14 +256,12 @@
   }
 
   /** Another owner has written: what it may have handed out counts as spent. */
-  private async recover(kind: keyedLog.LogFailureKind): Promise<void> {
-    const { CONFLICT, FENCED } = keyedLog.LOG_FAILURES;
-    if (kind !== CONFLICT && kind !== FENCED) return;
+  private readAgain(): Promise<boolean> {
     const { logger, partition } = this.options;
     logger.warn('Another owner has written to a partition of programs.', { shard: partition });
     this.life += 1;
     this.sequence = 0;
-    await this.load();
+    return this.load();
   }
 
   private async ensureLoaded(): Promise<boolean> {
@@ -341,6 +340,10 @@
   }
 }
 
+function isOvertaken(kind: keyedLog.LogFailureKind): boolean {
+  return kind === keyedLog.LOG_FAILURES.CONFLICT || kind === keyedLog.LOG_FAILURES.FENCED;
+}
+
 function unavailable(): errors.Fault {
   return errors.createFault('log-unavailable', undefined, { retryAfterMs: COME_BACK_MS });
 }
--- a/packages/program-homes/src/HomeServer.ts
+++ b/packages/program-homes/src/HomeServer.ts
@@ -1,5 +1,5 @@
 import type * as clock from '@limpettack/clock';
-import type * as errors from '@limpettack/errors';
+import * as errors from '@limpettack/errors';
 import * as keyedLog from '@limpettack/keyed-log';
 import * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
@@ -16,6 +16,9 @@
 /** Time for a former owner to write what it has not used. */
 const RELEASE_TIMEOUT_MS = 300;
 
+/** The detail of a `not-owner` fault that names the owner. */
+export const OWNER_DETAIL = 'owner';
+
 /** What the homes of this process need. */
 export interface HomeServerOptions {
   readonly log: keyedLog.KeyedLog;
@@ -39,12 +42,18 @@
 
   public constructor(private readonly options: HomeServerOptions) {
     const { network } = options;
-    this.store.add(network.serve(messages.RESERVE, (request) => this.reserve(request)));
     this.store.add(
-      network.serve(messages.COVER, async (request) =>
-        trueMyth.Result.ok({ isCovered: await this.cover(request) }),
+      network.serve(messages.RESERVE, ({ isInsisting, ...request }) =>
+        this.reserve(request, isInsisting),
       ),
     );
+    this.store.add(
+      network.serve(messages.COVER, async (request) => {
+        const isCovered = await this.cover(request);
+        if (isCovered === undefined) return trueMyth.Result.err(errors.createFault('not-owner'));
+        return trueMyth.Result.ok({ isCovered });
+      }),
+    );
     this.store.add(
       network.serve(messages.SETTLE, async (request, from) => {
         this.settle(request, from.address);
@@ -60,20 +69,40 @@
     this.store.add(options.membership.onChange(() => this.releaseForeign()));
   }
 
-  /** Sets tokens of a program's budget aside. */
-  public reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
-    return this.partitionFor(reservation.program).reserve(reservation);
+  /** Partitions that this process serves. */
+  public get ownedCount(): number {
+    return this.partitions.size;
   }
 
-  /** Waits for a while until the log holds enough for a reserved turn. */
-  public cover(reservation: Reservation): Promise<boolean> {
-    return this.partitionFor(reservation.program).cover(reservation);
+  /**
+   * Sets tokens of a program's budget aside. `not-owner`, with the owner's address in its details,
+   * where another member is taken for the owner; an insisting caller has found none there.
+   */
+  public async reserve(
+    reservation: Reservation,
+    isInsisting: boolean,
+  ): Promise<trueMyth.Result<Grant, errors.Fault>> {
+    const index = this.indexOf(reservation.program);
+    const owner = rankOwners(index, this.options.membership.available())[0];
+    const isOther = owner !== undefined && owner.name !== this.options.network.self.name;
+    if (!this.partitions.has(index) && isOther && !isInsisting) {
+      const overrides = { details: { [OWNER_DETAIL]: owner.address } };
+      return trueMyth.Result.err(errors.createFault('not-owner', undefined, overrides));
+    }
+    return this.partitionFor(index).reserve(reservation);
+  }
+
+  /**
+   * Waits for a while until the log holds enough for a reserved turn. Nothing when the partition
+   * has gone elsewhere since.
+   */
+  public async cover(reservation: Reservation): Promise<boolean | undefined> {
+    return this.partitions.get(this.indexOf(reservation.program))?.cover(reservation);
   }
 
   /** Ends a turn's reservation. */
   public settle(settlement: Settlement, writer: string): void {
-    const index = keyedLog.partitionOf(settlement.program, this.options.partitionCount);
-    this.partitions.get(index)?.settle(settlement, writer);
+    this.partitions.get(this.indexOf(settlement.program))?.settle(settlement, writer);
   }
 
   /** Lets go of all partitions; the next owners count what has really been used. */
@@ -87,9 +116,12 @@
     await this.store.dispose();
   }
 
-  private partitionFor(program: string): homePartition.HomePartition {
-    const { clock: time, log, logger, partitionCount, producer } = this.options;
-    const index = keyedLog.partitionOf(program, partitionCount);
+  private indexOf(program: string): number {
+    return keyedLog.partitionOf(program, this.options.partitionCount);
+  }
+
+  private partitionFor(index: number): homePartition.HomePartition {
+    const { clock: time, log, logger, producer } = this.options;
     const known = this.partitions.get(index);
     if (known !== undefined) return known;
     this.openings += 1;
--- a/packages/program-homes/src/messages.ts
+++ b/packages/program-homes/src/messages.ts
@@ -9,6 +9,11 @@
   previousTurn: zod.string().optional(),
 });
 
+const ASKED_RESERVATION = RESERVATION.extend({
+  /** Whether the home serves although it takes another one for the owner. */
+  isInsisting: zod.boolean(),
+});
+
 const GRANT = zod.object({ isCovered: zod.boolean(), writer: zod.string().optional() });
 
 const COVERAGE = zod.object({ isCovered: zod.boolean() });
@@ -25,9 +30,12 @@
 const NOTHING = zod.object({});
 
 /** Sets tokens of a program's budget aside. */
-export const RESERVE: wire.PeerMethod<zod.infer<typeof RESERVATION>, zod.infer<typeof GRANT>> = {
+export const RESERVE: wire.PeerMethod<
+  zod.infer<typeof ASKED_RESERVATION>,
+  zod.infer<typeof GRANT>
+> = {
   name: 'home.reserve',
-  request: RESERVATION,
+  request: ASKED_RESERVATION,
   response: GRANT,
 };
 
--- a/packages/program-homes/src/testing/homeFixtures.ts
+++ b/packages/program-homes/src/testing/homeFixtures.ts
@@ -3,6 +3,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import * as logging from '@limpettack/logging';
 import * as wire from '@limpettack/wire';
+import * as homeClient from '../HomeClient.js';
 import * as homePartition from '../HomePartition.js';
 import * as homeServer from '../HomeServer.js';
 
@@ -12,6 +13,9 @@
 /** Above the pause after which a watermark is lowered, twice, and a write. */
 const PAUSE_SETTLED_MS = 900;
 
+/** Partitions of the fleets. */
+const PARTITIONS = 16;
+
 /** Above the time between two attempts to write. */
 const WRITES_SETTLED_MS = 150;
 
@@ -82,3 +86,85 @@
 export function settleWrites(): Promise<void> {
   return new clock.SystemClock().sleep(WRITES_SETTLED_MS);
 }
+
+/** Home servers and their clients over real links. */
+export interface HomeFleet extends lifetime.Disposable {
+  readonly networks: readonly wire.FleetNetwork[];
+  readonly servers: readonly homeServer.HomeServer[];
+  readonly clients: readonly homeClient.HomeClient[];
+  /** A program whose owner is the given VM in the eyes of all. */
+  programOwnedBy(vm: number): string;
+  findProgram(isWanted: (program: string) => boolean): string;
+  /** The VM that another one takes for the owner. */
+  ownerAsSeenBy(vm: number, program: string): number;
+  /** Takes a member out of the view of one VM. */
+  hide(view: { readonly from: number; readonly member: number }): void;
+}
+
+export async function createHomeFleet(count: number): Promise<HomeFleet> {
+  const log = createLog();
+  const time = new clock.SystemClock();
+  const logger = new logging.PartLogger('homes');
+  const hidden = new Set<string>();
+  const networks = Array.from(
+    { length: count },
+    (_, index) =>
+      new wire.FleetNetwork({
+        name: `vm-${index}`,
+        incarnation: '1',
+        failureDomain: 'a',
+        secret: 'a secret of the tests',
+        host: '127.0.0.1',
+        port: 0,
+        clock: time,
+        logger,
+      }),
+  );
+  await Promise.all(networks.map((network) => network.listen()));
+  const all = networks.map(({ self }) => ({
+    ...self,
+    state: 'available' as const,
+    listed: true,
+    leaving: false,
+  }));
+  const seenBy = (vm: number): typeof all =>
+    all.filter((_, member) => !hidden.has(`${vm}/${member}`));
+  const shared = (vm: number) => ({
+    log,
+    network: networks[vm]!,
+    membership: {
+      available: () => seenBy(vm),
+      members: () => seenBy(vm),
+      onChange: () => ({ dispose: () => undefined }),
+    },
+    clock: time,
+    logger,
+    partitionCount: PARTITIONS,
+    producer: `vm-${vm}`,
+  });
+  const servers = networks.map((_, vm) => new homeServer.HomeServer(shared(vm)));
+  const clients = servers.map((server, vm) => new homeClient.HomeClient({ ...shared(vm), server }));
+  const ownerAsSeenBy = (vm: number, program: string): number => {
+    const partition = keyedLog.partitionOf(program, PARTITIONS);
+    const owner = homeServer.rankOwners(partition, seenBy(vm))[0];
+    return all.findIndex(({ name }) => name === owner?.name);
+  };
+  const findProgram = (isWanted: (program: string) => boolean): string => {
+    for (let index = 0; ; index += 1) {
+      if (isWanted(`program-${index}`)) return `program-${index}`;
+    }
+  };
+  return {
+    networks,
+    servers,
+    clients,
+    ownerAsSeenBy,
+    findProgram,
+    programOwnedBy: (vm) => findProgram((program) => ownerAsSeenBy(vm, program) === vm),
+    hide: ({ from, member }) => hidden.add(`${from}/${member}`),
+    dispose: async () => {
+      await Promise.all(servers.map((server) => server.dispose()));
+      await Promise.all(networks.map((network) => network.dispose()));
+    },
+  };
+}
