Hand out small limits request by request where many VMs draw on them

What a VM took ahead and did not use was lost, and 70 VMs held much of small bursts. All VMs together now hold a quarter of a burst ahead at most. Test first: OwnedLimit.test.ts.

--- a/packages/allowances/src/AllowanceOwner.ts
+++ b/packages/allowances/src/AllowanceOwner.ts
@@ -38,13 +38,20 @@
 
   /** Hands out requests of a workspace. */
   public async take(request: messages.AllowanceRequest): Promise<messages.AllowanceAnswer> {
-    const { clock: time, limitOf, logger } = this.options;
+    const { clock: time, limitOf, logger, membership: members } = this.options;
+    const memberCount = (): number => members.available().length;
     const { workspace } = request;
     const limit = limitOf(workspace);
     if (limit === undefined) return { granted: UNLIMITED_GRANT, retryAfterMs: 0 };
     const known = this.owned.get(workspace);
     if (known !== undefined) return known.take(request, limit);
-    const created = new ownedLimit.OwnedLimit({ workspace, limit, clock: time, logger });
+    const created = new ownedLimit.OwnedLimit({
+      workspace,
+      limit,
+      clock: time,
+      logger,
+      memberCount,
+    });
     this.owned.set(workspace, created);
     return created.take(request, limit);
   }
--- a/packages/allowances/src/OwnedLimit.test.ts
+++ b/packages/allowances/src/OwnedLimit.test.ts
@@ -50,6 +50,16 @@
     expect(time.now()).toBe(startedAt);
   });
 
+  test('hands out ahead only what the VMs can hold together without starving each other', async () => {
+    const few = createLimit(2);
+    await advance(few.time, 2_000);
+    const ahead = { ...ask(1), expected: 16 };
+    expect((await few.limit.take(ahead, LIMIT)).granted).toBeGreaterThan(1);
+    const many = createLimit(70);
+    await advance(many.time, 2_000);
+    expect((await many.limit.take(ahead, LIMIT)).granted).toBe(1);
+  });
+
   test('a lowered limit binds from the next request', async () => {
     const { limit, time } = createLimit();
     await advance(time, 2_000);
@@ -72,12 +82,18 @@
   });
 });
 
-function createLimit(): { limit: ownedLimit.OwnedLimit; time: clock.ManualClock } {
+function createLimit(memberCount = 4): { limit: ownedLimit.OwnedLimit; time: clock.ManualClock } {
   const time = new clock.ManualClock();
   const logger = new logging.PartLogger('test');
   return {
     time,
-    limit: new ownedLimit.OwnedLimit({ workspace: 'w', limit: LIMIT, clock: time, logger }),
+    limit: new ownedLimit.OwnedLimit({
+      workspace: 'w',
+      limit: LIMIT,
+      clock: time,
+      logger,
+      memberCount: () => memberCount,
+    }),
   };
 }
 
--- a/packages/allowances/src/OwnedLimit.ts
+++ b/packages/allowances/src/OwnedLimit.ts
@@ -24,6 +24,8 @@
   readonly limit: WorkspaceLimit;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
+  /** VMs that draw on the limit. */
+  readonly memberCount: () => number;
 }
 
 /** The limit of one workspace, at its owner: one bucket, and the queue of those who wait for it. */
@@ -86,6 +88,7 @@
       burst: this.bucket.burst,
       ratePerSecond: this.bucket.ratePerSecond,
       ahead: waiting.reduce((sum, { request }) => sum + request.needed, 0),
+      memberCount: this.options.memberCount(),
     };
   }
 
--- a/packages/allowances/src/waitPolicy.ts
+++ b/packages/allowances/src/waitPolicy.ts
@@ -18,6 +18,12 @@
 /** Requests are handed out ahead of need while this part of the burst is left. */
 const PLENTY_SHARE = 0.4;
 
+/**
+ * The part of the burst that all VMs together may hold ahead. What a VM does not use is lost, so small
+ * limits over many VMs are handed out request by request.
+ */
+const AHEAD_SHARE = 0.25;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** What a decision rests on. */
@@ -27,6 +33,8 @@
   readonly ratePerSecond: number;
   /** Requests that wait before this one. */
   readonly ahead: number;
+  /** VMs that draw on the limit. */
+  readonly memberCount: number;
 }
 
 /** How many requests may be handed out now. */
@@ -41,7 +49,9 @@
   const available = Math.floor(state.level - kept);
   const granted = Math.max(0, Math.min(needed, available));
   const isPlenty = state.level - needed > PLENTY_SHARE * state.burst;
-  return isPlenty ? granted + Math.min(expected, available - granted) : granted;
+  if (!isPlenty) return granted;
+  const share = Math.floor((AHEAD_SHARE * state.burst) / Math.max(1, state.memberCount));
+  return granted + Math.min(expected, available - granted, share);
 }
 
 /** How long until a request has its turn. */
