--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -134,6 +134,11 @@
   readonly status: number;
   /** Names and values by turns, without those of one connection. */
   readonly headers: readonly string[];
+  /**
+   * Whether only the end of the connection tells the end of the answer. Nobody can tell such an
+   * answer from one that broke off, so it is passed on in the same way.
+   */
+  readonly isUnframed: boolean;
 }
 
 /** A target's answer, whole. */
--- a/packages/gateway/src/testing/gatewayFixtures.ts
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -18,7 +18,11 @@
   TargetTransport,
 } from '../Types.js';
 
-export const HEAD: AnswerHead = { status: 200, headers: ['server-seal', 'seal'] };
+export const HEAD: AnswerHead = {
+  status: 200,
+  headers: ['signature', 'of the target'],
+  isUnframed: false,
+};
 
 export function createTarget(id: string, changes: Partial<Target> = {}): Target {
   return {
