--- a/packages/targets/src/headers.ts
+++ b/packages/targets/src/headers.ts
@@ -1,22 +1,7 @@
 import type * as configuration from '@limpettack/configuration';
+import * as connectionFields from './connectionFields.js';
 import type { FencingNumber, ModelCall, ServiceCall } from './Types.js';
 
-/** Fields that belong to one connection, or that this client sets itself. */
-const DROPPED_FIELDS: ReadonlySet<string> = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 /** Where a caller shows its key, which no target ever sees. */
 const KEY_FIELD = 'authorization';
 
@@ -62,11 +47,17 @@
   const joined = Object.entries(headers).flatMap(([name, value]) =>
     value === undefined ? [] : [[name, Array.isArray(value) ? value.join(', ') : value] as const],
   );
-  return withoutFields(Object.fromEntries(joined), (name) => DROPPED_FIELDS.has(name));
+  return withoutFields(Object.fromEntries(joined), (name) =>
+    connectionFields.CONNECTION_FIELDS.has(name),
+  );
 }
 
 function isKeptFromTargets(name: string): boolean {
-  return DROPPED_FIELDS.has(name) || name === KEY_FIELD || name.startsWith(OWN_FIELD_PREFIX);
+  return (
+    connectionFields.CONNECTION_FIELDS.has(name) ||
+    name === KEY_FIELD ||
+    name.startsWith(OWN_FIELD_PREFIX)
+  );
 }
 
 function withoutFields(
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -3,6 +3,7 @@
 export * from './TargetFailures.js';
 export * from './TargetLookup.js';
 export * from './cancelEarlier.js';
+export * from './connectionFields.js';
 export * from './ConfigurationLookup.js';
 export * from './CrashFingerprints.js';
 export * from './HttpTargetClient.js';
