Put on record what a kept turn used before its end is sent

Ruled out: a budget bound that is wrong in the steady state (the accounts agree where no home is lost). Change: the end of a kept turn waits for its record and, beside it, for the home to have the lower watermark in the log. Also: a write of a higher watermark that was under way when a lower one was asked for no longer counts as cover. Test: two tests of HomePartition fail before, one of StreamCall for the order.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,4 +1,5 @@
 import type * as allowances from '@limpettack/allowances';
+import type * as clock from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
 import type * as logging from '@limpettack/logging';
 import type * as metrics from '@limpettack/metrics';
@@ -161,6 +162,16 @@
     this.parts.budgets.settle({ program: place.program, call: call.id, tokens, isKept });
   }
 
+  private async recordUse(
+    { id, place }: Call,
+    tokens: number,
+    timeoutMs: clock.Milliseconds,
+  ): Promise<boolean> {
+    if (place?.budgetTokens === undefined) return true;
+    const settlement = { program: place.program, call: id, tokens, isKept: true };
+    return this.parts.budgets.settleKept(settlement, timeoutMs);
+  }
+
   /** Puts the history before the new input where the route keeps turns. */
   private async plan(
     context: callContext.CallContext,
@@ -170,7 +181,9 @@
     const tokensPerEvent = this.parts.tables.current?.pools.get(pool)?.tokensPerEvent ?? 1;
     const previous = route.keepsTurns ? call.place?.previousTurn : undefined;
     const covered = grant.isCovered ? undefined : this.covered(context);
-    const shared = { tokensPerEvent, covered };
+    const recordUse = (tokens: number, timeoutMs: number): Promise<boolean> =>
+      this.recordUse(call, tokens, timeoutMs);
+    const shared = { tokensPerEvent, covered, recordUse };
     if (previous === undefined) return trueMyth.Result.ok({ body: call.body, ...shared });
     const hints = grant.writer === undefined ? {} : { writer: grant.writer };
     const history = await this.parts.turns.history(previous, workspace?.name ?? '', hints);
--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -28,14 +28,16 @@
   scripts: scriptedTransport.Script[],
   route: Partial<Route>,
   call: Partial<Call> = {},
-  changes: Partial<fixtures.Parts> & { covered?: Promise<boolean> } = {},
+  changes: Partial<fixtures.Parts> & Partial<streamCall.StreamPlan> = {},
+  onReply: (reply: recordedReply.RecordedReply) => void = () => undefined,
 ): Promise<Run> {
   const transport = new scriptedTransport.ScriptedTransport(scripts);
-  const { covered, ...partChanges } = changes;
+  const { covered, recordUse = async () => true, ...partChanges } = changes;
   const parts = fixtures.createParts(transport, TARGETS, partChanges);
   const reply = new recordedReply.RecordedReply();
+  onReply(reply);
   const context = fixtures.createContext(parts, route, call);
-  const plan = { body: context.call.body, tokensPerEvent: 20, covered };
+  const plan = { body: context.call.body, tokensPerEvent: 20, covered, recordUse };
   const outcome = await new streamCall.StreamCall(parts, context, plan, reply).run();
   return { reply, outcome, transport, parts };
 }
@@ -107,6 +109,27 @@
     expect(reply.outcome).toBe('ended');
   });
 
+  test('the end of a kept turn waits until what it used is on record', async () => {
+    const used: number[] = [];
+    let isEndedBefore: boolean | undefined;
+    const transport = [fixtures.streamEvents([1, 2], 'end')];
+    let sent: recordedReply.RecordedReply | undefined;
+    const recordUse = async (tokens: number): Promise<boolean> => {
+      used.push(tokens);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 30);
+      });
+      isEndedBefore = sent?.outcome === 'ended';
+      return true;
+    };
+    const { reply } = await run(transport, KEPT, {}, { recordUse }, (created) => {
+      sent = created;
+    });
+    expect(used).toEqual([40]);
+    expect(isEndedBefore).toBe(false);
+    expect(reply.outcome).toBe('ended');
+  });
+
   test('a turn that could not be kept does not end as complete', async () => {
     const turns = {
       history: async () => trueMyth.Result.ok([]),
@@ -136,7 +159,8 @@
     const parts = fixtures.createParts(transport, TARGETS);
     const reply = new recordedReply.RecordedReply();
     const context = fixtures.createContext(parts, STREAM);
-    const plan = { body: context.call.body, tokensPerEvent: 20, covered };
+    const recordUse = async (): Promise<boolean> => true;
+    const plan = { body: context.call.body, tokensPerEvent: 20, covered, recordUse };
     const running = new streamCall.StreamCall(parts, context, plan, reply).run();
     await new Promise((resolve) => {
       setTimeout(resolve, 50);
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -25,6 +25,9 @@
 /** The longest that the end of a kept turn waits for the log. */
 const LONGEST_KEEP_MS = 3_000;
 
+/** The part of a call's time kept back from records, in which the end of its answer is sent. */
+const END_MARGIN_MS = 100;
+
 /** When callers of a pool that is full or without targets may come back. */
 const COME_BACK_MS = 300;
 
@@ -50,6 +53,11 @@
   readonly tokensPerEvent: number;
   /** Until then nothing may be handed to the caller; nothing when that is so from the start. */
   readonly covered: Promise<boolean> | undefined;
+  /**
+   * Has what a kept turn handed out put on record before its end is sent, so that a program that
+   * goes on from it finds the rest of its budget. Resolves at the latest after the time.
+   */
+  readonly recordUse: (tokens: number, timeoutMs: clock.Milliseconds) => Promise<unknown>;
 }
 
 /** How a stream has ended. */
@@ -251,16 +259,18 @@
   private async keepTurn(): Promise<void> {
     const { clock: time, turns: store } = this.parts;
     const { call, deadline, route, workspace } = this.context;
-    const kept = await store.keep(
-      {
-        id: call.id,
-        previous: call.place?.previousTurn,
-        workspace: workspace?.name ?? '',
-        content: Buffer.concat([call.body, ...this.output]),
-        retentionMs: route.retentionMs,
-      },
-      Math.min(LONGEST_KEEP_MS, deadline - time.now()),
-    );
+    const timeoutMs = Math.min(LONGEST_KEEP_MS, deadline - time.now());
+    const turn = {
+      id: call.id,
+      previous: call.place?.previousTurn,
+      workspace: workspace?.name ?? '',
+      content: Buffer.concat([call.body, ...this.output]),
+      retentionMs: route.retentionMs,
+    };
+    const [kept] = await Promise.all([
+      store.keep(turn, timeoutMs),
+      this.plan.recordUse(this.tokensSent, timeoutMs - END_MARGIN_MS),
+    ]);
     if (this.isOver) return;
     if (kept.isOk) {
       this.complete(true);
@@ -353,7 +363,10 @@
     this.isOver = true;
     this.timer?.cancel();
     this.silence?.cancel();
-    const tokens = this.eventsSent * this.plan.tokensPerEvent;
-    this.resolve({ tokens, isComplete, isKept });
+    this.resolve({ tokens: this.tokensSent, isComplete, isKept });
+  }
+
+  private get tokensSent(): number {
+    return this.eventsSent * this.plan.tokensPerEvent;
   }
 }
--- a/packages/program-homes/src/HomeClient.ts
+++ b/packages/program-homes/src/HomeClient.ts
@@ -18,8 +18,11 @@
 /** Homes that are asked for one reservation, one after the other. */
 const ATTEMPTS = 3;
 
-/** Time for a settlement to be taken. */
-const SETTLE_TIMEOUT_MS = 1_000;
+/** Time for a settlement to be taken: above the wait of a home for the record of a kept turn. */
+const SETTLE_TIMEOUT_MS = 1_300;
+
+/** Time between two questions whether the log counts no more for a kept turn. */
+const SETTLE_INTERVAL_MS = 100;
 
 /** Faults with which a home says that another one is to be asked. */
 const ELSEWHERE: ReadonlySet<errors.ErrorKind> = new Set(['shutting-down', 'not-owner']);
@@ -81,18 +84,48 @@
 
   /** @inheritdoc */
   public settle(settlement: Settlement): void {
-    const { network, server } = this.options;
     const address = this.grantedBy.get(settlement.call);
     this.grantedBy.delete(settlement.call);
-    if (address === undefined) return;
-    if (address === network.self.address) {
-      server.settle(settlement, network.self.address);
-      return;
+    if (address !== undefined) this.settleAt(address, settlement, SETTLE_TIMEOUT_MS);
+  }
+
+  /** @inheritdoc */
+  public async settleKept(settlement: Settlement, timeoutMs: clock.Milliseconds): Promise<boolean> {
+    const { clock: time } = this.options;
+    const address = this.grantedBy.get(settlement.call);
+    this.grantedBy.delete(settlement.call);
+    if (address === undefined) return false;
+    const latest = time.now() + timeoutMs;
+    let isRecorded: boolean | undefined = false;
+    // A home that waits for the log says so from time to time.
+    while (isRecorded === false && time.now() < latest) {
+      const startedAt = time.now();
+      const patience = Math.min(SETTLE_TIMEOUT_MS, latest - startedAt);
+      isRecorded = await this.settleAt(address, settlement, patience);
+      const pause = SETTLE_INTERVAL_MS - (time.now() - startedAt);
+      if (isRecorded === false && pause > 0) await time.sleep(pause);
     }
-    const options = { timeoutMs: SETTLE_TIMEOUT_MS };
-    network
-      .request(address, messages.SETTLE, settlement, options)
-      .then((result) => this.noteSettled(settlement, result));
+    return isRecorded ?? false;
+  }
+
+  /** Nothing when the home does not answer. */
+  private async settleAt(
+    address: string,
+    settlement: Settlement,
+    timeoutMs: clock.Milliseconds,
+  ): Promise<boolean | undefined> {
+    const { network, server } = this.options;
+    if (address === network.self.address) return server.settle(settlement, address);
+    const options = { timeoutMs };
+    const result = await network.request(address, messages.SETTLE, settlement, options);
+    if (result.isOk) return result.value.isRecorded;
+    // The home counts the whole reservation in its place.
+    this.options.logger.warn('A turn could not be settled.', {
+      request: settlement.call,
+      program: settlement.program,
+      reason: result.error.message,
+    });
+    return undefined;
   }
 
   private async reserveAt(
@@ -131,16 +164,6 @@
     });
   }
 
-  private noteSettled(settlement: Settlement, result: wire.PeerResult<unknown>): void {
-    if (result.isOk) return;
-    // The home counts the whole reservation in its place.
-    this.options.logger.warn('A turn could not be settled.', {
-      request: settlement.call,
-      program: settlement.program,
-      reason: result.error.message,
-    });
-  }
-
   private homesOf(program: string): readonly string[] {
     const { membership: members, partitionCount } = this.options;
     const partition = keyedLog.partitionOf(program, partitionCount);
--- a/packages/program-homes/src/HomePartition.property.test.ts
+++ b/packages/program-homes/src/HomePartition.property.test.ts
@@ -12,7 +12,12 @@
 
 /** One step of a run. */
 type Step =
-  | { readonly kind: 'turn'; readonly home: number; readonly share: number }
+  | {
+      readonly kind: 'turn';
+      readonly home: number;
+      readonly share: number;
+      readonly isKept: boolean;
+    }
   | { readonly kind: 'vanish' | 'release'; readonly home: number }
   | { readonly kind: 'outage' | 'losing' | 'working' | 'compact' | 'pause' };
 
@@ -25,6 +30,7 @@
       kind: fastCheck.constant('turn' as const),
       home: HOME,
       share: fastCheck.integer({ min: 0, max: TURN }),
+      isKept: fastCheck.boolean(),
     }),
   },
   {
@@ -80,7 +86,11 @@
   };
   const homes = Array.from({ length: HOMES }, open);
 
-  const runTurn = async (home: homePartition.HomePartition, share: number): Promise<void> => {
+  const runTurn = async (
+    home: homePartition.HomePartition,
+    share: number,
+    isKept: boolean,
+  ): Promise<void> => {
     calls += 1;
     const call = `call-${calls}`;
     const request = { program: 'p', call, budgetTokens: BUDGET, mostTokens: TURN };
@@ -90,13 +100,13 @@
     const isCovered = granted.value.isCovered || (await coveredSoon(home, request));
     const tokens = isCovered ? share : 0;
     handedOut += tokens;
-    home.settle({ program: 'p', call, tokens, isKept: false }, 'here');
+    home.settle({ program: 'p', call, tokens, isKept: isKept && isCovered }, 'here');
   };
 
   const take = async (step: Step): Promise<void> => {
     switch (step.kind) {
       case 'turn':
-        await runTurn(homes[step.home]!, step.share);
+        await runTurn(homes[step.home]!, step.share, step.isKept);
         break;
       case 'vanish':
         homes[step.home]!.dispose();
--- a/packages/program-homes/src/HomePartition.test.ts
+++ b/packages/program-homes/src/HomePartition.test.ts
@@ -118,6 +118,36 @@
     }
   });
 
+  test('a kept turn counts with what it used once its end may be sent, though its home vanishes', async () => {
+    const log = homeFixtures.createLog();
+    const used = TURN / 5;
+    for (let turn = 0; turn < 10; turn += 1) {
+      const home = homeFixtures.createPartition({ log, producer: `home-${turn}` });
+      const request = reservation(`${turn}`);
+      expect((await home.reserve(request)).isOk).toBe(true);
+      expect(await home.cover(request)).toBe(true);
+      const settlement = { program: 'p', call: `${turn}`, tokens: used, isKept: true };
+      expect(await home.settle(settlement, 'here')).toBe(true);
+      home.dispose();
+    }
+  });
+
+  test('parallel turns that are kept count with what they used', async () => {
+    const log = homeFixtures.createLog();
+    const first = homeFixtures.createPartition({ log, producer: 'first' });
+    const calls = ['a', 'b', 'c', 'd'];
+    for (const call of calls) expect((await first.reserve(reservation(call))).isOk).toBe(true);
+    await Promise.all(calls.map((call) => first.cover(reservation(call))));
+    await Promise.all(
+      calls.map((call) => first.settle({ program: 'p', call, tokens: 20, isKept: true }, 'here')),
+    );
+    first.dispose();
+    const second = homeFixtures.createPartition({ log, producer: 'second' });
+    for (const call of ['e', 'f']) {
+      expect((await second.reserve(reservation(call))).isOk).toBe(true);
+    }
+  });
+
   test('a watermark that is being lowered covers nothing above it', async () => {
     const log = homeFixtures.createLog();
     const home = homeFixtures.createPartition({ log, producer: 'home' });
--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -112,13 +112,34 @@
     return this.written(() => account.isCovered, WRITE_WAIT_MS);
   }
 
-  /** Gives back what a turn has not used. */
-  public settle(settlement: Settlement, writer: string): void {
-    const account = this.accounts.get(settlement.program);
-    if (account === undefined) return;
-    account.settle(settlement.call, settlement.tokens, this.options.clock.now());
-    if (account.hasSurplus) this.noteSurplus(settlement.program);
-    if (settlement.isKept) account.noteWriter(settlement.call, writer);
+  /**
+   * Gives back what a turn has not used. For a turn that is kept, resolves when the log counts no
+   * more for it, so that a program that goes on from it later finds its budget; false when that
+   * takes too long. Nothing when the program is unknown here.
+   */
+  public async settle(settlement: Settlement, writer: string): Promise<boolean | undefined> {
+    const { call, isKept, program, tokens } = settlement;
+    const account = this.accounts.get(program);
+    if (account === undefined) return undefined;
+    account.settle(call, tokens, this.options.clock.now());
+    if (!isKept) {
+      if (account.hasSurplus) this.noteSurplus(program);
+      return true;
+    }
+    account.noteWriter(call, writer);
+    if (account.watermark > account.committedTokens) this.lower(program, account);
+    return this.written(() => !this.wanted.has(program), WRITE_WAIT_MS);
+  }
+
+  private lower(program: string, account: programAccount.ProgramAccount): void {
+    // From here on the former watermark covers nothing, because the log may lose it any moment.
+    account.noteLowering(account.committedTokens);
+    this.want(program, account.committedTokens);
+  }
+
+  private want(program: string, watermark: number): void {
+    this.wanted.set(program, watermark);
+    if (!this.isWriting) this.write();
   }
 
   /** Writes what has really been used, so that the next owner counts no more, and lets go. */
@@ -158,13 +179,8 @@
         return;
       }
       this.surplus.delete(program);
-      if (account?.hasSurplus) {
-        // From here on the former watermark covers nothing, because the log may lose it any moment.
-        account.noteWritten(account.committedTokens);
-        this.wanted.set(program, account.committedTokens);
-      }
+      if (account?.hasSurplus) this.lower(program, account);
     });
-    if (this.wanted.size > 0 && !this.isWriting) this.write();
   }
 
   /** Writes no more. What the log does not hold yet counts for the next owner by its watermark. */
@@ -187,13 +203,12 @@
     turnTokens: number,
     budgetTokens: number,
   ): void {
-    if (account.committedTokens + turnTokens <= account.watermark) return;
+    if (account.committedTokens + turnTokens <= account.covered) return;
     const ahead = account.committedTokens + TURNS_AHEAD * turnTokens;
     // What is ahead leaves room for one more turn, so that no later home ends a program for it.
     const watermark = Math.max(account.committedTokens, Math.min(ahead, budgetTokens - turnTokens));
-    if (watermark <= account.watermark) return;
-    this.wanted.set(program, Math.max(watermark, this.wanted.get(program) ?? 0));
-    if (!this.isWriting) this.write();
+    if (watermark <= account.covered) return;
+    this.want(program, Math.max(watermark, this.wanted.get(program) ?? 0));
   }
 
   /** Waits until a condition holds that only writes can bring about. */
@@ -251,8 +266,8 @@
   }
 
   private noteWritten(program: string, watermark: number): void {
-    this.accounts.get(program)?.noteWritten(watermark);
     if (this.wanted.get(program) === watermark) this.wanted.delete(program);
+    this.accounts.get(program)?.noteWritten(watermark, this.wanted.get(program));
   }
 
   /** Another owner has written: what it may have handed out counts as spent. */
@@ -289,6 +304,7 @@
     if (state.isErr) return false;
     state.value.records.forEach((record) => this.takeRecord(record));
     this.end = state.value.endOffset;
+    this.wakeWaiters();
     return true;
   }
 
--- a/packages/program-homes/src/HomeServer.ts
+++ b/packages/program-homes/src/HomeServer.ts
@@ -56,8 +56,9 @@
     );
     this.store.add(
       network.serve(messages.SETTLE, async (request, from) => {
-        this.settle(request, from.address);
-        return trueMyth.Result.ok({});
+        const isRecorded = await this.settle(request, from.address);
+        if (isRecorded === undefined) return trueMyth.Result.err(errors.createFault('not-owner'));
+        return trueMyth.Result.ok({ isRecorded });
       }),
     );
     this.store.add(
@@ -100,9 +101,13 @@
     return this.partitions.get(this.indexOf(reservation.program))?.cover(reservation);
   }
 
-  /** Ends a turn's reservation. */
-  public settle(settlement: Settlement, writer: string): void {
-    this.partitions.get(this.indexOf(settlement.program))?.settle(settlement, writer);
+  /**
+   * Ends a turn's reservation. For a kept turn, resolves when the log counts no more for it than
+   * what it used, or with false when that takes too long. Nothing when the partition has gone
+   * elsewhere since.
+   */
+  public async settle(settlement: Settlement, writer: string): Promise<boolean | undefined> {
+    return this.partitions.get(this.indexOf(settlement.program))?.settle(settlement, writer);
   }
 
   /** Lets go of all partitions; the next owners count what has really been used. */
--- a/packages/program-homes/src/ProgramAccount.ts
+++ b/packages/program-homes/src/ProgramAccount.ts
@@ -22,15 +22,19 @@
 
   private reservedTokens = 0;
 
+  /** Up to where the log certainly covers: below the watermark while that is being lowered. */
+  private coveredTokens: number;
+
   private usedAt: clock.Milliseconds;
 
   public constructor(
     /** Tokens that have been handed out, as far as this home knows, or more. */
     private spentTokens: number,
     /** The watermark in the log. */
-    private writtenTokens: number,
+    private loggedTokens: number,
     now: clock.Milliseconds,
   ) {
+    this.coveredTokens = loggedTokens;
     this.usedAt = now;
   }
 
@@ -41,7 +45,12 @@
 
   /** The watermark in the log. */
   public get watermark(): number {
-    return this.writtenTokens;
+    return this.loggedTokens;
+  }
+
+  /** What may be handed out in all, by what the log will certainly hold. */
+  public get covered(): number {
+    return this.coveredTokens;
   }
 
   /** When the account was last used. */
@@ -80,17 +89,23 @@
 
   /** Whether the log holds all that may have been handed out. */
   public get isCovered(): boolean {
-    return this.committedTokens <= this.writtenTokens;
+    return this.committedTokens <= this.coveredTokens;
   }
 
   /** Whether the watermark stands above what was handed out, and no turn is under way. */
   public get hasSurplus(): boolean {
-    return this.reservations.size === 0 && this.writtenTokens > this.spentTokens;
+    return this.reservations.size === 0 && this.loggedTokens > this.spentTokens;
+  }
+
+  /** Notes that the log may hold a lower watermark from here on. */
+  public noteLowering(watermark: number): void {
+    this.coveredTokens = Math.min(this.coveredTokens, watermark);
   }
 
-  /** Notes that the log holds a watermark. */
-  public noteWritten(watermark: number): void {
-    this.writtenTokens = watermark;
+  /** Notes that the log holds a watermark; another one may be on its way there. */
+  public noteWritten(watermark: number, next: number = watermark): void {
+    this.loggedTokens = watermark;
+    this.coveredTokens = Math.min(watermark, next);
   }
 
   public noteWriter(turn: string, address: string): void {
--- a/packages/program-homes/src/Types.ts
+++ b/packages/program-homes/src/Types.ts
@@ -1,3 +1,4 @@
+import type * as clock from '@limpettack/clock';
 import type * as errors from '@limpettack/errors';
 import type * as trueMyth from 'true-myth';
 
@@ -46,4 +47,9 @@
   cover(reservation: Reservation): Promise<boolean>;
   /** Gives back what the turn has not used. */
   settle(settlement: Settlement): void;
+  /**
+   * Gives back what a kept turn has not used, and resolves when the log counts no more for it.
+   * False when the time is over before, or when the home cannot be reached.
+   */
+  settleKept(settlement: Settlement, timeoutMs: clock.Milliseconds): Promise<boolean>;
 }
--- a/packages/program-homes/src/messages.ts
+++ b/packages/program-homes/src/messages.ts
@@ -27,6 +27,9 @@
 
 const RELEASE = zod.object({ partition: zod.number() });
 
+/** Whether the log counts no more for a turn than what it used. */
+const SETTLED = zod.object({ isRecorded: zod.boolean() });
+
 const NOTHING = zod.object({});
 
 /** Sets tokens of a program's budget aside. */
@@ -47,10 +50,10 @@
 };
 
 /** Reports how a turn ended. */
-export const SETTLE: wire.PeerMethod<zod.infer<typeof SETTLEMENT>, zod.infer<typeof NOTHING>> = {
+export const SETTLE: wire.PeerMethod<zod.infer<typeof SETTLEMENT>, zod.infer<typeof SETTLED>> = {
   name: 'home.settle',
   request: SETTLEMENT,
-  response: NOTHING,
+  response: SETTLED,
 };
 
 /** Asks the former owner of a partition to write what it has not used and to let go. */
