Name the turns under way in the record of a program, so that a later home can settle them

Change: the record of a watermark names the turns whose reservations it holds. A later home takes them over by name, so the same turn counts once and any home can settle it. What another home could free by a record is not handed out again without a new one. Settlements are sent until an owner takes them, and again when the partition moves soon after; a reservation whose answer was lost is given back. Tests: three of HomePartition and two of HomeClient, and the random runs now lose answers to reservations and settle at several homes.

--- a/packages/program-homes/src/HomeClient.test.ts
+++ b/packages/program-homes/src/HomeClient.test.ts
@@ -56,6 +56,36 @@
     while (!isCovered) isCovered = await fleet.clients[1]!.cover(request);
     expect(isCovered).toBe(true);
   });
+
+  test('a turn is settled by the next owner when its home has gone', async () => {
+    const fleet = await createFleet(3);
+    const program = fleet.programOwnedBy(0);
+    const small = { ...reservation(program, 'a'), budgetTokens: 150 };
+    await fleet.clients[1]!.reserve(small);
+    await fleet.clients[1]!.cover(small);
+    await fleet.networks[0]!.dispose();
+    [1, 2].forEach((from) => fleet.hide({ from, member: 0 }));
+    fleet.clients[1]!.settle({ program, call: 'a', tokens: 0, isKept: false });
+    await homeFixtures.until(
+      async () => (await fleet.clients[2]!.reserve({ ...small, call: 'b' })).isOk,
+    );
+  });
+
+  test('a settlement is told again to an owner that came after the one that took it', async () => {
+    const fleet = await createFleet(3);
+    const program = fleet.programOwnedBy(0);
+    const small = { ...reservation(program, 'a'), budgetTokens: 150 };
+    await fleet.clients[1]!.reserve(small);
+    await fleet.clients[1]!.cover(small);
+    fleet.hide({ from: 2, member: 0 });
+    const early = await fleet.clients[2]!.reserve({ ...small, call: 'b' });
+    expect(early.isErr && early.error.kind).toBe('budget-exhausted');
+    await fleet.clients[1]!.settleKept({ program, call: 'a', tokens: 0, isKept: true }, 1_000);
+    fleet.hide({ from: 1, member: 0 });
+    await homeFixtures.until(
+      async () => (await fleet.clients[2]!.reserve({ ...small, call: 'b' })).isOk,
+    );
+  });
 });
 
 function reservation(program: string, call: string): Reservation {
--- a/packages/program-homes/src/HomeClient.ts
+++ b/packages/program-homes/src/HomeClient.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
 import * as keyedLog from '@limpettack/keyed-log';
+import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import type * as membership from '@limpettack/membership';
 import * as wire from '@limpettack/wire';
@@ -21,7 +22,13 @@
 /** Time for a settlement to be taken: above the wait of a home for the record of a kept turn. */
 const SETTLE_TIMEOUT_MS = 1_300;
 
-/** Time between two questions whether the log counts no more for a kept turn. */
+/** A settlement that no home takes within this time is given up: new homes serve long before. */
+const DELIVERY_MS = 6_000;
+
+/** Above the time in which all members learn of a new one. */
+const REMEMBERED_MS = 3_000;
+
+/** Time between two attempts to settle. */
 const SETTLE_INTERVAL_MS = 100;
 
 /** Faults with which a home says that another one is to be asked. */
@@ -34,24 +41,43 @@
 export interface HomeClientOptions {
   readonly server: homeServer.HomeServer;
   readonly network: wire.PeerNetwork;
-  readonly membership: Pick<membership.Membership, 'available'>;
+  readonly membership: Pick<membership.Membership, 'available' | 'onChange'>;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
   readonly partitionCount: number;
 }
 
+/** A settlement that a home has taken. */
+interface Delivered {
+  readonly settlement: Settlement;
+  readonly address: string;
+  readonly at: clock.Milliseconds;
+}
+
 /** Reserves and settles at the home of each program. */
-export class HomeClient implements ProgramBudgets {
+export class HomeClient implements ProgramBudgets, lifetime.Disposable {
   /** The homes that granted the reservations of the calls under way. */
   private readonly grantedBy = new Map<string, string>();
 
-  public constructor(private readonly options: HomeClientOptions) {}
+  private delivered: Delivered[] = [];
+
+  private readonly changes: lifetime.Disposable;
+
+  public constructor(private readonly options: HomeClientOptions) {
+    this.changes = options.membership.onChange(() => this.deliverAgain());
+  }
+
+  /** @inheritdoc */
+  public dispose(): void {
+    this.changes.dispose();
+  }
 
   /** @inheritdoc */
   public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
     const [first, second] = this.homesOf(reservation.program);
     let address = first;
     let isInsisting = false;
+    let maybeHeldBy: string | undefined;
     for (let attempt = 0; attempt < ATTEMPTS && address !== undefined; attempt += 1) {
       const result = await this.reserveAt(address, reservation, isInsisting);
       if (result.isOk) {
@@ -59,7 +85,11 @@
         return trueMyth.Result.ok(result.value);
       }
       const { fault, message } = result.error;
-      if (fault !== undefined && !ELSEWHERE.has(fault.kind)) return trueMyth.Result.err(fault);
+      if (fault === undefined) maybeHeldBy = address;
+      else if (!ELSEWHERE.has(fault.kind)) {
+        this.giveBack(reservation, maybeHeldBy);
+        return trueMyth.Result.err(fault);
+      }
       this.logElsewhere(reservation, address, message);
       const owner = fault?.details?.[homeServer.OWNER_DETAIL];
       // A home that takes another one for the owner names it. Where that fails, one of the two that
@@ -68,6 +98,7 @@
       if (typeof owner === 'string') address = owner;
       else address = address === first ? (second ?? first) : first;
     }
+    this.giveBack(reservation, maybeHeldBy);
     const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs: COME_BACK_MS };
     return trueMyth.Result.err(errors.createFault('home-unavailable', undefined, overrides));
   }
@@ -84,45 +115,74 @@
 
   /** @inheritdoc */
   public settle(settlement: Settlement): void {
-    const address = this.grantedBy.get(settlement.call);
-    this.grantedBy.delete(settlement.call);
-    if (address !== undefined) this.settleAt(address, settlement, SETTLE_TIMEOUT_MS);
+    if (this.grantedBy.has(settlement.call)) this.deliver(settlement);
   }
 
   /** @inheritdoc */
   public async settleKept(settlement: Settlement, timeoutMs: clock.Milliseconds): Promise<boolean> {
+    if (!this.grantedBy.has(settlement.call)) return false;
+    const isLate = this.options.clock.sleep(Math.max(0, timeoutMs)).then(() => false);
+    return Promise.race([this.deliver(settlement), isLate]);
+  }
+
+  /** Settles a turn that is not sent, at a home that may have set tokens aside for it. */
+  private giveBack({ call, program }: Reservation, address: string | undefined): void {
+    if (address === undefined) return;
+    this.grantedBy.set(call, address);
+    this.deliver({ program, call, tokens: 0, isKept: false });
+  }
+
+  /** Has a settlement taken by the program's home, whichever that is; false when none does. */
+  private async deliver(settlement: Settlement): Promise<boolean> {
     const { clock: time } = this.options;
-    const address = this.grantedBy.get(settlement.call);
-    this.grantedBy.delete(settlement.call);
-    if (address === undefined) return false;
-    const latest = time.now() + timeoutMs;
-    let isRecorded: boolean | undefined = false;
-    // A home that waits for the log says so from time to time.
-    while (isRecorded === false && time.now() < latest) {
+    const { call, program } = settlement;
+    let address = this.grantedBy.get(call) ?? this.homesOf(program)[0];
+    this.grantedBy.delete(call);
+    const latest = time.now() + DELIVERY_MS;
+    while (address !== undefined && time.now() < latest) {
       const startedAt = time.now();
-      const patience = Math.min(SETTLE_TIMEOUT_MS, latest - startedAt);
-      isRecorded = await this.settleAt(address, settlement, patience);
+      const isRecorded = await this.settleAt(address, settlement);
+      if (isRecorded === true) {
+        this.remember(settlement, address);
+        return true;
+      }
       const pause = SETTLE_INTERVAL_MS - (time.now() - startedAt);
-      if (isRecorded === false && pause > 0) await time.sleep(pause);
+      if (pause > 0) await time.sleep(pause);
+      // A home that waits for the log says so; one that does not serve may be none any more.
+      if (isRecorded === undefined) [address] = this.homesOf(program);
     }
-    return isRecorded ?? false;
+    // The home counts the whole reservation in its place.
+    this.options.logger.warn('A turn could not be settled.', { request: call, program });
+    return false;
+  }
+
+  private remember(settlement: Settlement, address: string): void {
+    const horizon = this.options.clock.now() - REMEMBERED_MS;
+    this.delivered = this.delivered.filter(({ at }) => at > horizon);
+    this.delivered.push({ settlement, address, at: this.options.clock.now() });
+  }
+
+  /** Tells a new owner, which may have read the log before the former one wrote what it heard. */
+  private deliverAgain(): void {
+    const horizon = this.options.clock.now() - REMEMBERED_MS;
+    const isMoved = ({ address, at, settlement }: Delivered): boolean =>
+      at > horizon && this.homesOf(settlement.program)[0] !== address;
+    const moved = this.delivered.filter(isMoved);
+    this.delivered = this.delivered.filter((entry) => !moved.includes(entry));
+    moved.forEach(({ settlement }) => this.deliver(settlement));
   }
 
   /** Nothing when the home does not answer. */
-  private async settleAt(
-    address: string,
-    settlement: Settlement,
-    timeoutMs: clock.Milliseconds,
-  ): Promise<boolean | undefined> {
+  private async settleAt(address: string, settlement: Settlement): Promise<boolean | undefined> {
     const { network, server } = this.options;
     if (address === network.self.address) return server.settle(settlement, address);
-    const options = { timeoutMs };
+    const options = { timeoutMs: SETTLE_TIMEOUT_MS };
     const result = await network.request(address, messages.SETTLE, settlement, options);
     if (result.isOk) return result.value.isRecorded;
-    // The home counts the whole reservation in its place.
-    this.options.logger.warn('A turn could not be settled.', {
+    this.options.logger.info('A home did not settle a turn.', {
       request: settlement.call,
       program: settlement.program,
+      peer: address,
       reason: result.error.message,
     });
     return undefined;
--- a/packages/program-homes/src/HomePartition.property.test.ts
+++ b/packages/program-homes/src/HomePartition.property.test.ts
@@ -10,14 +10,21 @@
 const BUDGET = 500;
 const HOMES = 3;
 
+/** A turn at a home. */
+interface Turn {
+  readonly kind: 'turn';
+  readonly home: number;
+  readonly share: number;
+  readonly isKept: boolean;
+  /** A home whose answer to the reservation was lost. */
+  readonly asked: number | undefined;
+  /** A home that hears of the end as well. */
+  readonly told: number | undefined;
+}
+
 /** One step of a run. */
 type Step =
-  | {
-      readonly kind: 'turn';
-      readonly home: number;
-      readonly share: number;
-      readonly isKept: boolean;
-    }
+  | Turn
   | { readonly kind: 'vanish' | 'release'; readonly home: number }
   | { readonly kind: 'outage' | 'losing' | 'working' | 'compact' | 'pause' };
 
@@ -31,6 +38,8 @@
       home: HOME,
       share: fastCheck.integer({ min: 0, max: TURN }),
       isKept: fastCheck.boolean(),
+      asked: fastCheck.option(HOME, { nil: undefined }),
+      told: fastCheck.option(HOME, { nil: undefined }),
     }),
   },
   {
@@ -66,7 +75,7 @@
           expect(run.handedOut()).toBeLessThanOrEqual(BUDGET);
         },
       ),
-      { seed: 11, numRuns: 40 },
+      { seed: 11, numRuns: 60 },
     );
   }, 60_000);
 });
@@ -86,27 +95,27 @@
   };
   const homes = Array.from({ length: HOMES }, open);
 
-  const runTurn = async (
-    home: homePartition.HomePartition,
-    share: number,
-    isKept: boolean,
-  ): Promise<void> => {
+  const runTurn = async ({ asked, home: index, isKept, share, told }: Turn): Promise<void> => {
+    const home = homes[index]!;
     calls += 1;
     const call = `call-${calls}`;
     const request = { program: 'p', call, budgetTokens: BUDGET, mostTokens: TURN };
+    if (asked !== undefined) await homes[asked]!.reserve(request);
     const granted = await home.reserve(request);
     if (granted.isErr) return;
     // A turn whose record takes too long is given up by its caller, with nothing handed out.
     const isCovered = granted.value.isCovered || (await coveredSoon(home, request));
     const tokens = isCovered ? share : 0;
     handedOut += tokens;
-    home.settle({ program: 'p', call, tokens, isKept: isKept && isCovered }, 'here');
+    const settlement = { program: 'p', call, tokens, isKept: isKept && isCovered };
+    home.settle(settlement, 'here');
+    if (told !== undefined) homes[told]!.settle(settlement, 'here');
   };
 
   const take = async (step: Step): Promise<void> => {
     switch (step.kind) {
       case 'turn':
-        await runTurn(homes[step.home]!, step.share, step.isKept);
+        await runTurn(step);
         break;
       case 'vanish':
         homes[step.home]!.dispose();
--- a/packages/program-homes/src/HomePartition.test.ts
+++ b/packages/program-homes/src/HomePartition.test.ts
@@ -148,6 +148,45 @@
     }
   });
 
+  test('a turn whose first home did not answer counts once at the next one', async () => {
+    const log = homeFixtures.createLog();
+    const small = { ...reservation('a'), budgetTokens: 1.5 * TURN };
+    const first = homeFixtures.createPartition({ log, producer: 'first' });
+    await first.reserve(small);
+    await homeFixtures.settleWrites();
+    const second = homeFixtures.createPartition({ log, producer: 'second' });
+    const again = await second.reserve(small);
+    expect(again.isOk && again.value.isCovered).toBe(true);
+  });
+
+  test('a later home settles a turn that a former one set tokens aside for', async () => {
+    const log = homeFixtures.createLog();
+    const small = { ...reservation('a'), budgetTokens: 1.5 * TURN };
+    const first = homeFixtures.createPartition({ log, producer: 'first' });
+    await first.reserve(small);
+    await homeFixtures.settleWrites();
+    first.dispose();
+    const second = homeFixtures.createPartition({ log, producer: 'second' });
+    await second.settle({ program: 'p', call: 'a', tokens: 0, isKept: false }, 'here');
+    expect((await second.reserve({ ...small, call: 'b' })).isOk).toBe(true);
+  });
+
+  test('what a later home may free is not handed out again without a record', async () => {
+    const log = homeFixtures.createLog();
+    const first = homeFixtures.createPartition({ log, producer: 'first' });
+    await first.reserve(reservation('a'));
+    await first.cover(reservation('a'));
+    log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
+    const settlement = { program: 'p', call: 'a', tokens: 0, isKept: false };
+    await first.settle(settlement, 'here');
+    // One turn was written ahead; a second one could only use what the first one gave back.
+    const ahead = await first.reserve(reservation('b'));
+    const beyond = await first.reserve(reservation('c'));
+    expect(ahead.isOk && ahead.value.isCovered).toBe(true);
+    expect(beyond.isOk && beyond.value.isCovered).toBe(false);
+    log.outage = undefined;
+  });
+
   test('a watermark that is being lowered covers nothing above it', async () => {
     const log = homeFixtures.createLog();
     const home = homeFixtures.createPartition({ log, producer: 'home' });
--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -51,6 +51,15 @@
   timer?: clock.Timer;
 }
 
+/** A record on its way to the log. */
+interface PendingRecord {
+  /** The watermark that was asked for. */
+  readonly wanted: number;
+  /** The watermark in the record. */
+  readonly watermark: number;
+  readonly value: Uint8Array;
+}
+
 /**
  * The accounts of the programs of one partition. Appends expect the end that this process knows,
  * so that no record of another owner can be overlooked: on a conflict all is read again.
@@ -81,7 +90,7 @@
   private sequence = 0;
 
   /** The records of an append that may have taken effect. */
-  private unanswered: ReadonlyMap<string, number> | undefined;
+  private unanswered: ReadonlyMap<string, PendingRecord> | undefined;
 
   public constructor(private readonly options: HomePartitionOptions) {}
 
@@ -92,7 +101,7 @@
     if (this.isClosed) return trueMyth.Result.err(errors.createFault('not-owner'));
     const { budgetTokens, call, mostTokens, previousTurn, program } = reservation;
     const account = this.account(program);
-    if (!account.holds(mostTokens, budgetTokens, time.now())) {
+    if (!account.holds(call, mostTokens, budgetTokens, time.now())) {
       return trueMyth.Result.err(this.exhausted(reservation, account));
     }
     account.reserve(call, mostTokens, time.now());
@@ -115,12 +124,12 @@
   /**
    * Gives back what a turn has not used. For a turn that is kept, resolves when the log counts no
    * more for it, so that a program that goes on from it later finds its budget; false when that
-   * takes too long. Nothing when the program is unknown here.
+   * takes too long. Nothing when the partition cannot be read, or has been let go.
    */
   public async settle(settlement: Settlement, writer: string): Promise<boolean | undefined> {
     const { call, isKept, program, tokens } = settlement;
-    const account = this.accounts.get(program);
-    if (account === undefined) return undefined;
+    if (!(await this.ensureLoaded()) || this.isClosed) return undefined;
+    const account = this.account(program);
     account.settle(call, tokens, this.options.clock.now());
     if (!isKept) {
       if (account.hasSurplus) this.noteSurplus(program);
@@ -149,9 +158,7 @@
     this.tightening?.cancel();
     if (this.end === undefined) return;
     this.accounts.forEach((account, program) => {
-      if (account.watermark > account.committedTokens) {
-        this.wanted.set(program, account.committedTokens);
-      }
+      if (account.isLoggedLoosely) this.wanted.set(program, account.committedTokens);
     });
     if (this.wanted.size === 0) return;
     if (!this.isWriting) await this.write();
@@ -192,7 +199,10 @@
   private account(program: string): programAccount.ProgramAccount {
     const known = this.accounts.get(program);
     if (known !== undefined) return known;
-    const account = new programAccount.ProgramAccount(0, 0, this.options.clock.now());
+    const account = new programAccount.ProgramAccount(
+      programAccount.NOTHING_LOGGED,
+      this.options.clock.now(),
+    );
     this.accounts.set(program, account);
     return account;
   }
@@ -240,11 +250,8 @@
   }
 
   private async writeBatch(): Promise<void> {
-    const batch = this.unanswered ?? new Map(this.wanted);
-    const records = [...batch].map(([key, watermark]) => ({
-      key,
-      value: watermarkRecord.encodeWatermark({ watermark, writer: this.options.producer }),
-    }));
+    const batch = this.unanswered ?? this.createBatch();
+    const records = [...batch].map(([key, { value }]) => ({ key, value }));
     const result = await this.options.log.append(this.name, records, {
       identity: { producer: this.producer, sequence: this.sequence },
       expectedEnd: this.end,
@@ -253,7 +260,7 @@
     if (result.isOk) {
       this.sequence += 1;
       this.end = result.value.endOffset;
-      batch.forEach((watermark, program) => this.noteWritten(program, watermark));
+      batch.forEach((record, program) => this.noteWritten(program, record));
       this.wakeWaiters();
       return;
     }
@@ -265,8 +272,19 @@
     else if (!isRead) await this.options.clock.sleep(RETRY_MS);
   }
 
-  private noteWritten(program: string, watermark: number): void {
-    if (this.wanted.get(program) === watermark) this.wanted.delete(program);
+  private createBatch(): ReadonlyMap<string, PendingRecord> {
+    const writer = this.options.producer;
+    return new Map(
+      [...this.wanted].map(([program, wanted]) => {
+        const record = this.account(program).createRecord(wanted);
+        const value = watermarkRecord.encodeWatermark({ ...record, writer });
+        return [program, { wanted, watermark: record.watermark, value }];
+      }),
+    );
+  }
+
+  private noteWritten(program: string, { wanted, watermark }: PendingRecord): void {
+    if (this.wanted.get(program) === wanted) this.wanted.delete(program);
     this.accounts.get(program)?.noteWritten(watermark, this.wanted.get(program));
   }
 
@@ -315,13 +333,12 @@
       logger.error('A watermark in the log cannot be read.', { program: key });
       return;
     }
-    const { watermark, writer } = record;
     const known = this.accounts.get(key);
-    if (known !== undefined && writer === producer) {
-      this.noteWritten(key, watermark);
+    if (known !== undefined && record.writer === producer) {
+      known.noteFound(record.watermark);
       return;
     }
-    this.accounts.set(key, new programAccount.ProgramAccount(watermark, watermark, time.now()));
+    this.accounts.set(key, new programAccount.ProgramAccount(record, time.now()));
     this.wanted.delete(key);
   }
 
--- a/packages/program-homes/src/HomeServer.ts
+++ b/packages/program-homes/src/HomeServer.ts
@@ -84,9 +84,8 @@
     isInsisting: boolean,
   ): Promise<trueMyth.Result<Grant, errors.Fault>> {
     const index = this.indexOf(reservation.program);
-    const owner = rankOwners(index, this.options.membership.available())[0];
-    const isOther = owner !== undefined && owner.name !== this.options.network.self.name;
-    if (!this.partitions.has(index) && isOther && !isInsisting) {
+    const owner = this.ownerElsewhere(index);
+    if (!this.partitions.has(index) && owner !== undefined && !isInsisting) {
       const overrides = { details: { [OWNER_DETAIL]: owner.address } };
       return trueMyth.Result.err(errors.createFault('not-owner', undefined, overrides));
     }
@@ -103,11 +102,13 @@
 
   /**
    * Ends a turn's reservation. For a kept turn, resolves when the log counts no more for it than
-   * what it used, or with false when that takes too long. Nothing when the partition has gone
-   * elsewhere since.
+   * what it used, or with false when that takes too long. Nothing when another member is taken
+   * for the owner. A new owner settles what it finds in the log.
    */
   public async settle(settlement: Settlement, writer: string): Promise<boolean | undefined> {
-    return this.partitions.get(this.indexOf(settlement.program))?.settle(settlement, writer);
+    const index = this.indexOf(settlement.program);
+    if (!this.partitions.has(index) && this.ownerElsewhere(index) !== undefined) return undefined;
+    return this.partitionFor(index).settle(settlement, writer);
   }
 
   /** Lets go of all partitions; the next owners count what has really been used. */
@@ -121,6 +122,13 @@
     await this.store.dispose();
   }
 
+  /** The owner of a partition where that is another member. */
+  private ownerElsewhere(index: number): membership.Member | undefined {
+    const { membership: members, network } = this.options;
+    const owner = rankOwners(index, members.available())[0];
+    return owner?.name === network.self.name ? undefined : owner;
+  }
+
   private indexOf(program: string): number {
     return keyedLog.partitionOf(program, this.options.partitionCount);
   }
--- a/packages/program-homes/src/ProgramAccount.ts
+++ b/packages/program-homes/src/ProgramAccount.ts
@@ -1,4 +1,5 @@
 import type * as clock from '@limpettack/clock';
+import type * as watermarkRecord from './watermarkRecord.js';
 
 /** A turn that is not settled by then counts as if it had used all that it reserved. */
 const RESERVATION_MS = 15_000;
@@ -6,35 +7,52 @@
 /** The writers of the latest turns that are remembered for each program. */
 const WRITERS_KEPT = 64;
 
+/** What the log says of a program. */
+export type LoggedAccount = Pick<watermarkRecord.WatermarkRecord, 'open' | 'watermark'>;
+
+/** What the log says of a program that it does not know. */
+export const NOTHING_LOGGED: LoggedAccount = { watermark: 0, open: [] };
+
 interface OpenReservation {
   readonly tokens: number;
   readonly expiresAt: clock.Milliseconds;
+  /** Whether a record in the log may name it, so that another home may settle it too. */
+  isListed: boolean;
 }
 
 /**
  * The budget of one program. The watermark is in the log: it is a promise never to have handed out
- * more than that, so it is all that a later home needs to know.
+ * more than that, less what the turns that the record names turn out not to have used. So a later
+ * home needs to know no more, and may settle these turns like this one does.
  */
 export class ProgramAccount {
   private readonly reservations = new Map<string, OpenReservation>();
 
   private readonly writers = new Map<string, string>();
 
+  /** Tokens that have been handed out, as far as this home knows, or more. */
+  private spentTokens: number;
+
   private reservedTokens = 0;
 
-  /** Up to where the log certainly covers: below the watermark while that is being lowered. */
+  private loggedTokens: number;
+
+  /** Up to where the log certainly covers, whatever record it holds and whoever settles by it. */
   private coveredTokens: number;
 
+  /** What named turns did not use, by settlements since the latest record was made. */
+  private freedSinceRecord = 0;
+
   private usedAt: clock.Milliseconds;
 
-  public constructor(
-    /** Tokens that have been handed out, as far as this home knows, or more. */
-    private spentTokens: number,
-    /** The watermark in the log. */
-    private loggedTokens: number,
-    now: clock.Milliseconds,
-  ) {
-    this.coveredTokens = loggedTokens;
+  public constructor({ open, watermark }: LoggedAccount, now: clock.Milliseconds) {
+    open.forEach(({ call, tokens }) => {
+      this.reservations.set(call, { tokens, expiresAt: now + RESERVATION_MS, isListed: true });
+      this.reservedTokens += tokens;
+    });
+    this.spentTokens = Math.max(0, watermark - this.reservedTokens);
+    this.loggedTokens = watermark;
+    this.coveredTokens = watermark;
     this.usedAt = now;
   }
 
@@ -58,18 +76,41 @@
     return this.usedAt;
   }
 
-  /** Whether the budget holds one more turn. */
-  public holds(tokens: number, budgetTokens: number, now: clock.Milliseconds): boolean {
+  /** Whether the log holds all that may have been handed out. */
+  public get isCovered(): boolean {
+    return this.committedTokens <= this.coveredTokens;
+  }
+
+  /** Whether the watermark stands above what was handed out, and no turn is under way. */
+  public get hasSurplus(): boolean {
+    return this.reservations.size === 0 && this.loggedTokens > this.spentTokens;
+  }
+
+  /** Whether a new record would tell a later home more than the one in the log. */
+  public get isLoggedLoosely(): boolean {
+    if (this.loggedTokens > this.committedTokens) return true;
+    return [...this.reservations.values()].some(({ isListed }) => !isListed);
+  }
+
+  /** Whether the budget holds a turn beside all others. */
+  public holds(
+    call: string,
+    tokens: number,
+    budgetTokens: number,
+    now: clock.Milliseconds,
+  ): boolean {
     this.expire(now);
-    return this.committedTokens + tokens <= budgetTokens;
+    const own = this.reservations.get(call)?.tokens ?? 0;
+    return this.committedTokens - own + tokens <= budgetTokens;
   }
 
-  /** Sets tokens aside for a turn. */
+  /** Sets tokens aside for a turn, once. */
   public reserve(call: string, tokens: number, now: clock.Milliseconds): void {
     this.usedAt = now;
     const earlier = this.reservations.get(call);
     this.reservedTokens += tokens - (earlier?.tokens ?? 0);
-    this.reservations.set(call, { tokens, expiresAt: now + RESERVATION_MS });
+    const isListed = earlier?.isListed ?? false;
+    this.reservations.set(call, { tokens, expiresAt: now + RESERVATION_MS, isListed });
   }
 
   /** Whether tokens are set aside for a turn. */
@@ -77,7 +118,7 @@
     return this.reservations.has(call);
   }
 
-  /** Ends a turn's reservation; nothing is counted twice when it had expired. */
+  /** Ends a turn's reservation; nothing is counted twice when it had ended or expired. */
   public settle(call: string, tokens: number, now: clock.Milliseconds): void {
     const reservation = this.reservations.get(call);
     if (reservation === undefined) return;
@@ -85,16 +126,22 @@
     this.reservations.delete(call);
     this.reservedTokens -= reservation.tokens;
     this.spentTokens += tokens;
-  }
-
-  /** Whether the log holds all that may have been handed out. */
-  public get isCovered(): boolean {
-    return this.committedTokens <= this.coveredTokens;
-  }
-
-  /** Whether the watermark stands above what was handed out, and no turn is under way. */
-  public get hasSurplus(): boolean {
-    return this.reservations.size === 0 && this.loggedTokens > this.spentTokens;
+    if (!reservation.isListed) return;
+    // Another home may free the same tokens by the record, so they are not handed out again before
+    // a new record is in the log.
+    const freed = Math.max(0, reservation.tokens - tokens);
+    this.coveredTokens -= freed;
+    this.freedSinceRecord += freed;
+  }
+
+  /** What to write to the log for a watermark that is wanted. */
+  public createRecord(watermark: number): LoggedAccount {
+    this.freedSinceRecord = 0;
+    const open = [...this.reservations].map(([call, reservation]) => {
+      reservation.isListed = true;
+      return { call, tokens: reservation.tokens };
+    });
+    return { watermark: Math.max(watermark, this.committedTokens), open };
   }
 
   /** Notes that the log may hold a lower watermark from here on. */
@@ -102,10 +149,16 @@
     this.coveredTokens = Math.min(this.coveredTokens, watermark);
   }
 
-  /** Notes that the log holds a watermark; another one may be on its way there. */
+  /** Notes that the log holds the latest record; another one may be on its way there. */
   public noteWritten(watermark: number, next: number = watermark): void {
     this.loggedTokens = watermark;
-    this.coveredTokens = Math.min(watermark, next);
+    this.coveredTokens = Math.min(watermark - this.freedSinceRecord, next);
+  }
+
+  /** Notes that the log was found to hold one of the records of this home. */
+  public noteFound(watermark: number): void {
+    this.loggedTokens = watermark;
+    this.noteLowering(watermark - this.freedSinceRecord);
   }
 
   public noteWriter(turn: string, address: string): void {
--- a/packages/program-homes/src/testing/homeFixtures.ts
+++ b/packages/program-homes/src/testing/homeFixtures.ts
@@ -1,7 +1,8 @@
 import * as clock from '@limpettack/clock';
 import * as keyedLog from '@limpettack/keyed-log';
-import type * as lifetime from '@limpettack/lifetime';
+import * as lifetime from '@limpettack/lifetime';
 import * as logging from '@limpettack/logging';
+import type * as membership from '@limpettack/membership';
 import * as wire from '@limpettack/wire';
 import * as homeClient from '../HomeClient.js';
 import * as homePartition from '../HomePartition.js';
@@ -82,6 +83,11 @@
   };
 }
 
+/** Waits until a condition holds. */
+export async function until(condition: () => Promise<boolean>): Promise<void> {
+  while (!(await condition())) await new clock.SystemClock().sleep(20);
+}
+
 /** Resolves when appends that were under way have been answered. */
 export function settleWrites(): Promise<void> {
   return new clock.SystemClock().sleep(WRITES_SETTLED_MS);
@@ -106,6 +112,7 @@
   const time = new clock.SystemClock();
   const logger = new logging.PartLogger('homes');
   const hidden = new Set<string>();
+  const changes = new lifetime.Emitter<membership.Member>();
   const networks = Array.from(
     { length: count },
     (_, index) =>
@@ -135,7 +142,7 @@
     membership: {
       available: () => seenBy(vm),
       members: () => seenBy(vm),
-      onChange: () => ({ dispose: () => undefined }),
+      onChange: changes.event,
     },
     clock: time,
     logger,
@@ -161,7 +168,10 @@
     ownerAsSeenBy,
     findProgram,
     programOwnedBy: (vm) => findProgram((program) => ownerAsSeenBy(vm, program) === vm),
-    hide: ({ from, member }) => hidden.add(`${from}/${member}`),
+    hide: ({ from, member }) => {
+      hidden.add(`${from}/${member}`);
+      changes.fire(all[member]!);
+    },
     dispose: async () => {
       await Promise.all(servers.map((server) => server.dispose()));
       await Promise.all(networks.map((network) => network.dispose()));
