Keep one home for a program while views of the owner differ

Ruled out: slow membership; all views agreed a second before. Change: a home says within a second that the log cannot be reached; a request whose partition is let go is served by the partition opened anew, or sent to the owner by name; another member serves only when the owner that it names is silent or names it in turn (chooseHome, a function of its own).

--- a/packages/program-homes/src/HomeClient.test.ts
+++ b/packages/program-homes/src/HomeClient.test.ts
@@ -57,6 +57,18 @@
     expect(isCovered).toBe(true);
   });
 
+  test('an owner that is asked to let go while it reads serves all the same', async () => {
+    const fleet = await createFleet(3);
+    const program = fleet.programOwnedBy(0);
+    const calls = ['a', 'b', 'c', 'd'].map((call, index) =>
+      fleet.clients[index % 3]!.reserve(reservation(program, call)),
+    );
+    await fleet.servers[0]!.releaseAll();
+    const answers = await Promise.all(calls);
+    expect(answers.map(({ isOk }) => isOk)).toEqual([true, true, true, true]);
+    expect(fleet.servers.map((server) => server.ownedCount)).toEqual([1, 0, 0]);
+  });
+
   test('a turn is settled by the next owner when its home has gone', async () => {
     const fleet = await createFleet(3);
     const program = fleet.programOwnedBy(0);
--- a/packages/program-homes/src/HomeClient.ts
+++ b/packages/program-homes/src/HomeClient.ts
@@ -6,6 +6,7 @@
 import type * as membership from '@limpettack/membership';
 import * as wire from '@limpettack/wire';
 import * as trueMyth from 'true-myth';
+import * as chooseHome from './chooseHome.js';
 import * as homeServer from './HomeServer.js';
 import * as messages from './messages.js';
 import type { Grant, ProgramBudgets, Reservation, Settlement } from './Types.js';
@@ -16,8 +17,8 @@
 /** Time for a home to say that the log holds enough: above its own wait. */
 const COVER_TIMEOUT_MS = 1_500;
 
-/** Homes that are asked for one reservation, one after the other. */
-const ATTEMPTS = 3;
+/** Questions to homes for one reservation, one after the other: two that name each other, and again. */
+const HOMES_ASKED = 4;
 
 /** Time for a settlement to be taken: above the wait of a home for the record of a kept turn. */
 const SETTLE_TIMEOUT_MS = 1_300;
@@ -74,31 +75,28 @@
 
   /** @inheritdoc */
   public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
-    const [first, second] = this.homesOf(reservation.program);
-    let address = first;
-    let isInsisting = false;
-    let maybeHeldBy: string | undefined;
-    for (let attempt = 0; attempt < ATTEMPTS && address !== undefined; attempt += 1) {
+    const owners = this.homesOf(reservation.program);
+    const answers: chooseHome.HomeAnswer[] = [];
+    while (answers.length < HOMES_ASKED) {
+      const next = chooseHome.chooseHome(owners, answers);
+      if (next === undefined) break;
+      const { address, isInsisting } = next;
       const result = await this.reserveAt(address, reservation, isInsisting);
       if (result.isOk) {
         this.grantedBy.set(reservation.call, address);
         return trueMyth.Result.ok(result.value);
       }
       const { fault, message } = result.error;
-      if (fault === undefined) maybeHeldBy = address;
-      else if (!ELSEWHERE.has(fault.kind)) {
-        this.giveBack(reservation, maybeHeldBy);
+      const isSilent = fault === undefined;
+      if (!isSilent && !ELSEWHERE.has(fault.kind)) {
+        this.giveBack(reservation, answers);
         return trueMyth.Result.err(fault);
       }
-      this.logElsewhere(reservation, address, message);
       const owner = fault?.details?.[homeServer.OWNER_DETAIL];
-      // A home that takes another one for the owner names it. Where that fails, one of the two that
-      // this process takes for the owner has to serve.
-      isInsisting = typeof owner !== 'string';
-      if (typeof owner === 'string') address = owner;
-      else address = address === first ? (second ?? first) : first;
+      answers.push({ address, isSilent, named: typeof owner === 'string' ? owner : undefined });
+      this.logElsewhere(reservation, address, message);
     }
-    this.giveBack(reservation, maybeHeldBy);
+    this.giveBack(reservation, answers);
     const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs: COME_BACK_MS };
     return trueMyth.Result.err(errors.createFault('home-unavailable', undefined, overrides));
   }
@@ -125,10 +123,14 @@
     return Promise.race([this.deliver(settlement), isLate]);
   }
 
-  /** Settles a turn that is not sent, at a home that may have set tokens aside for it. */
-  private giveBack({ call, program }: Reservation, address: string | undefined): void {
-    if (address === undefined) return;
-    this.grantedBy.set(call, address);
+  /** Settles a turn that is not sent, if a silent home may have set tokens aside for it. */
+  private giveBack(
+    { call, program }: Reservation,
+    answers: readonly chooseHome.HomeAnswer[],
+  ): void {
+    const silent = answers.find(({ isSilent }) => isSilent);
+    if (silent === undefined) return;
+    this.grantedBy.set(call, silent.address);
     this.deliver({ program, call, tokens: 0, isKept: false });
   }
 
--- a/packages/program-homes/src/HomePartition.test.ts
+++ b/packages/program-homes/src/HomePartition.test.ts
@@ -187,6 +187,17 @@
     log.outage = undefined;
   });
 
+  test('says soon that a log that does not answer cannot be reached', async () => {
+    const log = homeFixtures.createLog();
+    const silent = Object.create(log) as keyedLog.MemoryKeyedLog;
+    silent.newest = () => new Promise<never>(() => {});
+    const home = homeFixtures.createPartition({ log: silent, producer: 'home' });
+    const startedAt = Date.now();
+    const answer = await home.reserve(reservation('a'));
+    expect(answer.isErr && answer.error.kind).toBe('log-unavailable');
+    expect(Date.now() - startedAt).toBeLessThan(1_250);
+  });
+
   test('a watermark that is being lowered covers nothing above it', async () => {
     const log = homeFixtures.createLog();
     const home = homeFixtures.createPartition({ log, producer: 'home' });
--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -23,6 +23,9 @@
 /** How long one request waits for a watermark to be written. */
 const WRITE_WAIT_MS = 1_000;
 
+/** How long one request waits for the partition to be read. */
+const LOAD_WAIT_MS = 1_000;
+
 /** Time between two attempts to write or to load. */
 const RETRY_MS = 100;
 
@@ -97,7 +100,7 @@
   /** Sets tokens aside, and has a watermark written that covers them and some turns more. */
   public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
     const { clock: time } = this.options;
-    if (!(await this.ensureLoaded())) return trueMyth.Result.err(unavailable());
+    if (!(await this.loadedSoon())) return trueMyth.Result.err(unavailable());
     if (this.isClosed) return trueMyth.Result.err(errors.createFault('not-owner'));
     const { budgetTokens, call, mostTokens, previousTurn, program } = reservation;
     const account = this.account(program);
@@ -114,7 +117,7 @@
   /** Waits for a while until the log holds enough for a reserved turn. */
   public async cover(reservation: Reservation): Promise<boolean> {
     const { call, program } = reservation;
-    if (!(await this.ensureLoaded())) return false;
+    if (!(await this.loadedSoon())) return false;
     const account = this.account(program);
     // The partition may have come here since the tokens were set aside.
     if (!account.hasReserved(call) && (await this.reserve(reservation)).isErr) return false;
@@ -128,7 +131,7 @@
    */
   public async settle(settlement: Settlement, writer: string): Promise<boolean | undefined> {
     const { call, isKept, program, tokens } = settlement;
-    if (!(await this.ensureLoaded()) || this.isClosed) return undefined;
+    if (!(await this.loadedSoon()) || this.isClosed) return undefined;
     const account = this.account(program);
     account.settle(call, tokens, this.options.clock.now());
     if (!isKept) {
@@ -297,6 +300,19 @@
     return this.load();
   }
 
+  /**
+   * Whether the partition has been read, which is awaited for a while. Another home could read no
+   * more while the log is away, so callers are told rather than left to ask elsewhere.
+   */
+  private async loadedSoon(): Promise<boolean> {
+    if (this.end !== undefined) return true;
+    const ending = new AbortController();
+    const late = this.options.clock.sleep(LOAD_WAIT_MS, ending.signal).then(() => false);
+    const isLoaded = await Promise.race([this.ensureLoaded(), late]);
+    ending.abort();
+    return isLoaded;
+  }
+
   private async ensureLoaded(): Promise<boolean> {
     if (this.end !== undefined) return true;
     this.loading ??= this.loadFirst().finally(() => {
--- a/packages/program-homes/src/HomeServer.ts
+++ b/packages/program-homes/src/HomeServer.ts
@@ -13,6 +13,9 @@
 /** Members that may have owned a partition before, asked to let go of it. */
 const FORMER_OWNERS_ASKED = 3;
 
+/** How often a partition that was let go under a request is opened anew for it. */
+const OPENINGS_FOR_ONE = 3;
+
 /** Time for a former owner to write what it has not used. */
 const RELEASE_TIMEOUT_MS = 300;
 
@@ -84,12 +87,16 @@
     isInsisting: boolean,
   ): Promise<trueMyth.Result<Grant, errors.Fault>> {
     const index = this.indexOf(reservation.program);
-    const owner = this.ownerElsewhere(index);
-    if (!this.partitions.has(index) && owner !== undefined && !isInsisting) {
-      const overrides = { details: { [OWNER_DETAIL]: owner.address } };
-      return trueMyth.Result.err(errors.createFault('not-owner', undefined, overrides));
+    let granted: trueMyth.Result<Grant, errors.Fault> | undefined;
+    for (let attempt = 0; attempt < OPENINGS_FOR_ONE && isOvertaken(granted); attempt += 1) {
+      const owner = this.ownerElsewhere(index);
+      if (owner !== undefined && !this.partitions.has(index) && (!isInsisting || attempt > 0)) {
+        const overrides = { details: { [OWNER_DETAIL]: owner.address } };
+        return trueMyth.Result.err(errors.createFault('not-owner', undefined, overrides));
+      }
+      granted = await this.partitionFor(index).reserve(reservation);
     }
-    return this.partitionFor(index).reserve(reservation);
+    return granted ?? trueMyth.Result.err(errors.createFault('not-owner'));
   }
 
   /**
@@ -188,6 +195,11 @@
   }
 }
 
+/** Whether a partition was let go while a request waited for it. */
+function isOvertaken(granted: trueMyth.Result<Grant, errors.Fault> | undefined): boolean {
+  return granted === undefined || (granted.isErr && granted.error.kind === 'not-owner');
+}
+
 /** Members in the order in which they own a partition. */
 export function rankOwners<Member extends wire.PeerIdentity>(
   partition: number,
