Leave aside targets that are silent or fail part of their calls, longer each time

Change: silence counts, also where a second target overtook the first; failures count as being in a row until four good answers came in a row; an answer with an error is no good answer. Tests: two of chooseTarget's, one of StreamCall and one of WholeCall fail before.

--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -80,7 +80,7 @@
 
   test('a stream that falls silent goes on elsewhere', async () => {
     const scripts = [fixtures.streamEvents([1], 'hang'), fixtures.streamEvents([2], 'end')];
-    const { reply, transport } = await run(
+    const { parts, reply, transport } = await run(
       scripts,
       { ...RESUMABLE, timeoutMs: 4_000 },
       {
@@ -89,6 +89,9 @@
     );
     expect(reply.eventIds).toEqual([1, 2]);
     expect(transport.aborted).toBe(1);
+    const [silent] = transport.sent;
+    const ids = TARGETS.map(({ id }) => id);
+    expect(parts.scores.compare(ids).get(silent!.target)?.isPaused).toBe(true);
   });
 
   test('a target that did not run the request does not count as a try', async () => {
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -8,7 +8,7 @@
 import * as sendFailures from './SendFailures.js';
 import type * as targetSelector from './TargetSelector.js';
 import type * as targetSender from './TargetSender.js';
-import type { AnswerHead, Exchange, Reply, SendFailure, Target } from './Types.js';
+import type { AnswerHead, Reply, SendFailure, Target } from './Types.js';
 
 /** Pause before targets that were all full are asked again. */
 const FULL_PAUSE_MS = 40;
@@ -74,7 +74,7 @@
 
   private readonly tried = new Set<string>();
 
-  private exchange: Exchange | undefined;
+  private exchange: targetSender.SentCall | undefined;
 
   private runs = 0;
 
@@ -315,7 +315,7 @@
       target: target.id,
       offset: this.lastEventId,
     });
-    this.exchange?.abort();
+    this.exchange?.giveUp();
     this.retryOrFail('The stream fell silent.');
   }
 
--- a/packages/gateway/src/TargetScores.ts
+++ b/packages/gateway/src/TargetScores.ts
@@ -7,9 +7,12 @@
 /** A target that was full is left aside for so long. */
 const FULL_PAUSE_MS = 60;
 
-/** Weight of the latest time in the smoothed one. */
+/** Weight of the latest time in the smoothed one, and of the latest outcome in the share of failures. */
 const SMOOTHING = 0.25;
 
+/** Failures count as being in a row until the share falls below this: after four good answers. */
+const FORGIVEN_SHARE = 0.1;
+
 /** A target this many times slower than the middle one of its pool is left aside. */
 const SLOW_FACTOR = 2.5;
 
@@ -29,7 +32,10 @@
 
 interface Score {
   inFlight: number;
+  /** Failures without enough good answers between them. */
   failures: number;
+  /** The smoothed share of calls that failed: a target that fails part of them answers others well. */
+  failureShare: number;
   pausedUntil: clock.Milliseconds;
   smoothedMs: clock.Milliseconds | undefined;
   timedAt: clock.Milliseconds;
@@ -52,7 +58,8 @@
   /** Notes how long the target took to begin its answer. */
   public noteFirst(target: string, spanMs: clock.Milliseconds): void {
     const score = this.scoreOf(target);
-    score.failures = 0;
+    score.failureShare -= SMOOTHING * score.failureShare;
+    if (score.failureShare < FORGIVEN_SHARE) score.failures = 0;
     const former = score.smoothedMs ?? spanMs;
     score.smoothedMs = former + SMOOTHING * (spanMs - former);
     score.timedAt = this.time.now();
@@ -62,6 +69,7 @@
     const score = this.scoreOf(target);
     const pause = Math.min(LONGEST_FAILURE_PAUSE_MS, FAILURE_PAUSE_MS * 2 ** score.failures);
     score.failures += 1;
+    score.failureShare += SMOOTHING * (1 - score.failureShare);
     score.pausedUntil = this.time.now() + pause;
   }
 
@@ -91,18 +99,29 @@
     const score = this.scores.get(target);
     if (score === undefined) return;
     if (score.inFlight === 0) this.scores.delete(target);
-    else Object.assign(score, { failures: 0, pausedUntil: 0, smoothedMs: undefined });
+    else Object.assign(score, createScore(score.inFlight));
   }
 
   private scoreOf(target: string): Score {
     const known = this.scores.get(target);
     if (known !== undefined) return known;
-    const created = { inFlight: 0, failures: 0, pausedUntil: 0, smoothedMs: undefined, timedAt: 0 };
+    const created = createScore(0);
     this.scores.set(target, created);
     return created;
   }
 }
 
+function createScore(inFlight: number): Score {
+  return {
+    inFlight,
+    failures: 0,
+    failureShare: 0,
+    pausedUntil: 0,
+    smoothedMs: undefined,
+    timedAt: 0,
+  };
+}
+
 function isSlow(
   score: Score,
   middleMs: clock.Milliseconds | undefined,
--- a/packages/gateway/src/TargetSender.ts
+++ b/packages/gateway/src/TargetSender.ts
@@ -22,15 +22,22 @@
   readonly logger: logging.Logger;
 }
 
+/** A request on its way to a target of which score is kept. */
+export interface SentCall extends Exchange {
+  /** Gives the request up because the target is silent, which counts like a failure. */
+  giveUp(): void;
+}
+
 /** Sends requests and keeps score of how their targets serve them. */
 export class TargetSender {
   public constructor(private readonly options: TargetSenderOptions) {}
 
-  public send(target: Target, request: TargetRequest, handler: AnswerHandler): Exchange {
+  public send(target: Target, request: TargetRequest, handler: AnswerHandler): SentCall {
     const { clock: time, scores, transport } = this.options;
     const sentAt = time.now();
     let isOver = false;
     let hasBegun = false;
+    let isError = false;
     const finish = (): void => {
       if (!isOver) scores.noteDone(target.id);
       isOver = true;
@@ -39,11 +46,12 @@
     const exchange = transport.send(target, request, {
       onHead: (head: AnswerHead) => {
         // Health says little of a target that fails part of its work; what it answers does.
-        if (head.status >= SERVER_ERROR) scores.noteFailure(target.id);
+        isError = head.status >= SERVER_ERROR;
+        if (isError) scores.noteFailure(target.id);
         handler.onHead(head);
       },
       onData: (chunk: Uint8Array) => {
-        if (!hasBegun) scores.noteFirst(target.id, time.now() - sentAt);
+        if (!hasBegun && !isError) scores.noteFirst(target.id, time.now() - sentAt);
         hasBegun = true;
         handler.onData(chunk);
       },
@@ -57,12 +65,15 @@
         handler.onFailure(failure);
       },
     });
-    return {
-      abort: () => {
-        finish();
-        exchange.abort();
-      },
+    const abort = (): void => {
+      finish();
+      exchange.abort();
+    };
+    const giveUp = (): void => {
+      if (!isOver) scores.noteFailure(target.id);
+      abort();
     };
+    return { abort, giveUp };
   }
 
   private noteFailure(target: Target, request: TargetRequest, failure: SendFailure): void {
--- a/packages/gateway/src/WholeCall.test.ts
+++ b/packages/gateway/src/WholeCall.test.ts
@@ -17,13 +17,19 @@
   scripts: scriptedTransport.Script[],
   route: Partial<Route> = {},
   call: Partial<Call> = {},
-): Promise<{ reply: recordedReply.RecordedReply; sent: number; parts: fixtures.Parts }> {
+): Promise<{
+  reply: recordedReply.RecordedReply;
+  sent: number;
+  targets: readonly string[];
+  parts: fixtures.Parts;
+}> {
   const transport = new scriptedTransport.ScriptedTransport(scripts);
   const parts = fixtures.createParts(transport, TARGETS);
   const reply = new recordedReply.RecordedReply();
   const context = fixtures.createContext(parts, route, call);
   await new wholeCall.WholeCall(parts, context, reply).run();
-  return { reply, sent: transport.sent.length, parts };
+  const targets = transport.sent.map(({ target }) => target);
+  return { reply, sent: targets.length, targets, parts };
 }
 
 describe('WholeCall', () => {
@@ -55,9 +61,11 @@
 
   test('a late repeatable call also goes to another target', async () => {
     const scripts: scriptedTransport.Script[] = [() => undefined, fixtures.answerWhole('second')];
-    const { reply, sent } = await run(scripts);
-    expect(sent).toBe(2);
+    const { parts, reply, targets } = await run(scripts);
+    expect(targets).toHaveLength(2);
     expect(reply.answer?.body.toString()).toBe('second');
+    const scores = parts.scores.compare(targets);
+    expect(targets.map((id) => scores.get(id)?.isPaused)).toEqual([true, false]);
   });
 
   test('a call that no target takes is refused as not run before its time is over', async () => {
--- a/packages/gateway/src/WholeCall.ts
+++ b/packages/gateway/src/WholeCall.ts
@@ -6,7 +6,7 @@
 import type * as crashWatch from './CrashWatch.js';
 import type * as targetSelector from './TargetSelector.js';
 import type * as targetSender from './TargetSender.js';
-import type { AnswerHead, Exchange, Reply, SendFailure, Target, WholeAnswer } from './Types.js';
+import type { AnswerHead, Reply, SendFailure, Target, WholeAnswer } from './Types.js';
 
 /** Pause before targets that were all full are asked again. */
 const FULL_PAUSE_MS = 25;
@@ -41,7 +41,7 @@
  * surely has not run. A repeatable one goes to another target when its answer is lost or late.
  */
 export class WholeCall {
-  private readonly running = new Set<Exchange>();
+  private readonly running = new Set<targetSender.SentCall>();
 
   /** Targets that were tried since the last pause. */
   private readonly tried = new Set<string>();
@@ -113,6 +113,7 @@
         if (size > LARGEST_ANSWER_BYTES) this.fail('target-failed', 'The answer is too large.');
       },
       onEnd: () => {
+        this.giveUpEarlier(exchange);
         this.running.delete(exchange);
         if (head !== undefined) this.onAnswer({ ...head, body: Buffer.concat(chunks) });
       },
@@ -125,6 +126,15 @@
     this.startHedge();
   }
 
+  /** A target that a later one has overtaken was silent for longer than a good one needs. */
+  private giveUpEarlier(answered: targetSender.SentCall): void {
+    for (const sent of this.running) {
+      if (sent === answered) return;
+      sent.giveUp();
+      this.running.delete(sent);
+    }
+  }
+
   /** Asks a second target when the first one is late. */
   private startHedge(): void {
     const { clock: time } = this.parts;
--- a/packages/gateway/src/decisions.test.ts
+++ b/packages/gateway/src/decisions.test.ts
@@ -73,6 +73,34 @@
     expect(choose(scores, 'session')).toBe(first);
   });
 
+  test('leaves out a target that fails part of its calls, longer each time', () => {
+    const time = new clock.ManualClock();
+    const scores = new targetScores.TargetScores(time);
+    const grey = choose(scores, 'session')!;
+    for (let round = 0; round < 3; round += 1) {
+      scores.noteFirst(grey, 100);
+      scores.noteFailure(grey);
+      time.advance(600 * 2 ** round);
+    }
+    scores.noteFirst(grey, 100);
+    scores.noteFailure(grey);
+    time.advance(3_000);
+    expect(choose(scores, 'session')).not.toBe(grey);
+    time.advance(1_500);
+    expect(choose(scores, 'session')).toBe(grey);
+  });
+
+  test('takes a target back after some good answers', () => {
+    const time = new clock.ManualClock();
+    const scores = new targetScores.TargetScores(time);
+    const target = choose(scores, 'session')!;
+    scores.noteFailure(target);
+    for (let answer = 0; answer < 4; answer += 1) scores.noteFirst(target, 100);
+    scores.noteFailure(target);
+    time.advance(600);
+    expect(choose(scores, 'session')).toBe(target);
+  });
+
   test('leaves out a target that has become slow', () => {
     const scores = new targetScores.TargetScores(new clock.ManualClock());
     const slow = choose(scores, 'session')!;
--- a/packages/gateway/src/testing/gatewayFixtures.ts
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -107,6 +107,7 @@
 
 export interface Parts extends streamCall.StreamCallParts {
   readonly registry: targetRegistry.TargetRegistry;
+  readonly scores: targetScores.TargetScores;
   readonly deaths: string[];
   readonly kept: string[];
 }
@@ -130,6 +131,7 @@
   const kept: string[] = [];
   return {
     registry,
+    scores,
     deaths,
     kept,
     selector: new targetSelector.TargetSelector(registry, scores, 'a'),
