--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -12,6 +12,7 @@
     ],
   },
   moduleNameMapper: {
+    '^@limpettack/([a-z-]+)/testing$': '<rootDir>/packages/$1/src/testing/index.ts',
     '^@limpettack/([a-z-]+)$': '<rootDir>/packages/$1/src/index.ts',
     '^(\\.{1,2}/.*)\\.js$': '$1',
   },
--- a/packages/keyed-log/src/KeyedFollower.test.ts
+++ b/packages/keyed-log/src/KeyedFollower.test.ts
@@ -8,7 +8,7 @@
 
 const { afterEach, describe, expect, test } = jestGlobals;
 
-const PARTITION: PartitionName = { topic: 'keyed.test', partition: 0 };
+const PARTITION: PartitionName = { topic: 'test', partition: 0 };
 const followers: keyedFollower.KeyedFollower[] = [];
 
 afterEach(async () => {
--- a/packages/keyed-log/src/PartitionWriter.test.ts
+++ b/packages/keyed-log/src/PartitionWriter.test.ts
@@ -10,7 +10,7 @@
 
 const { describe, expect, test } = jestGlobals;
 
-const PARTITION: PartitionName = { topic: 'keyed.test', partition: 0 };
+const PARTITION: PartitionName = { topic: 'test', partition: 0 };
 const { LOST, UNAVAILABLE } = logFailures.LOG_FAILURES;
 const WAIT_MS = 500;
 const value = Buffer.from('value');
--- a/packages/keyed-log/src/RelayedLog.test.ts
+++ b/packages/keyed-log/src/RelayedLog.test.ts
@@ -9,7 +9,7 @@
 
 const { afterEach, describe, expect, test } = jestGlobals;
 
-const PARTITION: PartitionName = { topic: 'keyed.test', partition: 0 };
+const PARTITION: PartitionName = { topic: 'test', partition: 0 };
 const { UNAVAILABLE } = logFailures.LOG_FAILURES;
 const RECORD = { key: 'a', value: Buffer.from('1') };
 const networks: wire.FleetNetwork[] = [];
--- a/packages/keyed-log/src/index.ts
+++ b/packages/keyed-log/src/index.ts
@@ -7,4 +7,3 @@
 export * from './readAllNewest.js';
 export * from './readNewestOf.js';
 export * from './partitionOf.js';
-export * from './testing/MemoryKeyedLog.js';
--- /dev/null
+++ b/packages/keyed-log/src/testing/index.ts
@@ -0,0 +1,2 @@
+/** Stand-ins for tests of packages that use the log. */
+export * from './MemoryKeyedLog.js';
--- a/packages/program-homes/src/HomePartition.test.ts
+++ b/packages/program-homes/src/HomePartition.test.ts
@@ -1,5 +1,6 @@
 import * as jestGlobals from '@jest/globals';
 import * as keyedLog from '@limpettack/keyed-log';
+import type * as keyedLogTesting from '@limpettack/keyed-log/testing';
 import * as homeFixtures from './testing/homeFixtures.js';
 import type { Reservation } from './Types.js';
 
@@ -189,7 +190,7 @@
 
   test('says soon that a log that does not answer cannot be reached', async () => {
     const log = homeFixtures.createLog();
-    const silent = Object.create(log) as keyedLog.MemoryKeyedLog;
+    const silent = Object.create(log) as keyedLogTesting.MemoryKeyedLog;
     silent.newest = () => new Promise<never>(() => {});
     const home = homeFixtures.createPartition({ log: silent, producer: 'home' });
     const startedAt = Date.now();
--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -9,7 +9,7 @@
 import type { Grant, Reservation, Settlement } from './Types.js';
 
 /** The topic with the watermarks of programs. */
-const TOPIC = 'keyed.programs';
+const TOPIC = 'programs';
 
 /**
  * Turns ahead of which a watermark is written. More would save appends, but all that is ahead counts as
--- a/packages/program-homes/src/testing/homeFixtures.ts
+++ b/packages/program-homes/src/testing/homeFixtures.ts
@@ -1,5 +1,6 @@
 import * as clock from '@limpettack/clock';
 import * as keyedLog from '@limpettack/keyed-log';
+import * as keyedLogTesting from '@limpettack/keyed-log/testing';
 import * as lifetime from '@limpettack/lifetime';
 import * as logging from '@limpettack/logging';
 import type * as membership from '@limpettack/membership';
@@ -9,7 +10,7 @@
 import * as homeServer from '../HomeServer.js';
 
 /** The partition that the fixtures write to. */
-export const PARTITION: keyedLog.PartitionName = { topic: 'keyed.programs', partition: 0 };
+export const PARTITION: keyedLog.PartitionName = { topic: 'programs', partition: 0 };
 
 /** Above the pause after which a watermark is lowered, twice, and a write. */
 const PAUSE_SETTLED_MS = 900;
@@ -20,8 +21,8 @@
 /** Above the time between two attempts to write. */
 const WRITES_SETTLED_MS = 150;
 
-export function createLog(): keyedLog.MemoryKeyedLog {
-  return new keyedLog.MemoryKeyedLog();
+export function createLog(): keyedLogTesting.MemoryKeyedLog {
+  return new keyedLogTesting.MemoryKeyedLog();
 }
 
 export function createPartition(options: {
--- a/packages/turns/src/LoggedTurnStore.test.ts
+++ b/packages/turns/src/LoggedTurnStore.test.ts
@@ -1,6 +1,7 @@
 import * as jestGlobals from '@jest/globals';
 import * as clock from '@limpettack/clock';
 import * as keyedLog from '@limpettack/keyed-log';
+import * as keyedLogTesting from '@limpettack/keyed-log/testing';
 import * as logging from '@limpettack/logging';
 import * as wire from '@limpettack/wire';
 import * as loggedTurnStore from './LoggedTurnStore.js';
@@ -19,7 +20,7 @@
 
 describe('LoggedTurnStore', () => {
   test('another process finds the chain in the log after all memory was lost', async () => {
-    const log = new keyedLog.MemoryKeyedLog();
+    const log = new keyedLogTesting.MemoryKeyedLog();
     const first = await createStore(log, 'first');
     await keepChain(first, ['t1', 't2', 't3']);
     const second = await createStore(log, 'second');
@@ -27,7 +28,7 @@
   });
 
   test('finds turns among many others, page by page', async () => {
-    const log = new keyedLog.MemoryKeyedLog();
+    const log = new keyedLogTesting.MemoryKeyedLog();
     const first = await createStore(log, 'first');
     const ids = Array.from({ length: 60 }, (_, index) => `${index.toString(16)}0f`);
     await Promise.all(ids.map((id) => first.keep(turn(id), KEEP_MS)));
@@ -37,7 +38,7 @@
   });
 
   test('fetches the chain from the process that wrote it', async () => {
-    const log = new keyedLog.MemoryKeyedLog();
+    const log = new keyedLogTesting.MemoryKeyedLog();
     const first = await createStore(log, 'first');
     await keepChain(first, ['t1', 't2', 't3']);
     const second = await createStore(log, 'second');
@@ -48,14 +49,14 @@
   });
 
   test('a turn of another workspace is unknown', async () => {
-    const store = await createStore(new keyedLog.MemoryKeyedLog(), 'first');
+    const store = await createStore(new keyedLogTesting.MemoryKeyedLog(), 'first');
     await keepChain(store, ['t1']);
     const result = await store.history('t1', 'another', {});
     expect(result.isErr && result.error.kind).toBe('turn-unknown');
   });
 
   test('says unknown only when the log has been read', async () => {
-    const log = new keyedLog.MemoryKeyedLog();
+    const log = new keyedLogTesting.MemoryKeyedLog();
     const store = await createStore(log, 'first');
     log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
     const during = await store.history('t1', 'w', {});
@@ -66,7 +67,7 @@
   });
 
   test('does not say that a turn is kept which the log has not acknowledged', async () => {
-    const log = new keyedLog.MemoryKeyedLog();
+    const log = new keyedLogTesting.MemoryKeyedLog();
     const store = await createStore(log, 'first');
     log.outage = keyedLog.LOG_FAILURES.LOST;
     const result = await store.keep(turn('t1'), 50);
@@ -74,7 +75,7 @@
   });
 
   test('a content larger than a record is kept in parts', async () => {
-    const log = new keyedLog.MemoryKeyedLog();
+    const log = new keyedLogTesting.MemoryKeyedLog();
     const first = await createStore(log, 'first');
     const content = Buffer.alloc(10_000, 'x');
     await first.keep({ ...turn('t1'), content }, KEEP_MS);
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -11,7 +11,7 @@
 import type { Turn, TurnHints, TurnStore } from './Types.js';
 
 /** The topic that holds the turns. */
-const TOPIC = 'keyed.turns';
+const TOPIC = 'turns';
 
 /** The longest chain that is followed. */
 const LONGEST_CHAIN = 512;
