Add a fault soak of the platform's program as real processes

Four processes of the bundled program, each with a way of its own to a stand-in of the store, and three targets; kills, freezes, ordered ends, losses of power, faults of the store and of targets at random moments. Callers judge history, whole answers, budgets, orders that run once, refusals that say "not run", and that every program ends.

--- /dev/null
+++ b/benchmarks/platform-soak/createFaults.mjs
@@ -0,0 +1,120 @@
+import * as keyedLog from '@limpettack/keyed-log';
+import * as verdictsModule from '../soak/Verdicts.mjs';
+import * as processFleet from './ProcessFleet.mjs';
+
+const { UNAVAILABLE } = keyedLog.LOG_FAILURES;
+
+const sleep = (spanMs) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, spanMs);
+  });
+
+/**
+ * The faults of a run: each is a name with a function that makes it, waits and ends it. A VM has
+ * one fault of its process at a time.
+ */
+export function createFaults({ configure, engines, fleet, log, random, verdicts }) {
+  const span = (least, most) => Math.round(random.between(least, most));
+  const withVm = async (use) => {
+    const vm = random.pick(fleet.vms);
+    if (vm.busy) return;
+    vm.busy = true;
+    await use(vm);
+    vm.busy = false;
+  };
+  const during = async (spanMs, set, unset) => {
+    set();
+    await sleep(spanMs);
+    unset();
+  };
+  return {
+    kill: () => withVm((vm) => fleet.kill(vm, span(50, 800))),
+    freeze: () => withVm((vm) => processFleet.freeze(vm, span(200, 2_000))),
+    stop: () =>
+      withVm(async (vm) => {
+        const isInTime = await processFleet.stop(vm);
+        verdicts.check(
+          verdictsModule.PROMISES.PROCESSES,
+          isInTime,
+          `${vm.name} did not end in order`,
+        );
+        fleet.spawn(vm);
+      }),
+    'power lost': async () => {
+      const idle = fleet.vms.filter(({ busy }) => !busy);
+      idle.forEach((vm) => {
+        vm.busy = true;
+      });
+      const downMs = span(50, 600);
+      await Promise.all(idle.map((vm) => fleet.kill(vm, downMs)));
+      idle.forEach((vm) => {
+        vm.busy = false;
+      });
+    },
+    'store down': () =>
+      during(
+        span(300, 2_500),
+        () => {
+          log.outage = UNAVAILABLE;
+        },
+        () => {
+          log.outage = undefined;
+        },
+      ),
+    'answers of the store lost': () =>
+      during(
+        span(100, 1_000),
+        () => {
+          log.losesAnswers = true;
+        },
+        () => {
+          log.losesAnswers = false;
+        },
+      ),
+    'store turns a VM away': () => {
+      const { store } = random.pick(fleet.vms);
+      return during(
+        span(300, 3_000),
+        () => {
+          store.turnsAwayWith = 503;
+        },
+        () => {
+          store.turnsAwayWith = undefined;
+        },
+      );
+    },
+    'store silent for a VM': () => {
+      const { store } = random.pick(fleet.vms);
+      return during(
+        span(300, 2_000),
+        () => {
+          store.isSilent = true;
+        },
+        () => {
+          store.isSilent = false;
+        },
+      );
+    },
+    'history dropped': async () => {
+      ['programs', 'turns', 'status', 'op', 'servers'].forEach((topic) => {
+        for (let partition = 0; partition < 4; partition += 1) {
+          log.compact({ topic: `keyed.${topic}`, partition });
+        }
+      });
+    },
+    'connections of a target reset': async () => random.pick(engines).resetConnections(),
+    'target silent': () => {
+      const engine = random.pick(engines);
+      return during(
+        span(200, 1_500),
+        () => {
+          engine.isSilent = true;
+        },
+        () => {
+          engine.isSilent = false;
+        },
+      );
+    },
+    'tables change': () => configure(),
+  };
+}
--- /dev/null
+++ b/benchmarks/platform-soak/platformSoak.mjs
@@ -0,0 +1,36 @@
+/**
+ * Runs the platform's program as real processes against stand-ins of the store and of targets,
+ * under load and a random schedule of faults, and prints what was violated.
+ *
+ * npm run platform-soak -- --seeds 20 [--first 1] [--span 10000]
+ */
+import * as cac from 'cac';
+import * as verdictsModule from '../soak/Verdicts.mjs';
+import * as run from './runSeed.mjs';
+
+const SHOWN_CHARACTERS = 500;
+
+async function runOne(seed, spanMs) {
+  const verdicts = new verdictsModule.Verdicts();
+  const { events } = await run.runSeed(seed, spanMs, verdicts);
+  console.log(`seed ${seed}: ${verdicts.violationCount} violations`);
+  verdicts.rows.forEach(({ checks, violations }, promise) => {
+    if (checks > 0) console.log(`  ${promise}: ${checks} checks, ${violations.length} violated`);
+    violations.forEach((text) => console.log(`    ${text.slice(0, SHOWN_CHARACTERS)}`));
+  });
+  [...verdicts.figures].sort().forEach(([name, value]) => console.log(`  ${name}: ${value}`));
+  if (verdicts.violationCount > 0) events.forEach((event) => console.log(`    ${event}`));
+  return verdicts.violationCount;
+}
+
+async function main() {
+  const { options } = cac.cac('platform-soak').parse();
+  const first = Number(options.first ?? 1);
+  let violations = 0;
+  for (let seed = first; seed < first + Number(options.seeds ?? 20); seed += 1) {
+    violations += await runOne(seed, Number(options.span ?? 10_000));
+  }
+  process.exitCode = violations === 0 ? 0 : 1;
+}
+
+await main();
