Remove programs without use from the log and from memory

Cause, by reading: the function that forgets idle programs was never called, and would have forgotten their budgets while the log kept their records for ever. Change: a program without use for ten minutes is removed from the log first and then from memory; one that returns meanwhile is put on record again. Tests: two of HomePartition fail before.

--- a/packages/program-homes/src/HomeClient.ts
+++ b/packages/program-homes/src/HomeClient.ts
@@ -119,8 +119,11 @@
   /** @inheritdoc */
   public async settleKept(settlement: Settlement, timeoutMs: clock.Milliseconds): Promise<boolean> {
     if (!this.grantedBy.has(settlement.call)) return false;
-    const isLate = this.options.clock.sleep(Math.max(0, timeoutMs)).then(() => false);
-    return Promise.race([this.deliver(settlement), isLate]);
+    const ending = new AbortController();
+    const late = this.options.clock.sleep(Math.max(0, timeoutMs), ending.signal).then(() => false);
+    const isRecorded = await Promise.race([this.deliver(settlement), late]);
+    ending.abort();
+    return isRecorded;
   }
 
   /** Settles a turn that is not sent, if a silent home may have set tokens aside for it. */
--- a/packages/program-homes/src/HomePartition.test.ts
+++ b/packages/program-homes/src/HomePartition.test.ts
@@ -188,6 +188,44 @@
     log.outage = undefined;
   });
 
+  test('removes a program without use from the log, and knows it anew', async () => {
+    const log = homeFixtures.createLog();
+    const time = homeFixtures.createShiftedClock();
+    const home = homeFixtures.createPartition({ log, producer: 'home', time });
+    await home.reserve(reservation('a'));
+    await home.cover(reservation('a'));
+    await home.settle({ program: 'p', call: 'a', tokens: 20, isKept: true }, 'here');
+    home.removeIdle();
+    expect(await programsIn(log)).toEqual(['p']);
+    time.shiftMs = 700_000;
+    home.removeIdle();
+    await homeFixtures.until(async () => (await programsIn(log)).length === 0);
+    await home.reserve(reservation('b'));
+    expect(await home.cover(reservation('b'))).toBe(true);
+    expect(await programsIn(log)).toEqual(['p']);
+  });
+
+  test('a program that returns while it is removed is on record again', async () => {
+    const log = homeFixtures.createLog();
+    const time = homeFixtures.createShiftedClock();
+    const home = homeFixtures.createPartition({ log, producer: 'home', time });
+    await home.reserve(reservation('a'));
+    await home.cover(reservation('a'));
+    await home.settle({ program: 'p', call: 'a', tokens: 20, isKept: true }, 'here');
+    time.shiftMs = 700_000;
+    log.losesAnswers = true;
+    home.removeIdle();
+    await homeFixtures.until(async () => (await programsIn(log)).length === 0);
+    const back = await home.reserve(reservation('b'));
+    expect(back.isOk && back.value.isCovered).toBe(false);
+    log.losesAnswers = false;
+    expect(await home.cover(reservation('b'))).toBe(true);
+    home.dispose();
+    const next = homeFixtures.createPartition({ log, producer: 'next' });
+    const beyond = await next.reserve({ ...reservation('c'), budgetTokens: 2 * TURN });
+    expect(beyond.isErr).toBe(true);
+  });
+
   test('says soon that a log that does not answer cannot be reached', async () => {
     const log = homeFixtures.createLog();
     const silent = Object.create(log) as keyedLogTesting.MemoryKeyedLog;
@@ -248,6 +286,11 @@
   });
 });
 
+async function programsIn(log: keyedLogTesting.MemoryKeyedLog): Promise<string[]> {
+  const state = await keyedLog.readAllNewest(log, homeFixtures.PARTITION);
+  return state.isOk ? state.value.records.map(({ key }) => key) : [];
+}
+
 function reservation(call: string): Reservation {
   return { program: 'p', call, budgetTokens: BUDGET, mostTokens: TURN };
 }
--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -32,6 +32,9 @@
 /** Programs without use for so long are removed from the log. Above any stated retention. */
 const IDLE_PROGRAM_MS = 600_000;
 
+/** Wanted in place of a watermark: the program is to be removed from the log. */
+const REMOVAL = -1;
+
 /** When to come back while the log cannot be reached. */
 const COME_BACK_MS = 600;
 
@@ -60,7 +63,8 @@
   readonly wanted: number;
   /** The watermark in the record. */
   readonly watermark: number;
-  readonly value: Uint8Array;
+  /** Nothing when the program is removed. */
+  readonly value: Uint8Array | undefined;
 }
 
 /**
@@ -154,6 +158,15 @@
     if (!this.isWriting) this.write();
   }
 
+  /** Has programs removed from the log that have not been used for long. Call from time to time. */
+  public removeIdle(): void {
+    this.accounts.forEach((account, program) => {
+      if (this.isClosed || !account.isIdleSince(this.idleHorizon)) return;
+      account.noteLowering(0);
+      this.want(program, REMOVAL);
+    });
+  }
+
   /** Writes what has really been used, so that the next owner counts no more, and lets go. */
   public async release(): Promise<void> {
     if (this.isClosed) return;
@@ -278,17 +291,29 @@
   private createBatch(): ReadonlyMap<string, PendingRecord> {
     const writer = this.options.producer;
     return new Map(
-      [...this.wanted].map(([program, wanted]) => {
-        const record = this.account(program).createRecord(wanted);
+      [...this.wanted].map(([program, wanted]): [string, PendingRecord] => {
+        const account = this.account(program);
+        if (wanted === REMOVAL && account.isIdleSince(this.idleHorizon)) {
+          return [program, { wanted, watermark: 0, value: undefined }];
+        }
+        const record = account.createRecord(wanted);
         const value = watermarkRecord.encodeWatermark({ ...record, writer });
         return [program, { wanted, watermark: record.watermark, value }];
       }),
     );
   }
 
-  private noteWritten(program: string, { wanted, watermark }: PendingRecord): void {
+  private noteWritten(program: string, { value, wanted, watermark }: PendingRecord): void {
     if (this.wanted.get(program) === wanted) this.wanted.delete(program);
-    this.accounts.get(program)?.noteWritten(watermark, this.wanted.get(program));
+    const account = this.accounts.get(program);
+    account?.noteWritten(watermark, this.wanted.get(program));
+    if (value !== undefined || account === undefined) return;
+    if (account.isIdleSince(this.idleHorizon)) this.accounts.delete(program);
+    else this.want(program, Math.max(account.committedTokens, this.wanted.get(program) ?? 0));
+  }
+
+  private get idleHorizon(): clock.Milliseconds {
+    return this.options.clock.now() - IDLE_PROGRAM_MS;
   }
 
   /** Another owner has written: what it may have handed out counts as spent. */
@@ -379,14 +404,6 @@
     });
     return errors.createFault('budget-exhausted');
   }
-
-  /** Removes programs that have not been used for long. Call from time to time. */
-  public removeIdle(): void {
-    const horizon = this.options.clock.now() - IDLE_PROGRAM_MS;
-    this.accounts.forEach((account, program) => {
-      if (account.lastUsedAt < horizon) this.accounts.delete(program);
-    });
-  }
 }
 
 function isOvertaken(kind: keyedLog.LogFailureKind): boolean {
--- a/packages/program-homes/src/HomeServer.ts
+++ b/packages/program-homes/src/HomeServer.ts
@@ -16,6 +16,9 @@
 /** How often a partition that was let go under a request is opened anew for it. */
 const OPENINGS_FOR_ONE = 3;
 
+/** How often programs without use are looked for; a tenth of the time that they are kept. */
+const REMOVAL_INTERVAL_MS = 60_000;
+
 /** Time for a former owner to write what it has not used. */
 const RELEASE_TIMEOUT_MS = 300;
 
@@ -71,6 +74,9 @@
       }),
     );
     this.store.add(options.membership.onChange(() => this.releaseForeign()));
+    const removals = setInterval(() => this.removeIdle(), REMOVAL_INTERVAL_MS);
+    removals.unref();
+    this.store.add({ dispose: () => clearInterval(removals) });
   }
 
   /** Partitions that this process serves. */
@@ -163,6 +169,10 @@
     await partition?.release();
   }
 
+  private removeIdle(): void {
+    this.partitions.forEach((partition) => partition.removeIdle());
+  }
+
   /** Asks the members that may have owned a partition to let go of it. */
   private async releaseElsewhere(index: number): Promise<void> {
     const { membership: members, network } = this.options;
--- a/packages/program-homes/src/ProgramAccount.ts
+++ b/packages/program-homes/src/ProgramAccount.ts
@@ -76,6 +76,11 @@
     return this.usedAt;
   }
 
+  /** Whether no turn is under way and none has been since a moment. */
+  public isIdleSince(moment: clock.Milliseconds): boolean {
+    return this.reservations.size === 0 && this.usedAt < moment;
+  }
+
   /** Whether the log holds all that may have been handed out. */
   public get isCovered(): boolean {
     return this.committedTokens <= this.coveredTokens;
--- a/packages/program-homes/src/testing/homeFixtures.ts
+++ b/packages/program-homes/src/testing/homeFixtures.ts
@@ -40,6 +40,15 @@
   });
 }
 
+/** A clock that can be set forward; timers run by the system's. */
+export function createShiftedClock(): clock.Clock & { shiftMs: clock.Milliseconds } {
+  const system = new clock.SystemClock();
+  const shifted = Object.create(system) as clock.Clock & { shiftMs: clock.Milliseconds };
+  shifted.shiftMs = 0;
+  shifted.now = () => system.now() + shifted.shiftMs;
+  return shifted;
+}
+
 /** Resolves when the watermarks of programs that pause have been lowered. */
 export function settlePause(): Promise<void> {
   return new clock.SystemClock().sleep(PAUSE_SETTLED_MS);
