Hold up the end of a kept turn only for a moment when the record of its budget is late

Change: once the turn is kept, its end waits 200 ms more at most; the settlement is sent on. Test: one of StreamCall.

--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -133,6 +133,15 @@
     expect(reply.outcome).toBe('ended');
   });
 
+  test('a record that takes long holds up the end of a kept turn for a moment only', async () => {
+    const transport = [fixtures.streamEvents([1], 'end')];
+    const recordUse = (): Promise<never> => new Promise<never>(() => {});
+    const startedAt = Date.now();
+    const { reply } = await run(transport, KEPT, { patienceMs: 2_000 }, { recordUse });
+    expect(reply.outcome).toBe('ended');
+    expect(Date.now() - startedAt).toBeLessThan(500);
+  });
+
   test('a turn that could not be kept does not end as complete', async () => {
     const turns = {
       history: async () => trueMyth.Result.ok([]),
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -25,8 +25,11 @@
 /** The longest that the end of a kept turn waits for the log. */
 const LONGEST_KEEP_MS = 3_000;
 
-/** The part of a call's time kept back from records, in which the end of its answer is sent. */
-const END_MARGIN_MS = 100;
+/**
+ * How long the end of a turn that is kept waits on for the record of what it used: several appends.
+ * A home that cannot be reached must not hold up a program; it counts the turn at its most.
+ */
+const RECORD_GRACE_MS = 200;
 
 /** When callers of a pool that is full or without targets may come back. */
 const COME_BACK_MS = 300;
@@ -80,6 +83,8 @@
 
   private isOver = false;
 
+  private readonly ended = new AbortController();
+
   private lastEventId: number;
 
   private lastCollectedId = -1;
@@ -267,10 +272,9 @@
       content: Buffer.concat([call.body, ...this.output]),
       retentionMs: route.retentionMs,
     };
-    const [kept] = await Promise.all([
-      store.keep(turn, timeoutMs),
-      this.plan.recordUse(this.tokensSent, timeoutMs - END_MARGIN_MS),
-    ]);
+    const recorded = this.plan.recordUse(this.tokensSent, timeoutMs);
+    const kept = await store.keep(turn, timeoutMs);
+    if (kept.isOk) await Promise.race([recorded, time.sleep(RECORD_GRACE_MS, this.ended.signal)]);
     if (this.isOver) return;
     if (kept.isOk) {
       this.complete(true);
@@ -361,6 +365,7 @@
   private finish(isComplete: boolean, isKept: boolean): void {
     if (this.isOver) return;
     this.isOver = true;
+    this.ended.abort();
     this.timer?.cancel();
     this.silence?.cancel();
     this.resolve({ tokens: this.tokensSent, isComplete, isKept });
