--- a/benchmarks/platform-soak/ProcessFleet.mjs
+++ b/benchmarks/platform-soak/ProcessFleet.mjs
@@ -3,6 +3,7 @@
 import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
+import * as timers from 'node:timers/promises';
 import * as platformTesting from '@limpettack/platform/testing';
 import * as undici from 'undici';
 
@@ -13,11 +14,6 @@
 const GRACE_S = 4;
 const OUTPUT_KEPT = 2_000;
 
-const sleep = (spanMs) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-
 /** Processes of the platform's program, each with a way of its own to one store. */
 export class ProcessFleet {
   /** @param onExit Called with the name of a VM whose process ended without being told to. */
@@ -83,7 +79,7 @@
     vm.child.isExpectedToEnd = true;
     vm.child.kill('SIGKILL');
     await vm.child.hasEnded;
-    await sleep(downMs);
+    await timers.setTimeout(downMs);
     this.spawn(vm);
   }
 
@@ -101,7 +97,7 @@
 /** Has a process stand still for a while. */
 export async function freeze(vm, spanMs) {
   vm.child.kill('SIGSTOP');
-  await sleep(spanMs);
+  await timers.setTimeout(spanMs);
   vm.child.kill('SIGCONT');
 }
 
@@ -109,7 +105,7 @@
 export async function stop(vm) {
   vm.child.isExpectedToEnd = true;
   vm.child.kill('SIGTERM');
-  const late = sleep(STOPPED_WITHIN_MS);
+  const late = timers.setTimeout(STOPPED_WITHIN_MS);
   return (await Promise.race([vm.child.hasEnded, late])) === 0;
 }
 
@@ -120,7 +116,7 @@
     const answer = await undici.request(url).catch(() => undefined);
     await answer?.body.dump();
     if (answer?.statusCode === 200) return;
-    await sleep(READY_POLL_MS);
+    await timers.setTimeout(READY_POLL_MS);
   }
   throw new Error(`${vm.name} does not take callers.`);
 }
--- a/benchmarks/platform-soak/createFaults.mjs
+++ b/benchmarks/platform-soak/createFaults.mjs
@@ -1,14 +1,10 @@
+import * as timers from 'node:timers/promises';
 import * as keyedLog from '@limpettack/keyed-log';
 import * as verdictsModule from '../soak/Verdicts.mjs';
 import * as processFleet from './ProcessFleet.mjs';
 
 const { UNAVAILABLE } = keyedLog.LOG_FAILURES;
 
-const sleep = (spanMs) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-
 /**
  * The faults of a run: each is a name with a function that makes it, waits and ends it. A VM has
  * one fault of its process at a time.
@@ -22,10 +18,10 @@
     await use(vm);
     vm.busy = false;
   };
-  const during = async (spanMs, set, unset) => {
-    set();
-    await sleep(spanMs);
-    unset();
+  const during = async (spanMs, set) => {
+    set(true);
+    await timers.setTimeout(spanMs);
+    set(false);
   };
   return {
     kill: () => withVm((vm) => fleet.kill(vm, span(50, 800))),
@@ -52,48 +48,24 @@
       });
     },
     'store down': () =>
-      during(
-        span(300, 2_500),
-        () => {
-          log.outage = UNAVAILABLE;
-        },
-        () => {
-          log.outage = undefined;
-        },
-      ),
+      during(span(300, 2_500), (isOn) => {
+        log.outage = isOn ? UNAVAILABLE : undefined;
+      }),
     'answers of the store lost': () =>
-      during(
-        span(100, 1_000),
-        () => {
-          log.losesAnswers = true;
-        },
-        () => {
-          log.losesAnswers = false;
-        },
-      ),
+      during(span(100, 1_000), (isOn) => {
+        log.losesAnswers = isOn;
+      }),
     'store turns a VM away': () => {
       const { store } = random.pick(fleet.vms);
-      return during(
-        span(300, 3_000),
-        () => {
-          store.turnsAwayWith = 503;
-        },
-        () => {
-          store.turnsAwayWith = undefined;
-        },
-      );
+      return during(span(300, 3_000), (isOn) => {
+        store.turnsAwayWith = isOn ? 503 : undefined;
+      });
     },
     'store silent for a VM': () => {
       const { store } = random.pick(fleet.vms);
-      return during(
-        span(300, 2_000),
-        () => {
-          store.isSilent = true;
-        },
-        () => {
-          store.isSilent = false;
-        },
-      );
+      return during(span(300, 2_000), (isOn) => {
+        store.isSilent = isOn;
+      });
     },
     'history dropped': async () => {
       ['programs', 'turns', 'status', 'op', 'servers'].forEach((topic) => {
@@ -105,15 +77,9 @@
     'connections of a target reset': async () => random.pick(engines).resetConnections(),
     'target silent': () => {
       const engine = random.pick(engines);
-      return during(
-        span(200, 1_500),
-        () => {
-          engine.isSilent = true;
-        },
-        () => {
-          engine.isSilent = false;
-        },
-      );
+      return during(span(200, 1_500), (isOn) => {
+        engine.isSilent = isOn;
+      });
     },
     'tables change': () => configure(),
   };
--- a/benchmarks/platform-soak/programs.mjs
+++ b/benchmarks/platform-soak/programs.mjs
@@ -1,3 +1,4 @@
+import * as timers from 'node:timers/promises';
 import * as undici from 'undici';
 import * as verdictsModule from '../soak/Verdicts.mjs';
 
@@ -18,11 +19,6 @@
 /** Statuses that must not come while the tables allow the request. */
 const DENIED = new Set([400, 401, 403, 404, 410, 413]);
 
-const sleep = (spanMs) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-
 /** Programs of callers, and what they saw. */
 export class Programs {
   constructor({ fleet, random, verdicts }) {
@@ -185,7 +181,7 @@
 
 /** Callers come back when they are told to, or soon. */
 function pause({ retryAfterMs }) {
-  return sleep(Math.min(LONGEST_RETRY_MS, Math.max(RETRY_MS, retryAfterMs)));
+  return timers.setTimeout(Math.min(LONGEST_RETRY_MS, Math.max(RETRY_MS, retryAfterMs)));
 }
 
 function dataOf(text) {
--- a/benchmarks/platform-soak/runSeed.mjs
+++ b/benchmarks/platform-soak/runSeed.mjs
@@ -1,4 +1,5 @@
 import * as buffer from 'node:buffer';
+import * as timers from 'node:timers/promises';
 import * as keyedLogTesting from '@limpettack/keyed-log/testing';
 import * as platformTesting from '@limpettack/platform/testing';
 import * as createRandom from '../soak/createRandom.mjs';
@@ -17,11 +18,6 @@
 const LEAST_GAP_MS = 200;
 const MOST_GAP_MS = 1_200;
 
-const sleep = (spanMs) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, spanMs);
-  });
-
 /** Runs processes under load and faults that a seed determines, and judges them. */
 export async function runSeed(seed, spanMs, verdicts) {
   const log = new keyedLogTesting.MemoryKeyedLog();
@@ -66,7 +62,7 @@
     const name = random.pick(Object.keys(faults));
     events.push(`${Date.now() - startedAt} ms: ${name}`);
     running.push(faults[name]());
-    await sleep(random.between(LEAST_GAP_MS, MOST_GAP_MS));
+    await timers.setTimeout(random.between(LEAST_GAP_MS, MOST_GAP_MS));
   }
   await Promise.all(running);
 }
@@ -92,7 +88,8 @@
     // An operator asks again until an answer comes; the log knows repeated appends by their number.
     sequence += 1;
     const identity = { producer: 'operator', sequence };
-    while ((await log.append(name, [{ key, value }], { identity })).isErr) await sleep(50);
+    while ((await log.append(name, [{ key, value }], { identity })).isErr)
+      await timers.setTimeout(50);
   };
 }
 
