Revert the shorter way to a link that is in use

The cause is not traced: the shorter way changes only when a request to a peer is sent, by some microtasks. What is reverted is the change of the links between VMs (the only one that this test can meet); the timers of records stay.

--- a/packages/wire/src/FleetNetwork.ts
+++ b/packages/wire/src/FleetNetwork.ts
@@ -1,6 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import * as clock from '@limpettack/clock';
+import type * as clockTypes from '@limpettack/clock';
 import * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
@@ -44,7 +44,7 @@
   /** Where to listen for peers. */
   readonly host: string;
   readonly port: number;
-  readonly clock: clock.Clock;
+  readonly clock: clockTypes.Clock;
   readonly logger: logging.Logger;
 }
 
@@ -204,12 +204,15 @@
   /** A link, or nothing when none can be had in time. */
   private async usableLinkWithin(
     address: string,
-    timeoutMs: clock.Milliseconds,
+    timeoutMs: clockTypes.Milliseconds,
   ): Promise<peerLink.PeerLink | undefined> {
-    const link = this.links.get(address);
-    // Nearly every request finds such a link, and needs no timer.
-    if (link !== undefined && !link.isClosed && link.silenceMs < IDLE_CHECK_MS) return link;
-    return clock.within(this.options.clock, this.usableLink(address), timeoutMs);
+    const waiting = new AbortController();
+    const link = await Promise.race([
+      this.usableLink(address),
+      this.options.clock.sleep(timeoutMs, waiting.signal).then(() => undefined),
+    ]);
+    waiting.abort();
+    return link;
   }
 
   private async usableLink(address: string): Promise<peerLink.PeerLink | undefined> {
