--- a/benchmarks/platform-soak/ProcessFleet.mjs
+++ b/benchmarks/platform-soak/ProcessFleet.mjs
@@ -1,10 +1,10 @@
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs/promises';
-import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as timers from 'node:timers/promises';
 import * as platformTesting from '@limpettack/platform/testing';
+import * as testKit from '@limpettack/test-kit';
 import * as undici from 'undici';
 
 const PROGRAM = path.join(import.meta.dirname, '..', '..', 'target', 'limpettack-node.cjs');
@@ -30,7 +30,7 @@
   }
 
   async addVm(name) {
-    const [callers, ready, first, last] = await findFreePorts(4);
+    const [callers, ready, first, last] = await testKit.findFreePorts(4);
     const store = new platformTesting.FakeStore(this.log);
     const file = path.join(this.directory, `${name}.json`);
     const settings = {
@@ -120,19 +120,3 @@
   }
   throw new Error(`${vm.name} does not take callers.`);
 }
-
-async function findFreePorts(count) {
-  const probes = Array.from({ length: count }, () => net.createServer());
-  const listen = (probe) =>
-    new Promise((resolve) => {
-      probe.listen(0, '127.0.0.1', resolve);
-    });
-  await Promise.all(probes.map(listen));
-  const ports = probes.map((probe) => probe.address().port);
-  const close = (probe) =>
-    new Promise((resolve) => {
-      probe.close(resolve);
-    });
-  await Promise.all(probes.map(close));
-  return ports;
-}
--- a/packages/test-kit/src/index.ts
+++ b/packages/test-kit/src/index.ts
@@ -15,3 +15,4 @@
 export * from './Caller.js';
 export * from './ProgramRunner.js';
 export * from './TestTimer.js';
+export * from './findFreePorts.js';
