--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -4,6 +4,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
+import * as conditionWaiters from './ConditionWaiters.js';
 import * as programAccount from './ProgramAccount.js';
 import * as watermarkRecord from './watermarkRecord.js';
 import type { Grant, Reservation, Settlement } from './Types.js';
@@ -50,13 +51,6 @@
   readonly releaseElsewhere: () => Promise<void>;
 }
 
-/** Someone who waits for what only a write can bring about. */
-interface WriteWaiter {
-  readonly condition: () => boolean;
-  readonly resolve: (holds: boolean) => void;
-  timer?: clock.Timer;
-}
-
 /** A record on its way to the log. */
 interface PendingRecord {
   /** The watermark that was asked for. */
@@ -76,7 +70,8 @@
 
   private readonly wanted = new Map<string, number>();
 
-  private readonly waiters = new Set<WriteWaiter>();
+  /** Those who wait for what only a write can bring about. */
+  private readonly waiters: conditionWaiters.ConditionWaiters;
 
   /** Programs whose watermark may stand too high. */
   private readonly surplus = new Set<string>();
@@ -99,7 +94,9 @@
   /** The records of an append that may have taken effect. */
   private unanswered: ReadonlyMap<string, PendingRecord> | undefined;
 
-  public constructor(private readonly options: HomePartitionOptions) {}
+  public constructor(private readonly options: HomePartitionOptions) {
+    this.waiters = new conditionWaiters.ConditionWaiters(options.clock);
+  }
 
   /** Sets tokens aside, and has a watermark written that covers them and some turns more. */
   public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
@@ -125,7 +122,7 @@
     const account = this.account(program);
     // The partition may have come here since the tokens were set aside.
     if (!account.hasReserved(call) && (await this.reserve(reservation)).isErr) return false;
-    return this.written(() => account.isCovered, WRITE_WAIT_MS);
+    return this.waiters.wait(() => account.isCovered, WRITE_WAIT_MS);
   }
 
   /**
@@ -144,7 +141,7 @@
     }
     account.noteWriter(call, writer);
     if (account.watermark > account.committedTokens) this.lower(program, account);
-    return this.written(() => !this.wanted.has(program), WRITE_WAIT_MS);
+    return this.waiters.wait(() => !this.wanted.has(program), WRITE_WAIT_MS);
   }
 
   private lower(program: string, account: programAccount.ProgramAccount): void {
@@ -178,7 +175,7 @@
     });
     if (this.wanted.size === 0) return;
     if (!this.isWriting) await this.write();
-    else await this.written(() => this.wanted.size === 0, RETRY_MS * 3);
+    else await this.waiters.wait(() => this.wanted.size === 0, RETRY_MS * 3);
   }
 
   private noteSurplus(program: string): void {
@@ -237,28 +234,6 @@
     this.want(program, Math.max(watermark, this.wanted.get(program) ?? 0));
   }
 
-  /** Waits until a condition holds that only writes can bring about. */
-  private written(condition: () => boolean, timeoutMs: clock.Milliseconds): Promise<boolean> {
-    if (condition()) return Promise.resolve(true);
-    return new Promise((resolve) => {
-      const waiter: WriteWaiter = { condition, resolve };
-      waiter.timer = this.options.clock.startTimer(timeoutMs, () => {
-        this.waiters.delete(waiter);
-        resolve(condition());
-      });
-      this.waiters.add(waiter);
-    });
-  }
-
-  private wakeWaiters(): void {
-    this.waiters.forEach((waiter) => {
-      if (!waiter.condition()) return;
-      waiter.timer?.cancel();
-      this.waiters.delete(waiter);
-      waiter.resolve(true);
-    });
-  }
-
   private async write(): Promise<void> {
     this.isWriting = true;
     while (this.wanted.size > 0 && this.end !== undefined) await this.writeBatch();
@@ -277,7 +252,7 @@
       this.sequence += 1;
       this.end = result.value.endOffset;
       batch.forEach((record, program) => this.noteWritten(program, record));
-      this.wakeWaiters();
+      this.waiters.check();
       return;
     }
     // An append that may have taken effect is repeated unchanged until it is answered.
@@ -360,7 +335,7 @@
     if (state.isErr) return false;
     state.value.records.forEach((record) => this.takeRecord(record));
     this.end = state.value.endOffset;
-    this.wakeWaiters();
+    this.waiters.check();
     return true;
   }
 
