--- a/packages/keyed-log/src/RelayedLog.test.ts
+++ b/packages/keyed-log/src/RelayedLog.test.ts
@@ -1,7 +1,8 @@
 import * as jestGlobals from '@jest/globals';
 import * as clock from '@limpettack/clock';
 import * as logging from '@limpettack/logging';
-import * as wire from '@limpettack/wire';
+import type * as wire from '@limpettack/wire';
+import * as wireTesting from '@limpettack/wire/testing';
 import * as logFailures from './LogFailures.js';
 import * as relayedLog from './RelayedLog.js';
 import * as memoryKeyedLog from './testing/MemoryKeyedLog.js';
@@ -60,19 +61,7 @@
 async function createLogs(direct: readonly KeyedLog[]): Promise<relayedLog.RelayedLog[]> {
   const time = new clock.SystemClock();
   const logger = new logging.PartLogger('test');
-  const created = direct.map(
-    (_, index) =>
-      new wire.FleetNetwork({
-        name: `vm-${index}`,
-        incarnation: '1',
-        failureDomain: 'a',
-        secret: 'a secret of the tests',
-        host: '127.0.0.1',
-        port: 0,
-        clock: time,
-        logger,
-      }),
-  );
+  const created = direct.map((_, index) => wireTesting.createTestNetwork(`vm-${index}`));
   networks.push(...created);
   await Promise.all(created.map((network) => network.listen()));
   const members = created.map(({ self }) => ({
--- a/packages/program-homes/src/HomePartition.test.ts
+++ b/packages/program-homes/src/HomePartition.test.ts
@@ -1,6 +1,7 @@
 import * as jestGlobals from '@jest/globals';
 import * as keyedLog from '@limpettack/keyed-log';
 import type * as keyedLogTesting from '@limpettack/keyed-log/testing';
+import type * as homePartition from './HomePartition.js';
 import * as homeFixtures from './testing/homeFixtures.js';
 import type { Reservation } from './Types.js';
 
@@ -192,9 +193,7 @@
     const log = homeFixtures.createLog();
     const time = homeFixtures.createShiftedClock();
     const home = homeFixtures.createPartition({ log, producer: 'home', time });
-    await home.reserve(reservation('a'));
-    await home.cover(reservation('a'));
-    await home.settle({ program: 'p', call: 'a', tokens: 20, isKept: true }, 'here');
+    await keepTurn(home, 'a');
     home.removeIdle();
     expect(await programsIn(log)).toEqual(['p']);
     time.shiftMs = 700_000;
@@ -209,9 +208,7 @@
     const log = homeFixtures.createLog();
     const time = homeFixtures.createShiftedClock();
     const home = homeFixtures.createPartition({ log, producer: 'home', time });
-    await home.reserve(reservation('a'));
-    await home.cover(reservation('a'));
-    await home.settle({ program: 'p', call: 'a', tokens: 20, isKept: true }, 'here');
+    await keepTurn(home, 'a');
     time.shiftMs = 700_000;
     log.losesAnswers = true;
     home.removeIdle();
@@ -286,6 +283,12 @@
   });
 });
 
+async function keepTurn(home: homePartition.HomePartition, call: string): Promise<void> {
+  await home.reserve(reservation(call));
+  await home.cover(reservation(call));
+  await home.settle({ program: 'p', call, tokens: 20, isKept: true }, 'here');
+}
+
 async function programsIn(log: keyedLogTesting.MemoryKeyedLog): Promise<string[]> {
   const state = await keyedLog.readAllNewest(log, homeFixtures.PARTITION);
   return state.isOk ? state.value.records.map(({ key }) => key) : [];
--- a/packages/program-homes/src/testing/homeFixtures.ts
+++ b/packages/program-homes/src/testing/homeFixtures.ts
@@ -4,7 +4,8 @@
 import * as lifetime from '@limpettack/lifetime';
 import * as logging from '@limpettack/logging';
 import type * as membership from '@limpettack/membership';
-import * as wire from '@limpettack/wire';
+import type * as wire from '@limpettack/wire';
+import * as wireTesting from '@limpettack/wire/testing';
 import * as homeClient from '../HomeClient.js';
 import * as homePartition from '../HomePartition.js';
 import * as homeServer from '../HomeServer.js';
@@ -60,16 +61,7 @@
 ): lifetime.Disposable & { readonly server: homeServer.HomeServer } {
   const time = new clock.SystemClock();
   const logger = new logging.PartLogger('homes');
-  const network = new wire.FleetNetwork({
-    name: 'vm-1',
-    incarnation: '1',
-    failureDomain: 'a',
-    secret: 'a secret of the tests',
-    host: '127.0.0.1',
-    port: 0,
-    clock: time,
-    logger,
-  });
+  const network = wireTesting.createTestNetwork('vm-1');
   const members = {
     available: () => [],
     members: () => [],
@@ -123,19 +115,8 @@
   const logger = new logging.PartLogger('homes');
   const hidden = new Set<string>();
   const changes = new lifetime.Emitter<membership.Member>();
-  const networks = Array.from(
-    { length: count },
-    (_, index) =>
-      new wire.FleetNetwork({
-        name: `vm-${index}`,
-        incarnation: '1',
-        failureDomain: 'a',
-        secret: 'a secret of the tests',
-        host: '127.0.0.1',
-        port: 0,
-        clock: time,
-        logger,
-      }),
+  const networks = Array.from({ length: count }, (_, index) =>
+    wireTesting.createTestNetwork(`vm-${index}`),
   );
   await Promise.all(networks.map((network) => network.listen()));
   const all = networks.map(({ self }) => ({
--- a/packages/turns/src/LoggedTurnStore.test.ts
+++ b/packages/turns/src/LoggedTurnStore.test.ts
@@ -3,7 +3,8 @@
 import * as keyedLog from '@limpettack/keyed-log';
 import * as keyedLogTesting from '@limpettack/keyed-log/testing';
 import * as logging from '@limpettack/logging';
-import * as wire from '@limpettack/wire';
+import type * as wire from '@limpettack/wire';
+import * as wireTesting from '@limpettack/wire/testing';
 import * as loggedTurnStore from './LoggedTurnStore.js';
 import type { Turn } from './Types.js';
 
@@ -113,16 +114,7 @@
 ): Promise<loggedTurnStore.LoggedTurnStore> {
   const time = new clock.SystemClock();
   const logger = new logging.PartLogger('test');
-  const network = new wire.FleetNetwork({
-    name,
-    incarnation: '1',
-    failureDomain: 'a',
-    secret: 'a secret of the tests',
-    host: '127.0.0.1',
-    port: 0,
-    clock: time,
-    logger,
-  });
+  const network = wireTesting.createTestNetwork(name);
   networks.push(network);
   await network.listen();
   const store = new loggedTurnStore.LoggedTurnStore({
--- a/packages/wire/src/FleetNetwork.test.ts
+++ b/packages/wire/src/FleetNetwork.test.ts
@@ -1,12 +1,11 @@
 import * as net from 'node:net';
-import * as clockPackage from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
 import * as lifetime from '@limpettack/lifetime';
-import * as logging from '@limpettack/logging';
 import * as jestGlobals from '@jest/globals';
 import * as trueMyth from 'true-myth';
 import * as zod from 'zod';
 import * as fleetNetwork from './FleetNetwork.js';
+import * as createTestNetwork from './testing/createTestNetwork.js';
 import * as peerFailures from './PeerFailures.js';
 import * as peerLink from './PeerLink.js';
 import type { PeerMethod, PeerStreamKind } from './Types.js';
@@ -34,18 +33,7 @@
 async function startNetwork(name: string, secret = 'secret') {
   const owner = new lifetime.DisposableStore();
   store.push(owner);
-  const network = owner.add(
-    new fleetNetwork.FleetNetwork({
-      name,
-      incarnation: '1',
-      failureDomain: 'cumbaya',
-      secret,
-      host: '127.0.0.1',
-      port: 0,
-      clock: new clockPackage.SystemClock(),
-      logger: new logging.PartLogger('test'),
-    }),
-  );
+  const network = owner.add(createTestNetwork.createTestNetwork(name, secret));
   await network.listen();
   return { network, address: network.self.address };
 }
--- /dev/null
+++ b/packages/wire/src/testing/index.ts
@@ -0,0 +1,2 @@
+/** Fixtures for tests of packages that talk to peers. */
+export * from './createTestNetwork.js';
