Give the fault proxies of tests ports below those of outgoing connections

Ruled out: the limits; both tests failed while the proxies were restored. Test: one of FaultProxy fails before.

--- a/packages/test-kit/src/FaultProxy.test.ts
+++ b/packages/test-kit/src/FaultProxy.test.ts
@@ -10,6 +10,8 @@
 
 const TIME = new clock.SystemClock();
 const REQUEST_TIMEOUT_MS = 300;
+/** Where Linux begins the ports of outgoing connections unless it is set up otherwise. */
+const FIRST_OUTGOING_PORT = 32_768;
 
 describe('HttpLogClient behind a FaultProxy', () => {
   let platform: standIns.PlatformServer;
@@ -46,6 +48,15 @@
     return platform.counts().stream?.appends ?? 0;
   }
 
+  test('keeps its port over a cut, below those that systems give to outgoing connections', async () => {
+    const { address } = proxy;
+    expect(Number(address.split(':')[1])).toBeLessThan(FIRST_OUTGOING_PORT);
+    await proxy.cut();
+    await proxy.restore();
+    expect(proxy.address).toBe(address);
+    expect(await failureOfAppend()).toBeUndefined();
+  });
+
   test('a refused connection and an outage had no effect', async () => {
     await proxy.cut();
     expect(await failureOfAppend()).toBe('unavailable');
--- a/packages/test-kit/src/FaultProxy.ts
+++ b/packages/test-kit/src/FaultProxy.ts
@@ -4,6 +4,7 @@
 import * as lifetime from '@limpettack/lifetime';
 
 import * as directions from './Directions.js';
+import * as findFreePorts from './findFreePorts.js';
 import * as proxiedConnection from './ProxiedConnection.js';
 import type { Direction } from './Types.js';
 
@@ -47,8 +48,9 @@
     return this.connections.size;
   }
 
-  /** Starts to listen on a free port. */
+  /** Starts to listen on a free port, which stays its own over cuts. */
   public async start(): Promise<void> {
+    [this.port = 0] = await findFreePorts.findFreePorts(1);
     await this.listen();
   }
 
@@ -111,7 +113,6 @@
       server.once('error', reject);
       server.listen(this.port, HOST, resolve);
     });
-    this.port = (server.address() as net.AddressInfo).port;
   }
 
   private accept(client: net.Socket): void {
