Send nothing more to a target that says in an answer that it leaves

Cause: a target that ends says so in its answers (a header field), at times before its entry in the store does, or in place of it. Nothing read that field, so a VM that the store turns away went on sending work to such a target until it had gone.

Ruled out: telling the peers. Each VM learns it with its own first answer, and the rule binds only the VM that passed the answer on.

--- a/packages/gateway/src/TargetRegistry.ts
+++ b/packages/gateway/src/TargetRegistry.ts
@@ -21,6 +21,8 @@
   readonly target: Target;
   /** Set when the entry has gone but the target may live. */
   missingUntil: clock.Milliseconds | undefined;
+  /** Whether the process itself has said that it ends, whatever its entry says. */
+  isLeaving: boolean;
 }
 
 /** The targets that there are, from the platform's list. */
@@ -51,12 +53,13 @@
 
   /** Takes in a target's entry. */
   public update(target: Target): void {
-    const former = this.known.get(target.id)?.target;
-    if (former !== undefined && !isSameProcess(former, target)) this.goneEmitter.fire(former);
-    this.known.set(target.id, { target, missingUntil: undefined });
-    if (former !== undefined && isSameProcess(former, target)) {
-      if (former.isDraining === target.isDraining) return;
-    }
+    const entry = this.known.get(target.id);
+    const former = entry?.target;
+    const isSame = former !== undefined && isSameProcess(former, target);
+    if (former !== undefined && !isSame) this.goneEmitter.fire(former);
+    const isLeaving = isSame && entry!.isLeaving;
+    this.known.set(target.id, { target, missingUntil: undefined, isLeaving });
+    if (isSame && former.isDraining === target.isDraining) return;
     this.options.logger.info('A target was listed.', {
       target: target.id,
       kind: target.isDraining ? 'draining' : 'ready',
@@ -64,6 +67,18 @@
     });
   }
 
+  /**
+   * Takes in that a process has said that it ends. Its entry may say so later or never, and a
+   * process that ends does not change its mind, so this holds until another one has its id.
+   */
+  public noteLeaving(target: Target): void {
+    const entry = this.known.get(target.id);
+    if (entry === undefined || entry.isLeaving || !isSameProcess(entry.target, target)) return;
+    entry.isLeaving = true;
+    const reason = 'said so in an answer';
+    this.options.logger.info('A target leaves.', { target: target.id, reason });
+  }
+
   /** The entry of a target has gone. During an outage that says little, so it waits. */
   public remove(id: string): void {
     const entry = this.known.get(id);
@@ -84,22 +99,24 @@
   public usable(pool: string): readonly Target[] {
     const now = this.options.clock.now();
     return [...this.known.values()]
-      .filter(({ target, missingUntil }) => {
-        const isMissing = missingUntil !== undefined && missingUntil <= now;
-        return target.pool === pool && !target.isDraining && !isMissing;
-      })
+      .filter((entry) => entry.target.pool === pool && mayGetWork(entry, now))
       .map(({ target }) => target);
   }
 
   /** Whether a target may still get new work. */
   public isUsable(target: Target): boolean {
     const entry = this.known.get(target.id);
-    if (entry === undefined || entry.target.isDraining) return false;
-    if (!isSameProcess(entry.target, target)) return false;
-    return entry.missingUntil === undefined || entry.missingUntil > this.options.clock.now();
+    if (entry === undefined || !isSameProcess(entry.target, target)) return false;
+    return mayGetWork(entry, this.options.clock.now());
   }
 }
 
+function mayGetWork(entry: KnownTarget, now: clock.Milliseconds): boolean {
+  const { isLeaving, missingUntil, target } = entry;
+  if (isLeaving || target.isDraining) return false;
+  return missingUntil === undefined || missingUntil > now;
+}
+
 function isSameProcess(left: Target, right: Target): boolean {
   return left.address === right.address && left.incarnation === right.incarnation;
 }
--- a/packages/gateway/src/decisions.test.ts
+++ b/packages/gateway/src/decisions.test.ts
@@ -147,6 +147,20 @@
     expect(registry.usable('pool')).toHaveLength(0);
   });
 
+  test('a target that said in an answer that it leaves gets no new work until it is another process', () => {
+    const registry = createRegistry(new clock.ManualClock(), () => 0);
+    registry.reset([fixtures.createTarget('one')]);
+    registry.noteLeaving(fixtures.createTarget('one'));
+    expect(registry.usable('pool')).toEqual([]);
+    registry.update(fixtures.createTarget('one'));
+    registry.reset([fixtures.createTarget('one')]);
+    expect(registry.usable('pool')).toEqual([]);
+    registry.update(fixtures.createTarget('one', { incarnation: '2' }));
+    expect(registry.usable('pool')).toHaveLength(1);
+    registry.noteLeaving(fixtures.createTarget('one', { incarnation: '1' }));
+    expect(registry.usable('pool')).toHaveLength(1);
+  });
+
   test('a process that starts again under an id is another one', () => {
     const registry = createRegistry(new clock.ManualClock(), () => 0);
     const gone: string[] = [];
