Bound answers that never end, in their heads and bodies

Cause: a target in trouble may send bytes without end.

A slow stream with whole events stays where it is (test). Streams that may not be resumed still end at their deadline.

--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -94,6 +94,64 @@
     expect(parts.scores.compare(ids).get(silent!.target)?.isPaused).toBe(true);
   });
 
+  test('single bytes without a whole event do not hold a stream', async () => {
+    const drip: scriptedTransport.Script = (handler) => {
+      fixtures.streamEvents([1], 'hang')(handler);
+      const timer = setInterval(() => handler.onData(Buffer.from('x')), 50);
+      timer.unref();
+    };
+    const scripts = [drip, fixtures.streamEvents([2], 'end')];
+    const startedAt = Date.now();
+    const route = { ...RESUMABLE, timeoutMs: 10_000 };
+    const { reply, transport } = await run(scripts, route, { patienceMs: 10_000 });
+    expect(reply.eventIds).toEqual([1, 2]);
+    expect(transport.aborted).toBe(1);
+    expect(Date.now() - startedAt).toBeLessThan(2_000);
+  });
+
+  test('a slow stream with whole events goes on at its target', async () => {
+    const slow: scriptedTransport.Script = (handler) => {
+      handler.onHead(fixtures.HEAD);
+      [1, 2, 3].forEach((id) => {
+        setTimeout(() => handler.onData(fixtures.eventBytes(id)), 500 * id);
+      });
+      setTimeout(() => handler.onEnd(), 2_000);
+    };
+    const route = { ...RESUMABLE, timeoutMs: 10_000 };
+    const { reply, transport } = await run([slow], route, { patienceMs: 10_000 });
+    expect(reply.eventIds).toEqual([1, 2, 3]);
+    expect(transport.sent).toHaveLength(1);
+    expect(reply.outcome).toBe('ended');
+  });
+
+  test.each([
+    ['an event', 200],
+    ['an error', 500],
+  ])(
+    'bytes of %s without end are given up, and the stream goes on elsewhere',
+    async (_name, status) => {
+      const flood: scriptedTransport.Script = (handler) => {
+        handler.onHead({ ...fixtures.HEAD, status });
+        for (let count = 0; count < 64; count += 1) handler.onData(Buffer.alloc(32 * 1024, 'x'));
+      };
+      const scripts = [flood, fixtures.streamEvents([1], 'end')];
+      const { reply, transport } = await run(scripts, RESUMABLE);
+      expect(reply.eventIds).toEqual([1]);
+      expect(transport.aborted).toBe(1);
+      expect(reply.outcome).toBe('ended');
+    },
+  );
+
+  test('an event without end breaks off a stream that may not run again', async () => {
+    const flood: scriptedTransport.Script = (handler) => {
+      fixtures.streamEvents([1], 'hang')(handler);
+      for (let count = 0; count < 64; count += 1) handler.onData(Buffer.alloc(32 * 1024, 'x'));
+    };
+    const { reply, transport } = await run([flood], STREAM);
+    expect(reply.outcome).toBe('broken');
+    expect(transport.aborted).toBe(1);
+  });
+
   test('a target that did not run the request does not count as a try', async () => {
     const scripts = [fixtures.fail(NOT_RUN), fixtures.streamEvents([1], 'end')];
     const { reply } = await run(scripts, { ...STREAM, maximumAttempts: 1 });
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -34,6 +34,9 @@
 /** When callers of a pool that is full or without targets may come back. */
 const COME_BACK_MS = 300;
 
+/** The largest answer that is no stream, such as an error, in bytes. */
+const LARGEST_PLAIN_BYTES = 64 * 1024;
+
 const OK = 200;
 
 const LINE_FEED = Buffer.from('\n');
@@ -71,6 +74,12 @@
   readonly isKept: boolean;
 }
 
+interface PlainAnswer {
+  readonly head: AnswerHead;
+  readonly chunks: Uint8Array[];
+  size: number;
+}
+
 /** A call that is answered by events, passed on as they come. */
 export class StreamCall {
   private readonly splitter = { current: new eventSplitter.EventSplitter() };
@@ -92,7 +101,7 @@
   private readonly output: Buffer[] = [];
 
   /** The answer of a target that does not stream, such as an error. */
-  private plainAnswer: { readonly head: AnswerHead; readonly chunks: Uint8Array[] } | undefined;
+  private plainAnswer: PlainAnswer | undefined;
 
   /** What the target has sent while nothing may be handed out yet. */
   private held: (() => void)[] | undefined;
@@ -175,7 +184,7 @@
   private onHead(head: AnswerHead): void {
     if (this.isOver) return;
     if (head.status !== OK) {
-      this.plainAnswer = { head, chunks: [] };
+      this.plainAnswer = { head, chunks: [], size: 0 };
       return;
     }
     this.head ??= head;
@@ -187,12 +196,24 @@
     if (this.isOver) return;
     if (this.plainAnswer !== undefined) {
       this.plainAnswer.chunks.push(chunk);
+      this.plainAnswer.size += chunk.length;
+      if (this.plainAnswer.size > LARGEST_PLAIN_BYTES) this.dropTarget('The error is too long.');
+      return;
+    }
+    const events = this.splitter.current.push(chunk);
+    events.forEach((event) => this.whenCovered(() => this.passOn(event)));
+    if (this.splitter.current.isOverfull) {
+      this.dropTarget('An event of the stream is too long.');
       return;
     }
-    this.splitter.current
-      .push(chunk)
-      .forEach((event) => this.whenCovered(() => this.passOn(event)));
-    if (this.target !== undefined) this.watchSilence(this.target, SILENCE_MS);
+    // Only whole events count, since a target that fails may send single bytes for ever.
+    if (events.length > 0 && this.target !== undefined) this.watchSilence(this.target, SILENCE_MS);
+  }
+
+  /** Gives up the target, because what it sends is no answer. */
+  private dropTarget(reason: string): void {
+    this.exchange?.giveUp();
+    this.retryOrFail(reason);
   }
 
   private passOn(event: eventSplitter.StreamEvent): void {
@@ -317,8 +338,7 @@
       target: target.id,
       offset: this.lastEventId,
     });
-    this.exchange?.giveUp();
-    this.retryOrFail('The stream fell silent.');
+    this.dropTarget('The stream fell silent.');
   }
 
   private waitForRoom(): void {
--- a/packages/gateway/src/WholeCall.ts
+++ b/packages/gateway/src/WholeCall.ts
@@ -23,6 +23,13 @@
 /** The largest answer that is held, in bytes. */
 const LARGEST_ANSWER_BYTES = 16 * 1024 * 1024;
 
+/** What became of an answer beyond that size. */
+const TOO_LARGE: SendFailure = {
+  kind: sendFailures.SEND_FAILURES.LOST,
+  reason: 'The answer is too large.',
+  isDisconnect: false,
+};
+
 /** When callers of a pool that is full or without targets may come back. */
 const COME_BACK_MS = 200;
 
@@ -110,7 +117,10 @@
       onData: (chunk) => {
         chunks.push(chunk);
         size += chunk.length;
-        if (size > LARGEST_ANSWER_BYTES) this.fail('target-failed', 'The answer is too large.');
+        if (size <= LARGEST_ANSWER_BYTES) return;
+        exchange.giveUp();
+        this.running.delete(exchange);
+        this.onFailure(target, TOO_LARGE, now);
       },
       onEnd: () => {
         this.giveUpEarlier(exchange);
--- a/packages/gateway/src/decisions.test.ts
+++ b/packages/gateway/src/decisions.test.ts
@@ -188,6 +188,21 @@
   });
 });
 
+describe('EventSplitter of a stream without an end of an event', () => {
+  test('says so once it holds more than an event has, without joining what it holds', () => {
+    const splitter = new eventSplitter.EventSplitter();
+    const chunk = Buffer.alloc(64, 'x');
+    const startedAt = Date.now();
+    // Joining anew at each chunk would copy over 8 GB here.
+    for (let size = 0; size <= eventSplitter.LARGEST_EVENT_BYTES; size += chunk.length) {
+      if (splitter.isOverfull) throw new Error(`overfull at ${size}`);
+      splitter.push(chunk);
+    }
+    expect(splitter.isOverfull).toBe(true);
+    expect(Date.now() - startedAt).toBeLessThan(1_000);
+  });
+});
+
 function choose(scores: targetScores.TargetScores, affinity: string): string | undefined {
   return chooseTarget.chooseTarget({
     candidates: TARGETS,
--- a/packages/gateway/src/testing/ScriptedTransport.ts
+++ b/packages/gateway/src/testing/ScriptedTransport.ts
@@ -16,8 +16,19 @@
     this.sent.push({ target: target.id, request });
     const script = this.scripts.shift();
     let isAborted = false;
+    const whileWanted =
+      <Value extends unknown[]>(step: (...values: Value) => void) =>
+      (...values: Value): void => {
+        if (!isAborted) step(...values);
+      };
+    const heard: AnswerHandler = {
+      onHead: whileWanted((head) => handler.onHead(head)),
+      onData: whileWanted((chunk) => handler.onData(chunk)),
+      onEnd: whileWanted(() => handler.onEnd()),
+      onFailure: whileWanted((failure) => handler.onFailure(failure)),
+    };
     setImmediate(() => {
-      if (!isAborted) script?.(handler);
+      if (!isAborted) script?.(heard);
     });
     return {
       abort: () => {
