Believe a VM's process that started after its clock was set back

Cause: the incarnation of a process begins with the time of day of its start, and peers believe the greater one. A VM that restarts after its clock was set back was taken for its own past: peers ignored its probes, so it owned nothing, was asked nothing, and its partitions stayed with a process that was gone until the list dropped it.

A process that learns of a later one under its own name now takes the next generation, which goes before the incarnation in the order of a VM's processes. Peers tell a prober first what they know of it, so this takes one probe.

Ruled out: the position of its entry in the store as the order (a process that starts in an outage has none); ordering by what was heard last (buffered messages of the former process arrive late). Test: fails before (the former process stays).

--- a/packages/membership/src/MemberTable.ts
+++ b/packages/membership/src/MemberTable.ts
@@ -10,11 +10,21 @@
 /** How many ended members are remembered. */
 const ENDED_MEMBERS_KEPT = 1_024;
 
+/** The record of a member of which nothing has been told. */
+const UNTOLD = {
+  generation: 0,
+  suspected: false,
+  announcedLeaving: false,
+  revision: 0,
+  dropped: false,
+};
+
 /** What the table keeps of a member. */
 export interface MemberRecord {
   readonly name: string;
   /** Empty until the process has been met. */
   readonly incarnation: string;
+  readonly generation: number;
   readonly address: string;
   readonly failureDomain: string;
   readonly suspected: boolean;
@@ -41,7 +51,14 @@
   readonly absenceMs: clock.Milliseconds;
 }
 
-/** The known members, and which of the things said about them is believed. */
+/**
+ * The known members, and which of the things said about them is believed.
+ *
+ * The processes of a VM follow each other in the order of their incarnations, which begin with the
+ * time of day of their start. Where that has been set back, a process learns from its peers that they
+ * know a later one under its name. It cannot be later, since a VM has one process at a time, so the
+ * process takes the next generation, which goes before the incarnation in that order.
+ */
 export class MemberTable {
   public readonly changes = new lifetime.Emitter<Member>();
 
@@ -51,8 +68,7 @@
 
   public constructor(private readonly options: MemberTableOptions) {
     const { self } = options;
-    const state = { suspected: false, announcedLeaving: false, revision: 0, dropped: false };
-    this.records.set(self.name, { ...self, ...state });
+    this.records.set(self.name, { ...self, ...UNTOLD });
   }
 
   /** This process's own record, as news. */
@@ -104,7 +120,7 @@
   public hear(news: MemberNews): void {
     if (news.name === this.options.self.name) return;
     const known = this.records.get(news.name);
-    if (known && known.incarnation > news.incarnation) return;
+    if (known && compareProcesses(known, news) > 0) return;
     // A member that has not yet heard that it is suspected repeats its old revision.
     const isOlder = known?.incarnation === news.incarnation && known.revision > news.revision;
     const latest = isOlder ? toNews(known) : news;
@@ -171,6 +187,10 @@
 
   private refute(news: MemberNews): boolean {
     const self = this.records.get(this.options.self.name)!;
+    if (compareProcesses(news, self) > 0) {
+      this.store({ ...self, generation: news.generation + 1 });
+      return true;
+    }
     if (news.incarnation !== self.incarnation || news.revision < self.revision) return false;
     if (!news.suspected && news.leaving === self.announcedLeaving) return false;
     this.store({ ...self, revision: news.revision + 1 });
@@ -178,9 +198,8 @@
   }
 
   private addListed(vm: platformClient.ListedVm): void {
-    const state = { suspected: false, announcedLeaving: false, revision: 0, dropped: false };
     const { name, address, failureDomain } = vm;
-    this.store({ name, address, failureDomain, incarnation: '', ...state });
+    this.store({ name, address, failureDomain, incarnation: '', ...UNTOLD });
   }
 
   private update(name: string, change: Partial<MemberRecord>, isListed = false): void {
@@ -232,15 +251,25 @@
 }
 
 function isNewer(news: MemberNews, known: MemberRecord): boolean {
-  if (news.incarnation !== known.incarnation) return news.incarnation > known.incarnation;
+  const order = compareProcesses(news, known);
+  if (order !== 0) return order > 0;
   if (news.revision !== known.revision) return news.revision > known.revision;
   return news.suspected && !known.suspected;
 }
 
+type ProcessOrder = Pick<MemberRecord, 'generation' | 'incarnation'>;
+
+/** Above 0 when the left process of a VM is the later one. */
+function compareProcesses(left: ProcessOrder, right: ProcessOrder): number {
+  if (left.generation !== right.generation) return left.generation - right.generation;
+  if (left.incarnation === right.incarnation) return 0;
+  return left.incarnation > right.incarnation ? 1 : -1;
+}
+
 function toNews(record: MemberRecord): MemberNews {
-  const { name, incarnation, address, failureDomain, suspected, revision } = record;
-  const leaving = record.announcedLeaving;
-  return { name, incarnation, address, failureDomain, suspected, leaving, revision };
+  const { announcedLeaving: leaving, name, incarnation, generation } = record;
+  const { address, failureDomain, suspected, revision } = record;
+  return { name, incarnation, generation, address, failureDomain, suspected, leaving, revision };
 }
 
 function fromNews(news: MemberNews): MemberRecord {
--- a/packages/membership/src/ProbingMembership.test.ts
+++ b/packages/membership/src/ProbingMembership.test.ts
@@ -155,6 +155,32 @@
     expect([first.hasEnded('c', '1'), first.hasEnded('c', '2')]).toEqual([true, false]);
   });
 
+  test('believes a process that started after the clock of its VM was set back', async () => {
+    const fleet = createFleet();
+    const [first, second] = await startThree(fleet);
+    fleet.faults.cut.add('c:1');
+    const third = await fleet.start('c', ['a:1'], '0', 2);
+    await fleet.run(12);
+    [first, second].forEach((member) =>
+      expect(member.find('c')).toMatchObject({
+        incarnation: '0',
+        address: 'c:2',
+        state: AVAILABLE,
+      }),
+    );
+    expect(third.available()).toHaveLength(3);
+    // Once more, to a time before that of both.
+    fleet.faults.cut.add('c:2');
+    await fleet.start('c', ['a:1'], '-', 3);
+    await fleet.run(12);
+    expect(first.find('c')).toMatchObject({ incarnation: '-', state: AVAILABLE });
+    // And forward again: the generation of the process goes on from the last one.
+    fleet.faults.cut.add('c:3');
+    await fleet.start('c', ['a:1'], '7', 4);
+    await fleet.run(12);
+    expect(first.find('c')).toMatchObject({ incarnation: '7', state: AVAILABLE });
+  });
+
   test('does not take a VM that is not listed yet for one that has ended', async () => {
     const fleet = createFleet();
     const [first] = await startThree(fleet);
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -12,6 +12,8 @@
 export const MEMBER_NEWS = zod.object({
   name: TEXT.min(1),
   incarnation: TEXT.min(1),
+  /** Goes before the incarnation in the order of a VM's processes; see `MemberTable`. */
+  generation: zod.int().min(0),
   address: TEXT.min(1),
   failureDomain: TEXT,
   suspected: zod.boolean(),
