Let a few VMs of each failure domain read what all follow, and the others through them

Cause: every VM polled the operators' tables and the targets' entries about twice a second by itself. Calls and bytes at the store grew with the number of VMs, whatever their callers did; targets write all the time, and each of their entries went to each VM.

Ruled out: a tree over all failure domains (bytes between them are dear, and readers in each are few).

--- a/packages/keyed-log/src/KeyedFollower.test.ts
+++ b/packages/keyed-log/src/KeyedFollower.test.ts
@@ -3,6 +3,7 @@
 import * as logging from '@limpettack/logging';
 import * as keyedFollower from './KeyedFollower.js';
 import * as logFailures from './LogFailures.js';
+import * as logSource from './LogSource.js';
 import * as memoryKeyedLog from './testing/MemoryKeyedLog.js';
 import type { KeyedRecord, PartitionName } from './Types.js';
 
@@ -55,8 +56,7 @@
     else seen.values[key] = Buffer.from(value).toString();
   };
   const follower = new keyedFollower.KeyedFollower({
-    log,
-    partition: PARTITION,
+    source: new logSource.LogSource(log, PARTITION),
     handler: {
       onReset: (records) => {
         seen.resets += 1;
--- a/packages/keyed-log/src/KeyedFollower.ts
+++ b/packages/keyed-log/src/KeyedFollower.ts
@@ -2,13 +2,11 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as logFailures from './LogFailures.js';
-import * as readAllNewest from './readAllNewest.js';
-import type { FollowerHandler, KeyedLog, PartitionName } from './Types.js';
+import type { FollowerHandler, PartitionSource } from './Types.js';
 
 /** Settings of a follower. */
 export interface KeyedFollowerOptions {
-  readonly log: KeyedLog;
-  readonly partition: PartitionName;
+  readonly source: PartitionSource;
   readonly handler: FollowerHandler;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
@@ -69,8 +67,8 @@
   }
 
   private async reset(): Promise<boolean> {
-    const { handler, log, partition } = this.options;
-    const state = await readAllNewest.readAllNewest(log, partition);
+    const { handler, source } = this.options;
+    const state = await source.list();
     if (state.isErr || this.stopping.signal.aborted) return false;
     this.position = state.value.endOffset;
     handler.onReset(state.value.records);
@@ -79,30 +77,30 @@
   }
 
   private async readOn(): Promise<boolean> {
-    const { handler, log, partition, waitMs } = this.options;
-    const page = await log.read(partition, this.position ?? 0, { waitMs });
+    const { handler, source, waitMs } = this.options;
+    const changes = await source.readOn(this.position ?? 0, waitMs);
     if (this.stopping.signal.aborted) return false;
-    if (page.isErr) {
-      if (page.error.kind === logFailures.LOG_FAILURES.EXPIRED) this.position = undefined;
-      return page.error.kind === logFailures.LOG_FAILURES.EXPIRED;
+    if (changes.isErr) {
+      if (changes.error.kind === logFailures.LOG_FAILURES.EXPIRED) this.position = undefined;
+      return changes.error.kind === logFailures.LOG_FAILURES.EXPIRED;
     }
-    page.value.records.forEach((record) => handler.onRecord(record));
-    this.position = page.value.records.at(-1)?.offset ?? (this.position ?? 0) - 1;
-    this.position += 1;
+    changes.value.records.forEach((record) => handler.onRecord(record));
+    this.position = changes.value.nextOffset;
     handler.onCaughtUp();
     return true;
   }
 
   private noteOutcome(succeeded: boolean): void {
-    const { clock: time, logger, partition } = this.options;
+    const { clock: time, logger, source } = this.options;
+    const { topic } = source.partition;
     if (succeeded && this.failingSince !== undefined) {
       const spanMs = Math.round(time.now() - this.failingSince);
-      logger.info('The log can be read again.', { kind: partition.topic, spanMs });
+      logger.info('The log can be read again.', { kind: topic, spanMs });
       this.recoveredAt = time.now();
       this.failingSince = undefined;
     } else if (!succeeded && this.failingSince === undefined) {
       this.failingSince = time.now();
-      logger.warn('The log cannot be read.', { kind: partition.topic });
+      logger.warn('The log cannot be read.', { kind: topic });
     }
   }
 }
--- /dev/null
+++ b/packages/keyed-log/src/LogSource.ts
@@ -0,0 +1,35 @@
+import type * as clock from '@limpettack/clock';
+import * as readAllNewest from './readAllNewest.js';
+import type {
+  KeyedLog,
+  LogResult,
+  PartitionChanges,
+  PartitionName,
+  PartitionSource,
+  PartitionState,
+} from './Types.js';
+
+/** Reads a partition from the log itself. */
+export class LogSource implements PartitionSource {
+  public constructor(
+    private readonly log: KeyedLog,
+    public readonly partition: PartitionName,
+  ) {}
+
+  /** @inheritdoc */
+  public list(): Promise<LogResult<PartitionState>> {
+    return readAllNewest.readAllNewest(this.log, this.partition);
+  }
+
+  /** @inheritdoc */
+  public async readOn(
+    from: number,
+    waitMs: clock.Milliseconds,
+  ): Promise<LogResult<PartitionChanges>> {
+    const page = await this.log.read(this.partition, from, { waitMs });
+    return page.map(({ records }) => ({
+      records,
+      nextOffset: (records.at(-1)?.offset ?? from - 1) + 1,
+    }));
+  }
+}
--- a/packages/keyed-log/src/Types.ts
+++ b/packages/keyed-log/src/Types.ts
@@ -92,6 +92,29 @@
   read(partition: PartitionName, from: number, options: ReadOptions): Promise<LogResult<ReadPage>>;
 }
 
+/** The newest record of every key, and an offset from which reading on misses nothing. */
+export interface PartitionState {
+  readonly records: readonly StoredRecord[];
+  readonly endOffset: number;
+}
+
+/** What came to a partition since an offset. */
+export interface PartitionChanges {
+  /** In the order of their offsets; records that later ones replace may be left out. */
+  readonly records: readonly StoredRecord[];
+  /** Where to read on. */
+  readonly nextOffset: number;
+}
+
+/** Where a follower reads its partition. */
+export interface PartitionSource {
+  readonly partition: PartitionName;
+  /** The newest record of every key. */
+  list(): Promise<LogResult<PartitionState>>;
+  /** What came since an offset; `expired` when that cannot be told any more. */
+  readOn(from: number, waitMs: clock.Milliseconds): Promise<LogResult<PartitionChanges>>;
+}
+
 /** Takes in the records of a followed partition. */
 export interface FollowerHandler {
   /** Replaces all that is known: the partition was read from its start. */
--- a/packages/keyed-log/src/index.ts
+++ b/packages/keyed-log/src/index.ts
@@ -4,6 +4,8 @@
 export * from './KeyedFollower.js';
 export * from './PartitionWriter.js';
 export * from './RelayedLog.js';
+export * from './LogSource.js';
+export * from './SharedPartitions.js';
 export * from './readAllNewest.js';
 export * from './readNewestOf.js';
 export * from './partitionOf.js';
--- a/packages/keyed-log/src/messages.ts
+++ b/packages/keyed-log/src/messages.ts
@@ -36,6 +36,30 @@
 
 const REQUEST = zod.discriminatedUnion('call', [APPEND, NEWEST, READ]);
 
+const FOLLOW_REQUEST = zod.object({
+  partition: PARTITION,
+  /** Left out to ask for the newest record of every key. */
+  from: zod.number().optional(),
+  waitMs: zod.number(),
+});
+
+const FOLLOW_RESPONSE = zod.object({
+  records: zod.array(RECORD.extend({ offset: zod.number() })).readonly(),
+  nextOffset: zod.number(),
+  /** Set instead when the peer cannot tell. */
+  failure: zod.enum(['expired', 'not-followed']).optional(),
+});
+
+/** Asks a peer for what it has read of a partition that it follows. */
+export type FollowRequest = zod.infer<typeof FOLLOW_REQUEST>;
+export type FollowResponse = zod.infer<typeof FOLLOW_RESPONSE>;
+
+export const FOLLOW: wire.PeerMethod<FollowRequest, FollowResponse> = {
+  name: 'log.follow',
+  request: FOLLOW_REQUEST,
+  response: FOLLOW_RESPONSE,
+};
+
 const RESPONSE = zod.object({
   failure: zod
     .object({ kind: zod.enum(logFailures.LOG_FAILURES), message: zod.string() })
--- a/packages/keyed-log/src/readAllNewest.ts
+++ b/packages/keyed-log/src/readAllNewest.ts
@@ -1,11 +1,5 @@
 import * as trueMyth from 'true-myth';
-import type { KeyedLog, LogResult, PartitionName, StoredRecord } from './Types.js';
-
-/** The newest record of every key, and an offset from which reading on misses nothing. */
-export interface PartitionState {
-  readonly records: readonly StoredRecord[];
-  readonly endOffset: number;
-}
+import type { KeyedLog, LogResult, PartitionName, PartitionState, StoredRecord } from './Types.js';
 
 /** Reads the newest record of every key of a partition. */
 export async function readAllNewest(
