Bound the links of a VM, and what it tells and logs while nothing happens

Cause: each VM probed all others at random, so at 195 VMs each opened a link to nearly every other one (165 open files) and each met member had a line in the log of each VM. A VM that restarted knew of the others only as they were met or told of, eight a message, and messages were always filled up.

A member now probes its neighbours on a ring (distances 1, 2, 4 and so on), which each member computes alike; small fleets probe all as before. The list of VMs names the processes that wrote its entries, so all are known with its first read, and a message tells only of what has changed and of two more. Changes of members within a second are one line. The list of members is built once a change.

Failed on the way: two records in turn in each message left one of 60 VMs unknown to one after 30 rounds, so a message is filled up while there is news.

--- a/benchmarks/platform-soak/ProcessFleet.mjs
+++ b/benchmarks/platform-soak/ProcessFleet.mjs
@@ -21,22 +21,25 @@
     this.log = log;
     this.onExit = onExit;
     this.vms = [];
+    this.domains = 2;
+    /** Arguments of the runtime. */
+    this.arguments = [];
   }
 
   async start(count) {
-    this.directory = await fs.mkdtemp(path.join(os.tmpdir(), 'limpettack-soak-'));
     for (let index = 0; index < count; index += 1) await this.addVm(`vm-${index + 1}`);
     await Promise.all(this.vms.map(untilReady));
   }
 
   async addVm(name) {
+    this.directory ??= await fs.mkdtemp(path.join(os.tmpdir(), 'limpettack-soak-'));
     const [callers, ready, first, last] = await testKit.findFreePorts(4);
     const store = new platformTesting.FakeStore(this.log);
     const file = path.join(this.directory, `${name}.json`);
     const settings = {
       NodeName: name,
       Ip: '127.0.0.1',
-      Zone: `zone-${1 + (this.vms.length % 2)}`,
+      Zone: `zone-${1 + (this.vms.length % this.domains)}`,
       Listen: { FrontAddr: `127.0.0.1:${callers}`, ReadyAddr: `127.0.0.1:${ready}` },
       PortRange: [first, last],
       Seeds: this.vms.map((vm) => vm.peers).slice(0, 3),
@@ -51,7 +54,7 @@
   }
 
   spawn(vm) {
-    const child = childProcess.spawn(process.execPath, [PROGRAM], {
+    const child = childProcess.spawn(process.execPath, [...this.arguments, PROGRAM], {
       env: {
         ...process.env,
         LIMPETTACK_BOOT: vm.file,
--- a/packages/keyed-log/src/SharedPartitions.test.ts
+++ b/packages/keyed-log/src/SharedPartitions.test.ts
@@ -26,7 +26,7 @@
     const available = Array.from({ length: 40 }, (_, index) => identity(index, index % 2));
     const asked = new Map<string, number>();
     const readers = available.filter((self) => {
-      const chosen = chooseReaders.chooseReaders({ available, partition: PARTITION, self });
+      const chosen = chooseReaders.chooseReaders({ available, self });
       chosen.forEach(({ failureDomain }) => expect(failureDomain).toBe(self.failureDomain));
       if (chosen.length > 0) asked.set(chosen[0]!.name, (asked.get(chosen[0]!.name) ?? 0) + 1);
       return chosen.length === 0;
@@ -36,8 +36,7 @@
     // A loss moves nothing but the place of the VM that was lost.
     const left = available.filter(({ name }) => name !== readers[0]!.name);
     const after = left.filter(
-      (self) =>
-        chooseReaders.chooseReaders({ available: left, partition: PARTITION, self }).length === 0,
+      (self) => chooseReaders.chooseReaders({ available: left, self }).length === 0,
     );
     expect(after.filter(({ name }) => readers.some((reader) => reader.name === name))).toHaveLength(
       3,
@@ -48,7 +47,7 @@
   test('lets each VM of a small failure domain read by itself', () => {
     const available = [0, 1, 2, 3].map((index) => identity(index, 0));
     available.forEach((self) =>
-      expect(chooseReaders.chooseReaders({ available, partition: PARTITION, self })).toEqual([]),
+      expect(chooseReaders.chooseReaders({ available, self })).toEqual([]),
     );
   });
 });
@@ -159,6 +158,8 @@
 
   public isSilent = false;
 
+  private readonly unanswered: (() => void)[] = [];
+
   public constructor(private readonly log: KeyedLog) {}
 
   public newest(...call: Parameters<KeyedLog['newest']>): ReturnType<KeyedLog['newest']> {
@@ -171,10 +172,20 @@
 
   private run<Value>(call: () => Promise<LogResult<Value>>): Promise<LogResult<Value>> {
     this.reads += 1;
-    if (this.isSilent) return new Promise(() => undefined);
-    if (!this.isAway) return call();
     const kind = logFailures.LOG_FAILURES.UNAVAILABLE;
-    return Promise.resolve(trueMyth.Result.err({ kind, message: 'turned away' }));
+    const failed: LogResult<Value> = trueMyth.Result.err({ kind, message: 'turned away' });
+    if (this.isSilent) {
+      return new Promise((resolve) => {
+        this.unanswered.push(() => resolve(failed));
+      });
+    }
+    return this.isAway ? Promise.resolve(failed) : call();
+  }
+
+  /** Lets calls without an answer fail, so that those who made them can end. */
+  public dispose(): void {
+    this.isSilent = false;
+    this.unanswered.forEach((fail) => fail());
   }
 }
 
@@ -206,7 +217,7 @@
     });
     const values: Record<string, string> = {};
     const follower = follow(shared, values);
-    disposables.push(network, shared, { dispose: () => void follower.dispose() });
+    disposables.push(network, shared, follower, counted);
     return { network, log: counted, follower, values };
   });
   let sequence = 0;
@@ -215,8 +226,7 @@
     vms,
     readers: () =>
       vms.filter(
-        ({ network: { self } }) =>
-          chooseReaders.chooseReaders({ available, partition: PARTITION, self }).length === 0,
+        ({ network: { self } }) => chooseReaders.chooseReaders({ available, self }).length === 0,
       ),
     async write(record: KeyedRecord) {
       sequence += 1;
--- a/packages/keyed-log/src/SharedSource.ts
+++ b/packages/keyed-log/src/SharedSource.ts
@@ -107,7 +107,7 @@
     const { clock: time, membership: members, network } = this.options;
     const { self } = network;
     const available = members.available();
-    const readers = chooseReaders.chooseReaders({ available, partition: this.partition, self });
+    const readers = chooseReaders.chooseReaders({ available, self });
     const now = time.now();
     const reader = readers.find(({ name }) => (this.pausedUntil.get(name) ?? 0) <= now);
     this.noteReader(reader?.name);
--- a/packages/membership/src/MemberTable.ts
+++ b/packages/membership/src/MemberTable.ts
@@ -1,6 +1,6 @@
 import type * as clock from '@limpettack/clock';
 import * as lifetime from '@limpettack/lifetime';
-import type * as platformClient from '@limpettack/platform-client';
+import type { ListedVm } from '@limpettack/platform-client';
 import type * as wire from '@limpettack/wire';
 import * as listHistory from './ListHistory.js';
 import * as memberStates from './MemberStates.js';
@@ -66,6 +66,8 @@
 
   private readonly history = new listHistory.ListHistory();
 
+  private listed: readonly Member[] | undefined;
+
   public constructor(private readonly options: MemberTableOptions) {
     const { self } = options;
     this.records.set(self.name, { ...self, ...UNTOLD });
@@ -92,11 +94,12 @@
     return this.records.get(name);
   }
 
-  /** All members, ordered by name. */
+  /** All members, ordered by name; the same list until something changes. */
   public members(): readonly Member[] {
-    return [...this.records.values()]
+    this.listed ??= [...this.records.values()]
       .map((record) => this.toMember(record))
       .sort((left, right) => (left.name < right.name ? -1 : 1));
+    return this.listed;
   }
 
   public find(name: string): Member | undefined {
@@ -142,11 +145,13 @@
   }
 
   /** Takes in a successful read of the platform's list. */
-  public applyList(vms: readonly platformClient.ListedVm[]): void {
+  public applyList(vms: readonly ListedVm[]): void {
     const before = this.members();
     const dropped = this.history.apply(vms, this.options.clock.now());
+    this.listed = undefined;
     vms.filter((vm) => !this.records.has(vm.name)).forEach((vm) => this.addListed(vm));
     vms.forEach((vm) => this.update(vm.name, { dropped: false }, true));
+    vms.forEach((vm) => this.learnListed(vm));
     dropped.forEach((vm) => this.update(vm.name, this.endOf(vm.name)));
     before.forEach((member) => this.fireIfChanged(member));
     this.forgetEnded();
@@ -197,22 +202,35 @@
     return true;
   }
 
-  private addListed(vm: platformClient.ListedVm): void {
+  private addListed(vm: ListedVm): void {
     const { name, address, failureDomain } = vm;
     this.store({ name, address, failureDomain, incarnation: '', ...UNTOLD });
   }
 
+  /** A process that has written its own entry has started, so all are known before they are met. */
+  private learnListed({ address, failureDomain, incarnation, leaving, name }: ListedVm): void {
+    if (incarnation === undefined) return;
+    const generation = this.records.get(name)?.generation ?? 0;
+    const told = { suspected: false, leaving, revision: 0 };
+    this.learn({ name, incarnation, generation, address, failureDomain, ...told });
+  }
+
   private update(name: string, change: Partial<MemberRecord>, isListed = false): void {
     const known = this.records.get(name);
     if (!known || known.name === this.options.self.name) return;
     // A VM that has not been met is where the list says it is.
     const address = isListed && known.incarnation === '' ? this.history.listing(name)?.address : '';
     this.records.set(name, { ...known, ...change, ...(address ? { address } : {}) });
+    this.listed = undefined;
   }
 
   private store(record: MemberRecord): void {
     const before = this.find(record.name);
     this.records.set(record.name, record);
+    // Most messages from a member say nothing new, and the list is asked for with each request.
+    if (before === undefined || !isSameMember(before, this.toMember(record))) {
+      this.listed = undefined;
+    }
     if (before) this.fireIfChanged(before);
     else this.changes.fire(this.toMember(record));
   }
@@ -220,11 +238,7 @@
   private fireIfChanged(before: Member): void {
     const after = this.find(before.name);
     if (!after) return;
-    const isSame =
-      before.state === after.state &&
-      before.incarnation === after.incarnation &&
-      before.leaving === after.leaving;
-    if (!isSame) this.changes.fire(after);
+    if (!isSameState(before, after)) this.changes.fire(after);
   }
 
   private toMember(record: MemberRecord): Member {
@@ -241,9 +255,27 @@
     ended
       .slice(0, Math.max(0, ended.length - ENDED_MEMBERS_KEPT))
       .forEach((record) => this.records.delete(record.name));
+    if (ended.length > ENDED_MEMBERS_KEPT) this.listed = undefined;
   }
 }
 
+function isSameState(left: Member, right: Member): boolean {
+  return (
+    left.state === right.state &&
+    left.incarnation === right.incarnation &&
+    left.leaving === right.leaving
+  );
+}
+
+function isSameMember(left: Member, right: Member): boolean {
+  return (
+    isSameState(left, right) &&
+    left.address === right.address &&
+    left.failureDomain === right.failureDomain &&
+    left.listed === right.listed
+  );
+}
+
 function stateOf(record: MemberRecord): MemberState {
   if (record.dropped) return memberStates.MEMBER_STATES.GONE;
   if (record.suspected) return memberStates.MEMBER_STATES.SUSPECTED;
--- a/packages/membership/src/Prober.ts
+++ b/packages/membership/src/Prober.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@limpettack/clock';
 import type * as wire from '@limpettack/wire';
 import type { MemberRecord, MemberTable } from './MemberTable.js';
+import * as chooseNeighbours from './chooseNeighbours.js';
 import * as messages from './messages.js';
 import * as newsQueue from './NewsQueue.js';
 import type * as pauseDetector from './PauseDetector.js';
@@ -8,9 +9,12 @@
 /** How many other members are asked to probe one that did not answer. */
 const INDIRECT_PROBES = 2;
 
+/** Records that a message tells of in turn while nothing has changed; it is filled up otherwise. */
+const QUIET_RECORDS = 2;
+
 /** What the prober needs. */
 export interface ProberOptions {
-  readonly network: Pick<wire.PeerNetwork, 'request'>;
+  readonly network: Pick<wire.PeerNetwork, 'request' | 'self'>;
   readonly table: MemberTable;
   readonly clock: clock.Clock;
   readonly pauses: pauseDetector.PauseDetector;
@@ -82,8 +86,9 @@
     const known = table.metNews();
     const byName = new Map(known.map((news) => [news.name, news]));
     const changed = this.queue.take(messages.NEWS_PER_MESSAGE, known.length);
-    const inTurn = newsQueue.takeInTurn(known, this.turn, messages.NEWS_PER_MESSAGE);
-    this.turn += messages.NEWS_PER_MESSAGE;
+    const count = changed.length > 0 ? messages.NEWS_PER_MESSAGE : QUIET_RECORDS;
+    const inTurn = newsQueue.takeInTurn(known, this.turn, count);
+    this.turn += count;
     // A suspected member is told so first, because it alone can correct that.
     const names = [...(tellOf ? [tellOf] : []), ...changed, ...inTurn.map(({ name }) => name)];
     const news = [...new Set(names)].flatMap((name) => byName.get(name) ?? []);
@@ -96,10 +101,12 @@
   }
 
   private chooseHelpers(name: string): readonly MemberRecord[] {
-    const candidates = this.options.table
+    const { network, table } = this.options;
+    const candidates = table
       .others()
       .filter((record) => record.name !== name && !record.suspected && !record.dropped);
-    return this.options.shuffle(candidates).slice(0, INDIRECT_PROBES);
+    const neighbours = chooseNeighbours.chooseNeighbours(network.self, candidates);
+    return this.options.shuffle(neighbours).slice(0, INDIRECT_PROBES);
   }
 
   private async askHelper(
--- a/packages/membership/src/ProbingMembership.test.ts
+++ b/packages/membership/src/ProbingMembership.test.ts
@@ -72,6 +72,9 @@
         leaving: false,
       }));
     },
+    listProcess(name: string, incarnation: string) {
+      listed = listed.map((vm) => (vm.name === name ? { ...vm, incarnation } : vm));
+    },
     async run(rounds: number) {
       for (let round = 0; round < rounds; round += 1) {
         time.advance(INTERVAL_MS);
@@ -116,6 +119,22 @@
     expect(member.available().map(({ name }) => name)).toEqual(['a']);
   });
 
+  test('offers VMs whose processes are listed, and takes a listed restart for what it is', async () => {
+    const fleet = createFleet();
+    fleet.list('a', 'b');
+    fleet.listProcess('b', '1');
+    const member = await fleet.start('a');
+    await fleet.run(1);
+    expect(member.available().map(({ name }) => name)).toEqual(['a', 'b']);
+    fleet.listProcess('b', '2');
+    await fleet.run(1);
+    expect(member.find('b')).toMatchObject({ incarnation: '2', state: AVAILABLE });
+    // An entry may be older than what the process has said itself.
+    fleet.listProcess('b', '1');
+    await fleet.run(1);
+    expect(member.find('b')).toMatchObject({ incarnation: '2' });
+  });
+
   test('suspects a VM that stopped and takes it back when it answers', async () => {
     const fleet = createFleet();
     const [first, second] = await startThree(fleet);
@@ -226,4 +245,22 @@
     await fleet.run(10);
     expect(fleet.faults.messages).toBeLessThanOrEqual(10 * names.length);
   });
+
+  test('a large fleet agrees on a loss of many members, and on their return', async () => {
+    const fleet = createFleet();
+    const names = Array.from({ length: 60 }, (unused, index) => `vm-${index}`);
+    fleet.list(...names);
+    const members = await Promise.all(names.map((name) => fleet.start(name)));
+    await fleet.run(30);
+    const counts = (): number[] => members.map((member) => member.available().length);
+    expect(new Set(counts())).toEqual(new Set([60]));
+    const lost = names.filter((unused, index) => index % 2 === 0);
+    lost.forEach((name) => fleet.faults.cut.add(`${name}:1`));
+    await fleet.run(80);
+    const left = members.filter(({ self }) => !lost.includes(self.name));
+    expect(new Set(left.map((member) => member.available().length))).toEqual(new Set([30]));
+    fleet.faults.cut.clear();
+    await fleet.run(80);
+    expect(new Set(counts())).toEqual(new Set([60]));
+  });
 });
--- a/packages/membership/src/ProbingMembership.ts
+++ b/packages/membership/src/ProbingMembership.ts
@@ -4,6 +4,7 @@
 import type * as platformClient from '@limpettack/platform-client';
 import type * as wire from '@limpettack/wire';
 import * as trueMyth from 'true-myth';
+import * as chooseNeighbours from './chooseNeighbours.js';
 import * as memberStates from './MemberStates.js';
 import * as memberTable from './MemberTable.js';
 import * as messages from './messages.js';
@@ -17,6 +18,15 @@
 /** How many peers are told at once that this process is leaving. */
 const ANNOUNCEMENTS_AT_ONCE = 16;
 
+/** In one of so many rounds a suspected member is probed. */
+const ROUNDS_PER_RETURN = 3;
+
+/** Changes of members within this time are logged in one line: all start at once. */
+const CHANGE_LOG_MS = 1_000;
+
+/** Members that a line of the log names at most. */
+const MEMBERS_NAMED = 8;
+
 /** Rounds after a pause of this process in which it suspects nobody. */
 const GRACE_ROUNDS = 4;
 
@@ -62,6 +72,16 @@
 
   private order: string[] = [];
 
+  private rounds = 0;
+
+  private readonly changed = new Map<string, Member>();
+
+  private changeTimer: clock.Timer | undefined;
+
+  private availableOf: readonly Member[] = [];
+
+  private availableMembers: readonly Member[] = [];
+
   public constructor(private readonly options: ProbingMembershipOptions) {
     const { network, probeIntervalMs, probeTimeoutMs, suspicionMs } = options;
     const time = options.clock;
@@ -107,13 +127,17 @@
 
   /** @inheritdoc */
   public available(): readonly Member[] {
-    return this.members().filter(
+    const members = this.members();
+    if (members === this.availableOf) return this.availableMembers;
+    this.availableOf = members;
+    this.availableMembers = members.filter(
       (member) =>
         member.state === memberStates.MEMBER_STATES.AVAILABLE &&
         !member.leaving &&
         // A VM that is only listed may have no process yet, and its incarnation is not known.
         member.incarnation !== '',
     );
+    return this.availableMembers;
   }
 
   /** @inheritdoc */
@@ -152,6 +176,7 @@
 
   /** @inheritdoc */
   public async dispose(): Promise<void> {
+    this.changeTimer?.cancel();
     // The tasks end by the signal, and the store waits for their end.
     this.stopping.abort();
     await this.store.dispose();
@@ -185,15 +210,22 @@
     await Promise.all(records.map((record) => this.check(record)));
   }
 
-  /** The next member in turn, and a few that did not answer and are not suspected yet. */
+  /**
+   * The next neighbour in turn, a few members that did not answer and are not suspected yet, and at
+   * times one that is suspected, so that its return is seen also when it cannot tell of it.
+   */
   private nextToProbe(): readonly memberTable.MemberRecord[] {
+    const { random } = this.options;
     const candidates = this.table.others().filter((record) => !record.dropped);
-    const unreached = candidates.filter(
-      (record) => record.unreachedSince !== undefined && !record.suspected,
-    );
-    const repeated = shuffle(unreached, this.options.random).slice(0, REPEATED_PROBES);
-    const next = this.takeInTurn(candidates);
-    return [...new Set([...repeated, ...(next ? [next] : [])])];
+    const suspected = candidates.filter((record) => record.suspected);
+    const others = candidates.filter((record) => !record.suspected);
+    const unreached = others.filter((record) => record.unreachedSince !== undefined);
+    const repeated = shuffle(unreached, random).slice(0, REPEATED_PROBES);
+    this.rounds += 1;
+    const isReturnRound = this.rounds % ROUNDS_PER_RETURN === 0 || others.length === 0;
+    const returning = isReturnRound ? shuffle(suspected, random).slice(0, 1) : [];
+    const next = this.takeInTurn(chooseNeighbours.chooseNeighbours(this.self, others));
+    return [...new Set([...repeated, ...returning, ...(next ? [next] : [])])];
   }
 
   private takeInTurn(
@@ -229,8 +261,19 @@
   }
 
   private logChange(member: Member): void {
-    const fields = { peer: member.name, kind: member.state };
-    this.options.logger.info('A member has changed.', fields);
+    this.changed.set(member.name, member);
+    this.changeTimer ??= this.options.clock.startTimer(CHANGE_LOG_MS, () => this.logChanges());
+  }
+
+  private logChanges(): void {
+    this.changeTimer = undefined;
+    const changed = [...this.changed.values()];
+    this.changed.clear();
+    const named = changed.slice(0, MEMBERS_NAMED).map(({ name, state }) => `${name} ${state}`);
+    this.options.logger.info('Members have changed.', {
+      count: changed.length,
+      reason: `${this.available().length} available; ${named.join(', ')}`,
+    });
   }
 }
 
--- a/packages/platform-client/src/Types.ts
+++ b/packages/platform-client/src/Types.ts
@@ -68,6 +68,8 @@
   readonly failureDomain: string;
   /** True when the platform has announced that the VM will go. */
   readonly leaving: boolean;
+  /** The process that has written the entry, where VMs write their own. */
+  readonly incarnation?: string | undefined;
 }
 
 /** The platform's list of VMs. It lags. */
