Forget how slow a target was once no call has shown it lately

After five seconds without a call it is now taken for as fast as another target, as one that has run nothing is.

--- a/packages/targets/src/CallRates.ts
+++ b/packages/targets/src/CallRates.ts
@@ -4,6 +4,12 @@
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.2;
 const INITIAL_DECODE_MS_PER_TOKEN = 10;
 
+/**
+ * For how long times count without a further call. A target that seemed slow gets no calls that
+ * could show that it is not any more; half of the time within which callers expect its return.
+ */
+const VALID_MS = 5_000;
+
 /** Weight of a new value in a smoothed one. */
 const SMOOTHING = 0.1;
 
@@ -32,6 +38,10 @@
   /** Calls with tokens that have been taken in. */
   private count = 0;
 
+  private learnedAt = -Infinity;
+
+  public constructor(private readonly time: clock.Clock) {}
+
   /** Time to prefill a token, in milliseconds. */
   public get prefillMsPerToken(): number {
     return this.prefillMs / this.uncachedTokens;
@@ -42,9 +52,9 @@
     return this.decode;
   }
 
-  /** Whether any call has shown how fast the target is. */
+  /** Whether calls have shown lately how fast the target is. */
   public get isLearned(): boolean {
-    return this.count > 0;
+    return this.count > 0 && this.time.now() - this.learnedAt <= VALID_MS;
   }
 
   /** Tokens that calls generate; nothing before the first. */
@@ -69,6 +79,7 @@
     const isDelayed = firstTokenMs > Math.max(LEAST_DELAY_MS, expectedMs * DELAY_FACTOR);
     // The first calls are averaged, so that a guess does not count on beside them.
     this.count += 1;
+    this.learnedAt = this.time.now();
     const weight = Math.max(SMOOTHING, 1 / this.count);
     this.generated = smooth(this.generated ?? 0, usage.generatedTokens, weight);
     if (usage.generatedTokens > 1) {
--- a/packages/targets/src/TargetTracker.ts
+++ b/packages/targets/src/TargetTracker.ts
@@ -34,7 +34,7 @@
 
   private readonly limit: concurrencyLimits.ConcurrencyLimit;
 
-  private readonly rates = new callRates.CallRates();
+  private readonly rates: callRates.CallRates;
 
   private status = '';
 
@@ -45,6 +45,7 @@
     private readonly time: clock.Clock,
     random: () => number,
   ) {
+    this.rates = new callRates.CallRates(time);
     this.load = new loadEstimates.LoadEstimate(time);
     this.health = new targetHealth.TargetHealth(time, random);
     this.limit = new concurrencyLimits.ConcurrencyLimit(target.slots, time);
@@ -84,14 +85,15 @@
     return this.health.noteFailure(weight);
   }
 
-  /** Times of the target's calls; nothing before the first. */
+  /** Times of the target's calls; nothing while none is recent. */
   public get learnedRates(): callRates.CallRates | undefined {
     return this.rates.isLearned ? this.rates : undefined;
   }
 
   /**
-   * The target as the scheduler sees it for a call. A target that has run nothing is taken to be as
-   * fast as another one, if given, so that it does not seem cheap for want of experience.
+   * The target as the scheduler sees it for a call. A target that has run nothing lately is taken to
+   * be as fast as another one, if given, so that it seems neither cheap for want of experience nor
+   * slow for good.
    */
   public candidate(
     call: scheduling.CallDescription,
