Keep the number of a lost append for its records; ask a log that is away at a bounded rate

Cause 1: when an append of a home had no answer and its repetition was turned away, the home took the batch for not written and sent other records under the same number. The test fails before (a covered program without a record). A batch that may have taken effect is now repeated unchanged until the log accepts it or another owner has written.

Cause 2: in an outage of the log each call that was tried again went to it threefold, by the own way and through two peers, as fast as callers tried. After a call has found no way, all calls fail at once for 200 ms, and peers are asked once a second.

--- a/packages/keyed-log/src/RelayedLog.ts
+++ b/packages/keyed-log/src/RelayedLog.ts
@@ -22,12 +22,26 @@
 /** After a failure the own way to the log is left aside for so long, unless peers fail too. */
 const OWN_WAY_PAUSE_MS = 1_000;
 
+/**
+ * When neither the own way nor peers have reached the log, calls fail at once for so long. Without
+ * this, all that hundreds of VMs try again in an outage would come to the log, threefold.
+ */
+const NO_WAY_PAUSE_MS = 200;
+
+/** In such an outage peers are asked again so often. */
+const RELAY_PAUSE_MS = 1_000;
+
 /** Peers asked for one call at most. */
 const RELAYS_PER_CALL = 2;
 
 /** Time for the answer of a peer beyond the wait of the read itself. */
 const RELAY_TIMEOUT_MS = 800;
 
+const NO_WAY: LogFailure = {
+  kind: logFailures.LOG_FAILURES.UNAVAILABLE,
+  message: 'Neither this process nor peers reach the log.',
+};
+
 /** What the relayed log needs. */
 export interface RelayedLogOptions {
   readonly direct: KeyedLog;
@@ -50,6 +64,10 @@
 
   private isDetached = false;
 
+  private noWayUntil = 0;
+
+  private relaysPausedUntil = 0;
+
   private readonly served: lifetime.Disposable;
 
   public constructor(private readonly options: RelayedLogOptions) {
@@ -106,26 +124,31 @@
     direct: () => Promise<LogResult<Value>>,
     waitMs: clock.Milliseconds,
   ): Promise<LogResult<Value>> {
+    const { clock: time } = this.options;
+    if (time.now() < this.noWayUntil) return trueMyth.Result.err(NO_WAY);
     let failure: LogFailure | undefined;
-    if (this.options.clock.now() >= this.ownWayPausedUntil) {
+    if (time.now() >= this.ownWayPausedUntil) {
       const result = await direct();
       if (result.isOk || !isTransient(result.error)) return this.noteOwnWay(true, result);
       failure = result.error;
       this.noteOwnWay(false, result);
     }
-    for (const address of this.chooseRelays()) {
+    const relays = time.now() < this.relaysPausedUntil ? [] : this.chooseRelays();
+    for (const address of relays) {
       const relayed = await this.askRelay<Value>(address, request, waitMs);
       if (relayed !== undefined) return relayed;
     }
-    // Nobody else reaches the log either, so the own way is as good as any.
+    this.noteNoWay(relays.length > 0);
+    return trueMyth.Result.err(failure ?? NO_WAY);
+  }
+
+  /** Nobody else reaches the log either, so the own way is as good as any. */
+  private noteNoWay(wereRelaysAsked: boolean): void {
+    const now = this.options.clock.now();
     this.ownWayPausedUntil = 0;
     this.lastRelay = undefined;
-    return trueMyth.Result.err(
-      failure ?? {
-        kind: logFailures.LOG_FAILURES.UNAVAILABLE,
-        message: 'No peer reaches the log.',
-      },
-    );
+    this.noWayUntil = now + NO_WAY_PAUSE_MS;
+    if (wereRelaysAsked) this.relaysPausedUntil = now + RELAY_PAUSE_MS;
   }
 
   private noteOwnWay<Value>(works: boolean, result: LogResult<Value>): LogResult<Value> {
@@ -137,6 +160,8 @@
     }
     this.isDetached = !works;
     this.ownWayPausedUntil = works ? 0 : time.now() + OWN_WAY_PAUSE_MS;
+    if (works) this.noWayUntil = 0;
+    if (works) this.relaysPausedUntil = 0;
     return result;
   }
 
--- a/packages/program-homes/src/HomePartition.test.ts
+++ b/packages/program-homes/src/HomePartition.test.ts
@@ -248,6 +248,27 @@
     expect(await home.cover(reservation('b'))).toBe(true);
   });
 
+  test('an append that took effect without an answer is not taken for a later one', async () => {
+    const log = homeFixtures.createLog();
+    const home = homeFixtures.createPartition({ log, producer: 'first' });
+    await home.reserve({ ...reservation('a'), program: 'other' });
+    await homeFixtures.settleWrites();
+    log.losesAnswers = true;
+    await home.reserve(reservation('b'));
+    await homeFixtures.settleWrites();
+    // Now the log turns the repeated append away, and meanwhile another program wants a record.
+    log.losesAnswers = false;
+    log.outage = 'unavailable';
+    await homeFixtures.settleWrites();
+    const wanted = { ...reservation('c'), program: 'third' };
+    await home.reserve(wanted);
+    await homeFixtures.settleWrites();
+    log.outage = undefined;
+    expect(await home.cover(wanted)).toBe(true);
+    const state = await keyedLog.readAllNewest(log, homeFixtures.PARTITION);
+    expect(state.isOk && state.value.records.map(({ key }) => key)).toContain('third');
+  });
+
   test('writes again what may have been appended without an answer, once', async () => {
     const log = homeFixtures.createLog();
     const home = homeFixtures.createPartition({ log, producer: 'home' });
--- a/packages/program-homes/src/HomePartition.ts
+++ b/packages/program-homes/src/HomePartition.ts
@@ -241,7 +241,8 @@
   }
 
   private async writeBatch(): Promise<void> {
-    const batch = this.unanswered ?? this.createBatch();
+    const repeated = this.unanswered;
+    const batch = repeated ?? this.createBatch();
     const records = [...batch].map(([key, { value }]) => ({ key, value }));
     const result = await this.options.log.append(this.name, records, {
       identity: { producer: this.producer, sequence: this.sequence },
@@ -255,9 +256,12 @@
       this.waiters.check();
       return;
     }
-    // An append that may have taken effect is repeated unchanged until it is answered.
+    // An append that may have taken effect is repeated unchanged until it is answered. That an attempt
+    // is turned away says nothing of those before it, and the log takes a number only once.
     const { kind } = result.error;
-    if (kind === keyedLog.LOG_FAILURES.LOST) this.unanswered = batch;
+    if (!isOvertaken(kind) && (repeated !== undefined || kind === keyedLog.LOG_FAILURES.LOST)) {
+      this.unanswered = batch;
+    }
     const isRead = isOvertaken(kind) && (await this.readAgain());
     if (this.isClosed) this.wanted.clear();
     else if (!isRead) await this.options.clock.sleep(RETRY_MS);
