--- a/packages/gateway/src/CrashWatch.test.ts
+++ b/packages/gateway/src/CrashWatch.test.ts
@@ -10,6 +10,9 @@
 
 const { afterEach, describe, expect, test } = jestGlobals;
 
+/** Messages that the watches have sent. */
+let sentCount = 0;
+
 const watches: lifetime.Disposable[] = [];
 
 afterEach(async () => {
@@ -37,6 +40,22 @@
     expect(fleet.map((watch) => watch.isRefused(poison))).toEqual([true, true, true]);
   });
 
+  test('a broken connection costs as many messages in a large fleet as in a small one', async () => {
+    const fleet = createFleet(200);
+    sentCount = 0;
+    fleet.forEach((watch, index) => die(watch, createContext(`request-${index}`), 'one'));
+    await newsSettle();
+    expect(sentCount).toBeLessThanOrEqual(2 * fleet.length);
+    // A request that is really refused is told to all.
+    const poison = createContext('poison');
+    for (const [index, id] of ['one', 'two', 'three'].entries()) {
+      die(fleet[index]!, poison, id);
+      await newsSettle();
+    }
+    for (let settled = 0; settled < 20; settled += 1) await newsSettle();
+    expect(fleet.every((watch) => watch.isRefused(poison))).toBe(true);
+  });
+
   test('one target that dies again and again refuses nothing', () => {
     const [watch] = createFleet(1);
     const request = createContext('request');
@@ -64,12 +83,14 @@
   return members.map((self) => {
     const network = {
       self,
-      serve: (_method: unknown, handler: (request: unknown, from: unknown) => unknown) => {
-        handlers.set(self.address, handler);
+      serve: (method: { name: string }, handler: (request: unknown, from: unknown) => unknown) => {
+        handlers.set(`${self.address} ${method.name}`, handler);
         return { dispose: () => undefined };
       },
-      request: async (address: string, _method: unknown, request: unknown) =>
-        handlers.get(address)?.(request, self),
+      request: async (address: string, method: { name: string }, request: unknown) => {
+        sentCount += 1;
+        return handlers.get(`${address} ${method.name}`)?.(request, self);
+      },
     } as unknown as wire.PeerNetwork;
     const watch = new crashWatch.CrashWatch({
       network,
--- a/packages/membership/src/Prober.ts
+++ b/packages/membership/src/Prober.ts
@@ -12,6 +12,9 @@
 /** Records that a message tells of in turn while nothing has changed; it is filled up otherwise. */
 const QUIET_RECORDS = 2;
 
+/** Suspected members that each message tells of, until the list drops them. */
+const SUSPECTED_TOLD = 3;
+
 /** What the prober needs. */
 export interface ProberOptions {
   readonly network: Pick<wire.PeerNetwork, 'request' | 'self'>;
@@ -89,8 +92,16 @@
     const count = changed.length > 0 ? messages.NEWS_PER_MESSAGE : QUIET_RECORDS;
     const inTurn = newsQueue.takeInTurn(known, this.turn, count);
     this.turn += count;
+    // The list names members that have ended, and a process that has just started knows no better.
+    const suspected = this.options.shuffle(known.filter((news) => news.suspected));
+    const lost = suspected.slice(0, SUSPECTED_TOLD).map(({ name }) => name);
     // A suspected member is told so first, because it alone can correct that.
-    const names = [...(tellOf ? [tellOf] : []), ...changed, ...inTurn.map(({ name }) => name)];
+    const names = [
+      ...(tellOf ? [tellOf] : []),
+      ...changed,
+      ...lost,
+      ...inTurn.map(({ name }) => name),
+    ];
     const news = [...new Set(names)].flatMap((name) => byName.get(name) ?? []);
     return { self: table.selfNews(), news: news.slice(0, messages.NEWS_PER_MESSAGE) };
   }
--- a/packages/membership/src/ProbingMembership.test.ts
+++ b/packages/membership/src/ProbingMembership.test.ts
@@ -135,6 +135,21 @@
     expect(member.find('b')).toMatchObject({ incarnation: '2' });
   });
 
+  test('a process that starts late soon knows which of the listed VMs have ended', async () => {
+    const fleet = createFleet();
+    const names = Array.from({ length: 60 }, (unused, index) => `vm-${index}`);
+    fleet.list(...names);
+    names.forEach((name) => fleet.listProcess(name, '1'));
+    await Promise.all(names.slice(0, 59).map((name) => fleet.start(name)));
+    ['vm-7', 'vm-8'].forEach((name) => fleet.faults.cut.add(`${name}:1`));
+    await fleet.run(60);
+    const late = await fleet.start('vm-59');
+    expect(late.available()).toHaveLength(60);
+    // Each of its probes and of those that it gets tells of them.
+    await fleet.run(4);
+    expect(late.available()).toHaveLength(58);
+  });
+
   test('suspects a VM that stopped and takes it back when it answers', async () => {
     const fleet = createFleet();
     const [first, second] = await startThree(fleet);
