--- a/packages/membership/src/ProbingMembership.test.ts
+++ b/packages/membership/src/ProbingMembership.test.ts
@@ -146,7 +146,7 @@
     const late = await fleet.start('vm-59');
     expect(late.available()).toHaveLength(60);
     // Each of its probes and of those that it gets tells of them.
-    await fleet.run(4);
+    await fleet.run(2);
     expect(late.available()).toHaveLength(58);
   });
 
