--- a/benchmarks/platform-cost/platformCost.mjs
+++ b/benchmarks/platform-cost/platformCost.mjs
@@ -47,7 +47,7 @@
     };
     const record = { key: `i-${target}`, value: buffer.Buffer.from(JSON.stringify(entry)) };
     const identity = { producer: 'targets', sequence };
-    await log.append({ topic: 'servers', partition: 0 }, [record], { identity });
+    await log.append({ topic: 'keyed.servers', partition: 0 }, [record], { identity });
     await timers.setTimeout(HEARTBEAT_MS / TARGETS);
   }
 }
@@ -63,7 +63,7 @@
   sendHeartbeats(log, ending.signal);
   try {
     await log.append(
-      { topic: 'op', partition: 0 },
+      { topic: 'keyed.op', partition: 0 },
       [{ key: 'config', value: buffer.Buffer.from(JSON.stringify(configuration)) }],
       { identity: { producer: 'operators', sequence: 0 } },
     );
