Let processes of earlier releases take part in the membership while a fleet is upgraded

The generation of a process is a new field of the members' news; news without it counts as generation 0 instead of being malformed.

--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -12,8 +12,11 @@
 export const MEMBER_NEWS = zod.object({
   name: TEXT.min(1),
   incarnation: TEXT.min(1),
-  /** Goes before the incarnation in the order of a VM's processes; see `MemberTable`. */
-  generation: zod.int().min(0),
+  /**
+   * Goes before the incarnation in the order of a VM's processes; see `MemberTable`. Left out by
+   * processes of earlier releases, which run beside later ones while a fleet is upgraded.
+   */
+  generation: zod.int().min(0).default(0),
   address: TEXT.min(1),
   failureDomain: TEXT,
   suspected: zod.boolean(),
