Add limpettackctl explain: the way of a request by the logs of all VMs

With hundreds of VMs nobody reads their logs side by side. The command finds the lines of one request and those it rested on (program, targets, peers, way to the log) and prints them by time.

--- a/packages/control/src/CommandOptions.ts
+++ b/packages/control/src/CommandOptions.ts
@@ -21,6 +21,7 @@
   call: TEXT,
   outcome: zod.enum(['ran', 'not-run']).optional(),
   note: TEXT,
+  logs: TEXT,
 });
 
 /** Environment variables that stand in for options. */
--- a/packages/control/src/commands/COMMANDS.ts
+++ b/packages/control/src/commands/COMMANDS.ts
@@ -4,6 +4,7 @@
 import * as configPublish from './configPublish.js';
 import * as configShow from './configShow.js';
 import * as configValidate from './configValidate.js';
+import * as explain from './explain.js';
 import * as fleet from './fleet.js';
 import * as inDoubtList from './inDoubtList.js';
 import * as inDoubtResolve from './inDoubtResolve.js';
@@ -24,6 +25,7 @@
   keyWithdraw.KEY_WITHDRAW,
   keyList.KEY_LIST,
   fleet.FLEET_COMMAND,
+  explain.EXPLAIN,
   programShow.PROGRAM_SHOW,
   programEnd.PROGRAM_END,
   inDoubtList.IN_DOUBT_LIST,
