--- a/packages/keyed-log/src/SharedPartitions.test.ts
+++ b/packages/keyed-log/src/SharedPartitions.test.ts
@@ -214,6 +214,7 @@
       membership: { available: () => available },
       clock: new clock.SystemClock(),
       logger: new logging.PartLogger('test'),
+      staleMs: 2_000,
     });
     const values: Record<string, string> = {};
     const follower = follow(shared, values);
--- a/packages/keyed-log/src/SharedPartitions.ts
+++ b/packages/keyed-log/src/SharedPartitions.ts
@@ -10,9 +10,8 @@
 import * as sharedSource from './SharedSource.js';
 import type { KeyedLog, PartitionName, PartitionSource, StoredRecord } from './Types.js';
 
-/** A VM tells peers only what it has read from the log itself within this time: reads that wait
- * longest, and the time of a call. */
-const FRESH_MS = 1_500;
+/** The part of the time within which all must know what a reader may be behind the log. */
+const FRESH_SHARE = 0.75;
 
 const NOTHING = { records: [], nextOffset: 0 };
 
@@ -23,6 +22,11 @@
   readonly membership: Pick<membership.Membership, 'available'>;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
+  /**
+   * How far behind the log a VM may be, in milliseconds. Above twice the longest wait of a read of
+   * the log, so that readers are not taken for lagging between two reads.
+   */
+  readonly staleMs: clock.Milliseconds;
 }
 
 /** Partitions that all VMs follow, read from the log by a few VMs and by the others through them. */
@@ -57,12 +61,17 @@
     await this.store.dispose();
   }
 
+  /** A VM tells peers only what it has read from the log itself within this time. */
+  private get freshMs(): clock.Milliseconds {
+    return FRESH_SHARE * this.options.staleMs;
+  }
+
   private async answer(
     request: messages.FollowRequest,
   ): Promise<trueMyth.Result<messages.FollowResponse, never>> {
     const mirror = this.mirrors.get(keyOf(request.partition));
     if (mirror !== undefined && request.waitMs > 0) await this.waitForNews(mirror, request);
-    if (mirror === undefined || mirror.ageMs > FRESH_MS) {
+    if (mirror === undefined || mirror.ageMs > this.freshMs) {
       return trueMyth.Result.ok({ ...NOTHING, failure: 'not-followed' });
     }
     return trueMyth.Result.ok(readMirror(mirror, request));
@@ -74,7 +83,7 @@
     { from = 0, waitMs }: messages.FollowRequest,
   ): Promise<void> {
     if (mirror.changesSince(from)?.records.length !== 0) return;
-    const freshForMs = FRESH_MS - mirror.ageMs;
+    const freshForMs = this.freshMs - mirror.ageMs;
     if (freshForMs <= 0) return;
     const waiting = new AbortController();
     const listening = mirror.onNews(() => waiting.abort());
--- a/packages/keyed-log/src/SharedSource.ts
+++ b/packages/keyed-log/src/SharedSource.ts
@@ -15,9 +15,8 @@
   PartitionState,
 } from './Types.js';
 
-/** How long a peer waits for news before it answers that there is none. It bounds the age of what
- * a VM knows when its peer falls silent. */
-const PEER_WAIT_MS = 1_000;
+/** The part of the time within which a VM must know that a peer waits for news: it may fall silent. */
+const PEER_WAIT_SHARE = 0.5;
 
 /** Time for a peer's answer beyond its wait. */
 const PEER_MARGIN_MS = 400;
@@ -36,6 +35,8 @@
   readonly membership: Pick<membership.Membership, 'available'>;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
+  /** How far behind the log a VM may be, in milliseconds. */
+  readonly staleMs: clock.Milliseconds;
 }
 
 /**
@@ -112,12 +113,13 @@
     const reader = readers.find(({ name }) => (this.pausedUntil.get(name) ?? 0) <= now);
     this.noteReader(reader?.name);
     if (reader === undefined) return undefined;
+    const peerWaitMs = PEER_WAIT_SHARE * this.options.staleMs;
     const request = {
       partition: this.partition,
-      waitMs: from === undefined ? 0 : PEER_WAIT_MS,
+      waitMs: from === undefined ? 0 : peerWaitMs,
       ...(from === undefined ? {} : { from }),
     };
-    const timeoutMs = PEER_WAIT_MS + PEER_MARGIN_MS;
+    const timeoutMs = peerWaitMs + PEER_MARGIN_MS;
     const answer = await network.request(reader.address, messages.FOLLOW, request, { timeoutMs });
     if (answer.isOk) return answer.value;
     this.pausedUntil.set(reader.name, time.now() + PEER_PAUSE_MS);
--- a/packages/wire/src/FleetNetwork.test.ts
+++ b/packages/wire/src/FleetNetwork.test.ts
@@ -38,6 +38,10 @@
   return { network, address: network.self.address };
 }
 
+function countTimers(): number {
+  return process.getActiveResourcesInfo().filter((name) => name === 'Timeout').length;
+}
+
 function serveCount(network: fleetNetwork.FleetNetwork) {
   const sent = { count: 0 };
   network.serveStream(COUNT, async (open, sink) => {
@@ -51,6 +55,18 @@
 }
 
 describe('FleetNetwork', () => {
+  test('a request that was answered leaves no timer that would wake the process', async () => {
+    const first = await startNetwork('a');
+    const second = await startNetwork('b');
+    second.network.serve(DOUBLE, async ({ value }) => trueMyth.Result.ok({ value: value * 2 }));
+    const options = { timeoutMs: TIMEOUT_MS };
+    await first.network.request(second.address, DOUBLE, { value: 1 }, options);
+    const before = countTimers();
+    await first.network.request(second.address, DOUBLE, { value: 2 }, options);
+    expect(countTimers()).toBe(before);
+    expect(before).toBeLessThanOrEqual(1);
+  });
+
   test('carries requests both ways and passes faults on', async () => {
     const first = await startNetwork('a');
     const second = await startNetwork('b');
--- a/packages/wire/src/PeerLink.ts
+++ b/packages/wire/src/PeerLink.ts
@@ -16,11 +16,11 @@
 /** A receiver reports room for this many items at a time. */
 const CREDIT_STEP_ITEMS = 32;
 
-/** How often a link with outstanding work is watched. */
+/** How often a silent link with outstanding work is looked at. */
 const WATCH_INTERVAL_MS = 250;
 
-/** A link with outstanding work is pinged after so much silence. */
-const PING_AFTER_MS = 500;
+/** A link with outstanding work is pinged after so much silence; answers mostly come before. */
+const PING_AFTER_MS = 1_000;
 
 /** A link with outstanding work is given up after so much silence. */
 const SILENCE_LIMIT_MS = 1_500;
@@ -109,6 +109,7 @@
       this.waiting.set(id, (result) => {
         clearTimeout(timer);
         this.waiting.delete(id);
+        if (!this.hasOutstanding) this.stopWatching();
         resolve(result);
       });
       this.send({ kind: frames.FRAME_KINDS.REQUEST, id, name, body });
@@ -231,25 +232,42 @@
     this.send({ kind: frames.FRAME_KINDS.END, id });
   }
 
+  private get hasOutstanding(): boolean {
+    return this.waiting.size > 0 || this.incoming.size > 0;
+  }
+
+  /** Looks at the link when its silence may have become too long, and not before. */
   private watch(): void {
     if (this.watcher !== undefined || this.closed) return;
     this.lastInspected = this.clock.now();
-    this.watcher = setInterval(() => this.inspect(), WATCH_INTERVAL_MS);
+    this.watchOn();
+  }
+
+  private watchOn(): void {
+    const untilPing = PING_AFTER_MS - this.silenceMs;
+    const delayMs = Math.max(WATCH_INTERVAL_MS, untilPing);
+    this.watcher = setTimeout(() => this.inspect(), delayMs);
+  }
+
+  private stopWatching(): void {
+    clearTimeout(this.watcher);
+    this.watcher = undefined;
   }
 
   /** Pings while work is outstanding and gives the link up when the peer stays silent. */
   private inspect(): void {
-    if (this.waiting.size === 0 && this.incoming.size === 0) {
-      clearInterval(this.watcher);
-      this.watcher = undefined;
-      return;
-    }
+    this.watcher = undefined;
+    if (!this.hasOutstanding) return;
     const sinceInspected = this.clock.now() - this.lastInspected;
     this.lastInspected = this.clock.now();
     // This process was paused itself, so the silence says nothing of the peer.
     if (sinceInspected > SILENCE_LIMIT_MS) this.lastHeard = this.clock.now();
-    if (this.silenceMs > SILENCE_LIMIT_MS) this.dispose();
-    else if (this.silenceMs > PING_AFTER_MS) this.send({ kind: frames.FRAME_KINDS.PING });
+    if (this.silenceMs > SILENCE_LIMIT_MS) {
+      this.dispose();
+      return;
+    }
+    if (this.silenceMs >= PING_AFTER_MS) this.send({ kind: frames.FRAME_KINDS.PING });
+    this.watchOn();
   }
 
   private wakePongWaiters(): void {
@@ -261,7 +279,7 @@
   private finish(): void {
     if (this.closed) return;
     this.closed = true;
-    clearInterval(this.watcher);
+    this.stopWatching();
     const failure = lost();
     [...this.waiting.values()].forEach((settle) => settle(trueMyth.Result.err(failure)));
     this.incoming.forEach((queue) => queue.fail(failure));
