Let a probe be its own check of a link that was idle

Cause: a link to a neighbour carries a probe each four seconds, so it has been idle each time and was checked with a ping before: twice the messages and wake-ups of each probe, on both sides. A probe now goes out at once, and a link on which it is not answered is closed, so that the next one opens another; others still answer for the member meanwhile.

--- a/packages/membership/src/Prober.ts
+++ b/packages/membership/src/Prober.ts
@@ -48,7 +48,7 @@
     const { network, probeTimeoutMs } = this.options;
     const startedAt = this.options.clock.now();
     const request = this.message(tellOf);
-    const options = { timeoutMs: probeTimeoutMs };
+    const options = { timeoutMs: probeTimeoutMs, isProbe: true };
     const result = await network.request(address, messages.PROBE, request, options);
     this.options.pauses.note(startedAt, probeTimeoutMs);
     if (result.isErr) return undefined;
--- a/packages/wire/src/FleetNetwork.test.ts
+++ b/packages/wire/src/FleetNetwork.test.ts
@@ -1,3 +1,4 @@
+import * as asyncHooks from 'node:async_hooks';
 import * as net from 'node:net';
 import * as errors from '@limpettack/errors';
 import * as lifetime from '@limpettack/lifetime';
@@ -38,8 +39,30 @@
   return { network, address: network.self.address };
 }
 
-function countTimers(): number {
-  return process.getActiveResourcesInfo().filter((name) => name === 'Timeout').length;
+/** Passes connections on until they are silenced; later ones are passed on again. */
+async function startSilencedProxy(address: string) {
+  const [host = '', port = ''] = address.split(':');
+  const open = new Set<net.Socket>();
+  const server = net.createServer((near) => {
+    const far = net.connect(Number(port), host);
+    [near, far].forEach((socket) => {
+      open.add(socket);
+      socket.on('error', () => undefined);
+    });
+    near.pipe(far);
+    far.pipe(near);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return {
+    address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
+    silence: () => open.forEach((socket) => socket.unpipe().pause()),
+    dispose: () => {
+      open.forEach((socket) => socket.destroy());
+      server.close();
+    },
+  };
 }
 
 function serveCount(network: fleetNetwork.FleetNetwork) {
@@ -55,16 +78,43 @@
 }
 
 describe('FleetNetwork', () => {
-  test('a request that was answered leaves no timer that would wake the process', async () => {
+  test('requests that were answered leave no timers that would wake the process', async () => {
     const first = await startNetwork('a');
     const second = await startNetwork('b');
     second.network.serve(DOUBLE, async ({ value }) => trueMyth.Result.ok({ value: value * 2 }));
     const options = { timeoutMs: TIMEOUT_MS };
     await first.network.request(second.address, DOUBLE, { value: 1 }, options);
-    const before = countTimers();
-    await first.network.request(second.address, DOUBLE, { value: 2 }, options);
-    expect(countTimers()).toBe(before);
-    expect(before).toBeLessThanOrEqual(1);
+    const timers = new Set<number>();
+    const hook = asyncHooks.createHook({
+      init: (id, type) => {
+        if (type === 'Timeout') timers.add(id);
+      },
+      destroy: (id) => timers.delete(id),
+    });
+    hook.enable();
+    for (let value = 0; value < 20; value += 1) {
+      await first.network.request(second.address, DOUBLE, { value }, options);
+    }
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    hook.disable();
+    expect(timers.size).toBe(0);
+  });
+
+  test('a probe of a link that went silent fails, closes it, and the next one opens another', async () => {
+    const first = await startNetwork('a');
+    const second = await startNetwork('b');
+    second.network.serve(DOUBLE, async ({ value }) => trueMyth.Result.ok({ value: value * 2 }));
+    const proxy = await startSilencedProxy(second.address);
+    const options = { timeoutMs: 300, isProbe: true };
+    const probe = (): Promise<{ readonly isOk: boolean }> =>
+      first.network.request(proxy.address, DOUBLE, { value: 1 }, options);
+    expect((await probe()).isOk).toBe(true);
+    proxy.silence();
+    expect((await probe()).isOk).toBe(false);
+    expect((await probe()).isOk).toBe(true);
+    proxy.dispose();
   });
 
   test('carries requests both ways and passes faults on', async () => {
--- a/packages/wire/src/FleetNetwork.ts
+++ b/packages/wire/src/FleetNetwork.ts
@@ -114,11 +114,13 @@
   ): Promise<PeerResult<Response>> {
     if (address === this.self.address) return this.requestOwn(method, request);
     const startedAt = this.options.clock.now();
-    const link = await this.usableLinkWithin(address, options.timeoutMs);
+    const { isProbe = false } = options;
+    const link = await this.usableLinkWithin(address, options.timeoutMs, isProbe);
     if (link === undefined) return failed(PEER_FAILURES.NOT_SENT, `No link to ${address}.`);
     const remaining = options.timeoutMs - (this.options.clock.now() - startedAt);
     if (remaining <= 0) return failed(PEER_FAILURES.NOT_SENT, `No link to ${address} in time.`);
     const result = await link.request(method.name, request, remaining);
+    if (result.isErr && isProbe && result.error.kind === PEER_FAILURES.TIMED_OUT) link.dispose();
     if (result.isErr) return trueMyth.Result.err(result.error);
     const checked = method.response.safeParse(result.value);
     if (checked.success) return trueMyth.Result.ok(checked.data);
@@ -205,20 +207,24 @@
   private async usableLinkWithin(
     address: string,
     timeoutMs: clockTypes.Milliseconds,
+    isProbe: boolean,
   ): Promise<peerLink.PeerLink | undefined> {
     const waiting = new AbortController();
     const link = await Promise.race([
-      this.usableLink(address),
+      this.usableLink(address, isProbe),
       this.options.clock.sleep(timeoutMs, waiting.signal).then(() => undefined),
     ]);
     waiting.abort();
     return link;
   }
 
-  private async usableLink(address: string): Promise<peerLink.PeerLink | undefined> {
+  private async usableLink(
+    address: string,
+    isProbe = false,
+  ): Promise<peerLink.PeerLink | undefined> {
     const link = this.links.get(address);
     if (link === undefined || link.isClosed) return this.dial(address);
-    if (link.silenceMs < IDLE_CHECK_MS) return link;
+    if (isProbe || link.silenceMs < IDLE_CHECK_MS) return link;
     return (await link.check()) ? link : this.dial(address);
   }
 
--- a/packages/wire/src/Types.ts
+++ b/packages/wire/src/Types.ts
@@ -50,6 +50,11 @@
 export interface RequestOptions {
   /** Time for the whole exchange, the opening of the link included. */
   readonly timeoutMs: clock.Milliseconds;
+  /**
+   * Whether the request itself shows that the link works, so that one that has been idle is not
+   * checked before. The link is closed when the answer does not come.
+   */
+  readonly isProbe?: boolean;
 }
 
 /** Answers one kind of request. */
