--- a/packages/wire/src/PeerLink.ts
+++ b/packages/wire/src/PeerLink.ts
@@ -54,6 +54,8 @@
 
   private closed = false;
 
+  private doubted = false;
+
   /** Fires once when the link has closed. */
   public readonly onClose = this.closeEmitter.event;
 
@@ -76,6 +78,16 @@
     return this.closed;
   }
 
+  /** Whether an answer has not come, and nothing was heard since. */
+  public get isDoubted(): boolean {
+    return this.doubted;
+  }
+
+  /** Notes that an answer has not come: the link may be silent, or the peer slow. */
+  public noteDoubt(): void {
+    this.doubted = true;
+  }
+
   /** How long nothing has been heard from the peer, in milliseconds. */
   public get silenceMs(): clockTypes.Milliseconds {
     return this.clock.now() - this.lastHeard;
@@ -166,6 +178,7 @@
 
   private receive(data: Buffer): void {
     this.lastHeard = this.clock.now();
+    this.doubted = false;
     const batch = decode(data);
     if (batch === undefined) {
       this.dispose();
