Keep the doubt of a link to its probes

Now only probes doubt a link and only probes wait for its check, so all other requests go as they did before.

--- a/packages/membership/src/MemberTable.ts
+++ b/packages/membership/src/MemberTable.ts
@@ -1,6 +1,6 @@
 import type * as clock from '@limpettack/clock';
 import * as lifetime from '@limpettack/lifetime';
-import type { ListedVm } from '@limpettack/platform-client';
+import type * as platformClient from '@limpettack/platform-client';
 import type * as wire from '@limpettack/wire';
 import * as listHistory from './ListHistory.js';
 import * as memberStates from './MemberStates.js';
@@ -145,7 +145,7 @@
   }
 
   /** Takes in a successful read of the platform's list. */
-  public applyList(vms: readonly ListedVm[]): void {
+  public applyList(vms: readonly platformClient.ListedVm[]): void {
     const before = this.members();
     const dropped = this.history.apply(vms, this.options.clock.now());
     this.listed = undefined;
@@ -202,13 +202,19 @@
     return true;
   }
 
-  private addListed(vm: ListedVm): void {
+  private addListed(vm: platformClient.ListedVm): void {
     const { name, address, failureDomain } = vm;
     this.store({ name, address, failureDomain, incarnation: '', ...UNTOLD });
   }
 
   /** A process that has written its own entry has started, so all are known before they are met. */
-  private learnListed({ address, failureDomain, incarnation, leaving, name }: ListedVm): void {
+  private learnListed({
+    address,
+    failureDomain,
+    incarnation,
+    leaving,
+    name,
+  }: platformClient.ListedVm): void {
     if (incarnation === undefined) return;
     const generation = this.records.get(name)?.generation ?? 0;
     const told = { suspected: false, leaving, revision: 0 };
--- a/packages/wire/src/FleetNetwork.test.ts
+++ b/packages/wire/src/FleetNetwork.test.ts
@@ -1,4 +1,3 @@
-import * as asyncHooks from 'node:async_hooks';
 import * as net from 'node:net';
 import * as errors from '@limpettack/errors';
 import * as lifetime from '@limpettack/lifetime';
@@ -7,6 +6,7 @@
 import * as zod from 'zod';
 import * as fleetNetwork from './FleetNetwork.js';
 import * as createTestNetwork from './testing/createTestNetwork.js';
+import * as watchTimers from './testing/watchTimers.js';
 import * as peerFailures from './PeerFailures.js';
 import * as peerLink from './PeerLink.js';
 import type { PeerMethod, PeerStreamKind } from './Types.js';
@@ -84,22 +84,12 @@
     second.network.serve(DOUBLE, async ({ value }) => trueMyth.Result.ok({ value: value * 2 }));
     const options = { timeoutMs: TIMEOUT_MS };
     await first.network.request(second.address, DOUBLE, { value: 1 }, options);
-    const timers = new Set<number>();
-    const hook = asyncHooks.createHook({
-      init: (id, type) => {
-        if (type === 'Timeout') timers.add(id);
-      },
-      destroy: (id) => timers.delete(id),
+    const left = await watchTimers.watchTimers(async () => {
+      for (let value = 0; value < 20; value += 1) {
+        await first.network.request(second.address, DOUBLE, { value }, options);
+      }
     });
-    hook.enable();
-    for (let value = 0; value < 20; value += 1) {
-      await first.network.request(second.address, DOUBLE, { value }, options);
-    }
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-    hook.disable();
-    expect(timers.size).toBe(0);
+    expect(left).toBe(0);
   });
 
   test('a link on which a probe was not answered is checked, and replaced when it is silent', async () => {
--- a/packages/wire/src/FleetNetwork.ts
+++ b/packages/wire/src/FleetNetwork.ts
@@ -120,7 +120,7 @@
     const remaining = options.timeoutMs - (this.options.clock.now() - startedAt);
     if (remaining <= 0) return failed(PEER_FAILURES.NOT_SENT, `No link to ${address} in time.`);
     const result = await link.request(method.name, request, remaining);
-    if (result.isErr && result.error.kind === PEER_FAILURES.TIMED_OUT) link.noteDoubt();
+    if (result.isErr && isProbe) link.noteDoubt();
     if (result.isErr) return trueMyth.Result.err(result.error);
     const checked = method.response.safeParse(result.value);
     if (checked.success) return trueMyth.Result.ok(checked.data);
@@ -224,8 +224,8 @@
   ): Promise<peerLink.PeerLink | undefined> {
     const link = this.links.get(address);
     if (link === undefined || link.isClosed) return this.dial(address);
-    const isIdle = link.silenceMs >= IDLE_CHECK_MS && !isProbe;
-    if (!isIdle && !link.isDoubted) return link;
+    const needsCheck = isProbe ? link.isDoubted : link.silenceMs >= IDLE_CHECK_MS;
+    if (!needsCheck) return link;
     return (await link.check()) ? link : this.dial(address);
   }
 
--- a/packages/wire/src/PeerLink.ts
+++ b/packages/wire/src/PeerLink.ts
@@ -78,12 +78,12 @@
     return this.closed;
   }
 
-  /** Whether an answer has not come, and nothing was heard since. */
+  /** Whether a probe was not answered, and nothing was heard since. */
   public get isDoubted(): boolean {
     return this.doubted;
   }
 
-  /** Notes that an answer has not come: the link may be silent, or the peer slow. */
+  /** Notes that a probe was not answered: the link may be silent, or the peer slow. */
   public noteDoubt(): void {
     this.doubted = true;
   }
--- a/packages/wire/src/Types.ts
+++ b/packages/wire/src/Types.ts
@@ -52,7 +52,7 @@
   readonly timeoutMs: clock.Milliseconds;
   /**
    * Whether the request itself shows that the link works, so that one that has been idle is not
-   * checked before. When the answer does not come, the link is checked before its next use.
+   * checked before. When the answer does not come, the link is checked before the next probe.
    */
   readonly isProbe?: boolean;
 }
--- a/packages/wire/src/testing/index.ts
+++ b/packages/wire/src/testing/index.ts
@@ -1,2 +1,3 @@
 /** Fixtures for tests of packages that talk to peers. */
 export * from './createTestNetwork.js';
+export * from './watchTimers.js';
