--- a/packages/keyed-log/src/index.ts
+++ b/packages/keyed-log/src/index.ts
@@ -3,6 +3,7 @@
 export * from './LogFailures.js';
 export * from './KeyedFollower.js';
 export * from './PartitionWriter.js';
+export * from './MeasuredLog.js';
 export * from './RelayedLog.js';
 export * from './LogSource.js';
 export * from './SharedPartitions.js';
--- a/packages/logging/src/Types.ts
+++ b/packages/logging/src/Types.ts
@@ -13,6 +13,7 @@
   readonly kind?: string;
   readonly reason?: string;
   readonly count?: number;
+  readonly bytes?: number;
   readonly spanMs?: number;
 }
 
--- a/packages/metrics/src/VmMetrics.ts
+++ b/packages/metrics/src/VmMetrics.ts
@@ -1,5 +1,5 @@
 import * as promClient from 'prom-client';
-import type { CallOutcome, Metrics } from './Types.js';
+import type { CallOutcome, LogCallMeasurement, Metrics } from './Types.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -8,6 +8,9 @@
 const BETWEEN_TOKENS_BUCKETS_SECONDS = [0.005, 0.01, 0.02, 0.04, 0.065, 0.1, 0.2, 0.5, 1, 5];
 const LONG_BUCKETS_SECONDS = [0.1, 0.5, 1, 2, 5, 10, 30, 60, 120, 600, 3_600, 86_400];
 
+/** From a healthy call (10 ms) to the time limit of a call (1 s). */
+const LOG_CALL_BUCKETS_SECONDS = [0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1];
+
 /** So many workspaces have a label of their own; the rest share one. */
 const MAXIMUM_WORKSPACE_LABELS = 64;
 
@@ -65,6 +68,19 @@
     ['workspace', 'answer'],
   );
 
+  private readonly logCallSeconds = this.histogram(
+    'limpettack_log_call_seconds',
+    "Time of a call of the platform's log.",
+    ['call', 'topic', 'outcome'],
+    LOG_CALL_BUCKETS_SECONDS,
+  );
+
+  private readonly logBytesTotal = this.counter(
+    'limpettack_log_bytes_total',
+    "Bytes of values sent to and received from the platform's log.",
+    ['call', 'topic'],
+  );
+
   public constructor() {
     promClient.collectDefaultMetrics({
       register: this.registry,
@@ -106,6 +122,12 @@
     this.admissionsTotal.inc({ workspace: this.workspaceLabel(workspace), answer });
   }
 
+  /** @inheritdoc */
+  public observeLogCall({ bytes, call, outcome, spanMs, topic }: LogCallMeasurement): void {
+    this.logCallSeconds.observe({ call, topic, outcome }, spanMs / MILLISECONDS_PER_SECOND);
+    this.logBytesTotal.inc({ call, topic }, bytes);
+  }
+
   /** @inheritdoc */
   public gauge(name: string, help: string, read: () => number): void {
     const gauge: promClient.Gauge = new promClient.Gauge({
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -101,6 +101,7 @@
     workspace: string,
     hints: TurnHints,
   ): Promise<trueMyth.Result<readonly Uint8Array[], errors.Fault>> {
+    const startedAt = this.options.clock.now();
     const contents: Uint8Array[] = [];
     let next: string | undefined = turn;
     while (next !== undefined && contents.length < LONGEST_CHAIN) {
@@ -115,6 +116,12 @@
       contents.push(found.value.content);
       next = found.value.previous;
     }
+    this.options.logger.info('A history was put together.', {
+      request: turn,
+      count: contents.length,
+      bytes: contents.reduce((sum, content) => sum + content.length, 0),
+      spanMs: Math.round(this.options.clock.now() - startedAt),
+    });
     return trueMyth.Result.ok(contents.reverse());
   }
 
@@ -216,15 +223,27 @@
   private async readPart(
     key: string,
   ): Promise<keyedLog.LogResult<turnRecords.TurnRecord | undefined>> {
+    const { clock: time, logger } = this.options;
+    const startedAt = time.now();
     const partition = keyedLog.partitionOf(key, this.options.partitionCount);
-    const record = await keyedLog.readNewestOf(
+    const search = await keyedLog.readNewestOf(
       this.options.log,
       { topic: TOPIC, partition },
       key,
       turnRecords.justBefore(key),
     );
-    if (record.isErr) return trueMyth.Result.err(record.error);
-    const value = record.value?.value;
+    const spanMs = Math.round(time.now() - startedAt);
+    if (search.isErr) {
+      logger.info('A turn could not be read from the log.', {
+        request: key,
+        reason: search.error.message,
+        spanMs,
+      });
+      return trueMyth.Result.err(search.error);
+    }
+    const { bytes, pages, record } = search.value;
+    logger.info('A turn was read from the log.', { request: key, count: pages, bytes, spanMs });
+    const value = record?.value;
     return trueMyth.Result.ok(value === undefined ? undefined : turnRecords.decodeTurn(value));
   }
 
