Show that a chain of turns is not found in time behind a slow link

The stand-ins of the log now end a listing at 500 records or 1 MB and a read at the size that it names, as the platform's store does.

--- a/packages/keyed-log/src/Types.ts
+++ b/packages/keyed-log/src/Types.ts
@@ -74,6 +74,8 @@
 export interface ReadOptions {
   /** How long the log may wait for a record at the end of the partition, in milliseconds. */
   readonly waitMs: clock.Milliseconds;
+  /** Records come up to this size, the first one always; without it, up to the log's own limit. */
+  readonly maximumBytes?: number | undefined;
 }
 
 /** A log whose partitions keep the newest record of each key for good. */
--- a/packages/keyed-log/src/testing/MemoryKeyedLog.ts
+++ b/packages/keyed-log/src/testing/MemoryKeyedLog.ts
@@ -9,10 +9,14 @@
   LogResult,
   NewestPage,
   PartitionName,
+  ReadOptions,
   ReadPage,
   StoredRecord,
 } from '../Types.js';
 
+/** The size of a read that names none, in bytes. */
+const READ_BYTES = 1_024 * 1_024;
+
 interface StoredPartition {
   readonly records: StoredRecord[];
   readonly receipts: Map<string, AppendReceipt>;
@@ -31,8 +35,11 @@
   /** Appends take effect though the answer is lost while this is set. */
   public losesAnswers = false;
 
+  /** Records of a listing at most, and their size in bytes. */
   public pageSize = 500;
 
+  public pageBytes = 1_000_000;
+
   public appendCount = 0;
 
   public readCount = 0;
@@ -66,22 +73,27 @@
     const records = [...byKey.values()]
       .filter(({ key, value }) => value !== undefined && key > after)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
+    const page = takeBytes(records.slice(0, this.pageSize), this.pageBytes);
     return trueMyth.Result.ok({
-      records: records.slice(0, this.pageSize),
-      hasMore: records.length > this.pageSize,
+      records: page,
+      hasMore: records.length > page.length,
       endOffset: partition.records.length,
     });
   }
 
   /** @inheritdoc */
-  public async read(name: PartitionName, from: number): Promise<LogResult<ReadPage>> {
+  public async read(
+    name: PartitionName,
+    from: number,
+    { maximumBytes }: Partial<ReadOptions> = {},
+  ): Promise<LogResult<ReadPage>> {
     this.readCount += 1;
     const failure = this.takeFailure();
     if (failure !== undefined) return fail(failure);
     const partition = this.partition(name);
     if (from < partition.firstOffset) return fail(logFailures.LOG_FAILURES.EXPIRED);
     return trueMyth.Result.ok({
-      records: partition.records.slice(from),
+      records: takeBytes(partition.records.slice(from), maximumBytes ?? READ_BYTES),
       firstOffset: partition.firstOffset,
       endOffset: partition.records.length,
     });
@@ -120,6 +132,16 @@
   }
 }
 
+/** The first record, and those behind it that fit. */
+function takeBytes(records: readonly StoredRecord[], bytes: number): readonly StoredRecord[] {
+  let size = 0;
+  const end = records.findIndex(({ value }, index) => {
+    size += value?.length ?? 0;
+    return index > 0 && size > bytes;
+  });
+  return end < 0 ? records : records.slice(0, end);
+}
+
 function fail<Value>(kind: LogFailureKind): LogResult<Value> {
   return trueMyth.Result.err({ kind, message: `The log in memory fails: ${kind}.` });
 }
--- a/packages/turns/src/LoggedTurnStore.test.ts
+++ b/packages/turns/src/LoggedTurnStore.test.ts
@@ -11,6 +11,17 @@
 const { afterEach, describe, expect, test } = jestGlobals;
 
 const KEEP_MS = 500;
+
+/** The content of a turn, and how much is kept beside it: as on the largest days of the users. */
+const SIZE_BYTES = 4_000;
+const OTHER_TURNS = 2_000;
+const OTHER_SIZE_BYTES = 20_000;
+
+/** The link of the smallest VMs, 21 Mbit/s. */
+const LINK_BYTES_PER_MS = 2_600;
+
+/** The part of a caller's three seconds that the search for a history may take. */
+const IN_TIME_MS = 900;
 const stores: loggedTurnStore.LoggedTurnStore[] = [];
 const networks: wire.FleetNetwork[] = [];
 
@@ -75,6 +86,58 @@
     expect(result.isErr && result.error.kind).toBe('log-unavailable');
   });
 
+  test('a chain is found in time behind a slow link, however much the log holds', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    const before = await createStore(log, 'before');
+    await keepMuch(before);
+    const chain = Array.from({ length: 14 }, (_, index) => `8000${index.toString(16)}`);
+    await keepChain(before, chain, SIZE_BYTES);
+    const link = new keyedLogTesting.LinkedLog(log, LINK_BYTES_PER_MS);
+    const after = await createStore(link, 'after');
+    const startedAt = performance.now();
+    expect(await texts(after, chain.at(-1)!)).toHaveLength(14);
+    expect(performance.now() - startedAt).toBeLessThan(IN_TIME_MS);
+  });
+
+  test('requests that go on from the same turn share one look-up', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    await keepChain(await createStore(log, 'before'), ['t1', 't2', 't3']);
+    const after = await createStore(log, 'after');
+    const reads = log.readCount;
+    const found = await Promise.all(Array.from({ length: 5 }, () => texts(after, 't3')));
+    found.forEach((contents) => expect(contents).toHaveLength(3));
+    // One listing, then one read for each turn.
+    expect(log.readCount - reads).toBe(4);
+  });
+
+  test('what a failed look-up has read is at hand for the next one', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    await keepChain(await createStore(log, 'before'), ['t1', 't2', 't3']);
+    const after = await createStore(log, 'after');
+    expect(await texts(after, 't2')).toHaveLength(2);
+    log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
+    expect((await after.history('t3', 'w', {})).isErr).toBe(true);
+    expect(await texts(after, 't2')).toHaveLength(2);
+  });
+
+  test('a chain longer than its records name is found whole', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    const ids = Array.from({ length: 50 }, (_, index) => `t${index}`);
+    await keepChain(await createStore(log, 'before'), ids);
+    const after = await createStore(log, 'after');
+    expect(await texts(after, 't49')).toEqual(ids.map((id) => `content ${id}`));
+  });
+
+  test('turns are found by their keys when the log has dropped its history', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    await keepChain(await createStore(log, 'before'), ['t1', 't2', 't3']);
+    for (let partition = 0; partition < 4; partition += 1) {
+      log.compact({ topic: 'kept-turns', partition });
+    }
+    const after = await createStore(log, 'after');
+    expect(await texts(after, 't3')).toEqual(['content t1', 'content t2', 'content t3']);
+  });
+
   test('a content larger than a record is kept in parts', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
     const first = await createStore(log, 'first');
@@ -86,20 +149,30 @@
   });
 });
 
-function turn(id: string, previous?: string): Turn {
-  const content = Buffer.from(`content ${id}`);
+function turn(id: string, previous?: string, bytes = 0): Turn {
+  const content = Buffer.from(`content ${id}`.padEnd(bytes, '.'));
   return { id, previous, workspace: 'w', content, retentionMs: 60_000 };
 }
 
 async function keepChain(
   store: loggedTurnStore.LoggedTurnStore,
   ids: readonly string[],
+  bytes = 0,
 ): Promise<void> {
   for (let index = 0; index < ids.length; index += 1) {
-    await store.keep(turn(ids[index]!, ids[index - 1]), KEEP_MS);
+    await store.keep(turn(ids[index]!, ids[index - 1], bytes), KEEP_MS);
   }
 }
 
+/** Fills the log with turns of other programs, whose ids lie around those of any chain. */
+async function keepMuch(store: loggedTurnStore.LoggedTurnStore): Promise<void> {
+  const ids = Array.from({ length: OTHER_TURNS }, (_, index) =>
+    index.toString(16).padStart(5, '0'),
+  );
+  const spread = ids.map((id) => [...id].reverse().join(''));
+  await Promise.all(spread.map((id) => store.keep(turn(id, undefined, OTHER_SIZE_BYTES), KEEP_MS)));
+}
+
 async function texts(
   store: loggedTurnStore.LoggedTurnStore,
   id: string,
