Read a kept turn by its offset instead of listing a page for each turn

Cause: one turn was found by a listing behind its key. A listing has no limit of its own, so it brought up to 500 records or 1 MB in Base64, and a chain of up to 14 turns did this turn by turn. On a VM with a link of 30 Mbit/s a page takes 0.4 s; two at once pass the time limit of 0.9 s, after which the VM gives up its own way to the store for a while and asks peers, which are as slow. Callers' tries began anew at other VMs. The class: a point query answered by a range read whose cost grows with what is stored, hidden while caches are warm.

Ruled out: homes that are not ready (they serve from second 39 on, the look-ups fail until the end) and writers of before the fault (a peer that is silent costs 0.3 s).

Now a marker under the turn's id lies right behind its content in the same append, and all markers sort behind all contents. A listing meets markers only, the content is read alone by its offset, and the turns before it, which the content names with their offsets, are read beside each other.

--- a/packages/keyed-log/src/PartitionWriter.ts
+++ b/packages/keyed-log/src/PartitionWriter.ts
@@ -34,8 +34,8 @@
   readonly retryMs: clock.Milliseconds;
 }
 
-interface WaitingRecord {
-  readonly record: KeyedRecord;
+interface WaitingRecords {
+  readonly records: readonly KeyedRecord[];
   readonly giveUpAt: clock.Milliseconds;
   readonly settle: (result: LogResult<AppendReceipt>) => void;
 }
@@ -45,7 +45,7 @@
  * one, and an append whose answer is lost is repeated under its identity until it is answered.
  */
 export class PartitionWriter implements lifetime.Disposable {
-  private waiting: WaitingRecord[] = [];
+  private waiting: WaitingRecords[] = [];
 
   private readonly stopping = new AbortController();
 
@@ -64,10 +64,18 @@
   public append(
     record: KeyedRecord,
     timeoutMs: clock.Milliseconds,
+  ): Promise<LogResult<AppendReceipt>> {
+    return this.appendTogether([record], timeoutMs);
+  }
+
+  /** Appends records that stand one behind the other in the partition, all or none. */
+  public appendTogether(
+    records: readonly KeyedRecord[],
+    timeoutMs: clock.Milliseconds,
   ): Promise<LogResult<AppendReceipt>> {
     return new Promise((settle) => {
       const giveUpAt = this.options.clock.now() + timeoutMs;
-      this.waiting.push({ record, giveUpAt, settle });
+      this.waiting.push({ records, giveUpAt, settle });
       if (!this.isRunning) this.run();
     });
   }
@@ -83,26 +91,26 @@
     this.isRunning = false;
   }
 
-  private takeBatch(): readonly WaitingRecord[] {
+  private takeBatch(): readonly WaitingRecords[] {
     let bytes = 0;
-    let count = 0;
-    while (count < this.waiting.length && count < RECORDS_PER_APPEND) {
-      bytes += this.waiting[count]?.record.value?.length ?? 0;
-      if (count > 0 && bytes > BYTES_PER_APPEND) break;
-      count += 1;
-    }
-    return this.waiting.splice(0, count);
+    let records = 0;
+    const end = this.waiting.findIndex((entry, index) => {
+      bytes += sizeOf(entry.records);
+      records += entry.records.length;
+      return index > 0 && (bytes > BYTES_PER_APPEND || records > RECORDS_PER_APPEND);
+    });
+    return this.waiting.splice(0, end < 0 ? this.waiting.length : end);
   }
 
-  private async appendBatch(batch: readonly WaitingRecord[]): Promise<void> {
+  private async appendBatch(batch: readonly WaitingRecords[]): Promise<void> {
     const { clock: time, log, partition, retryMs } = this.options;
-    const records = batch.map(({ record }) => record);
+    const records = batch.flatMap((entry) => entry.records);
     let open = batch;
     while (!this.stopping.signal.aborted) {
       const result = await log.append(partition, records, { identity: this.identity() });
       if (result.isOk) {
         this.sequence += 1;
-        open.forEach(({ settle }) => settle(result));
+        settleInOrder(batch, open, result.value);
         return;
       }
       open = this.settleExpired(open, result.error);
@@ -142,9 +150,9 @@
   }
 
   private settleExpired(
-    batch: readonly WaitingRecord[],
+    batch: readonly WaitingRecords[],
     error: LogFailure,
-  ): readonly WaitingRecord[] {
+  ): readonly WaitingRecords[] {
     const now = this.options.clock.now();
     const expired = batch.filter(({ giveUpAt }) => giveUpAt <= now);
     expired.forEach(({ settle }) => settle(trueMyth.Result.err(error)));
@@ -159,3 +167,21 @@
     return batch.filter(({ giveUpAt }) => giveUpAt > now);
   }
 }
+
+/** Tells each waiting append where its own records lie in a batch that was appended. */
+function settleInOrder(
+  batch: readonly WaitingRecords[],
+  open: readonly WaitingRecords[],
+  receipt: AppendReceipt,
+): void {
+  let { firstOffset } = receipt;
+  batch.forEach((entry) => {
+    const endOffset = firstOffset + entry.records.length;
+    if (open.includes(entry)) entry.settle(trueMyth.Result.ok({ firstOffset, endOffset }));
+    firstOffset = endOffset;
+  });
+}
+
+function sizeOf(records: readonly KeyedRecord[]): number {
+  return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+}
--- a/packages/keyed-log/src/RelayedLog.ts
+++ b/packages/keyed-log/src/RelayedLog.ts
@@ -108,7 +108,7 @@
     options: ReadOptions,
   ): Promise<LogResult<ReadPage>> {
     return this.call<ReadPage>(
-      { call: 'read', partition, from, waitMs: options.waitMs },
+      { call: 'read', partition, from, ...options },
       () => this.options.direct.read(partition, from, options),
       options.waitMs,
     );
@@ -216,7 +216,7 @@
       case 'newest':
         return direct.newest(request.partition, request.after);
       default:
-        return direct.read(request.partition, request.from, { waitMs: request.waitMs });
+        return direct.read(request.partition, request.from, request);
     }
   }
 }
--- a/packages/keyed-log/src/messages.ts
+++ b/packages/keyed-log/src/messages.ts
@@ -32,6 +32,7 @@
   partition: PARTITION,
   from: zod.number(),
   waitMs: zod.number(),
+  maximumBytes: zod.number().optional(),
 });
 
 const REQUEST = zod.discriminatedUnion('call', [APPEND, NEWEST, READ]);
--- a/packages/turns/src/turnRecords.ts
+++ b/packages/turns/src/turnRecords.ts
@@ -3,37 +3,61 @@
 
 const BYTES = zod.custom<Uint8Array>((value) => value instanceof Uint8Array);
 
-const RECORD = zod.object({
+const POSITION = zod.object({
+  id: zod.string(),
+  /** Of the record with the turn's content, in the partition of the turn's id. */
+  offset: zod.number().int().nonnegative(),
+});
+
+const CONTENT = zod.object({
   id: zod.string(),
   previous: zod.string().optional(),
   workspace: zod.string(),
   content: BYTES,
-  /** Records that hold the rest of a content that is too large for one. */
-  furtherParts: zod.number().int().nonnegative(),
+  /** Where the turns before it lie, the nearest first; those further back are found from the last. */
+  earlier: zod.array(POSITION).readonly(),
+  /** Offsets of the records that hold the rest of a content that is too large for one. */
+  further: zod.array(zod.number().int().nonnegative()).readonly(),
 });
 
-/** A turn as the log and peers hold it. */
-export type TurnRecord = zod.infer<typeof RECORD>;
+const TURN = CONTENT.omit({ further: true }).extend({ offset: POSITION.shape.offset });
+
+/** Where a turn lies in the log. */
+export type TurnPosition = zod.infer<typeof POSITION>;
+
+/** A turn as the log holds it. */
+export type ContentRecord = zod.infer<typeof CONTENT>;
+
+/** A turn with its place in the log, as processes hold it. */
+export type TurnRecord = zod.infer<typeof TURN>;
 
 /** The check of a turn that a peer sends. */
-export const TURN_RECORD: zod.ZodType<TurnRecord> = RECORD;
+export const TURN_RECORD: zod.ZodType<TurnRecord> = TURN;
+
+/** Marks that a turn is kept. Its content lies right before it. */
+export const MARKER: Uint8Array = Buffer.from([1]);
 
-export function encodeTurn(record: TurnRecord): Uint8Array {
+export function encodeContent(record: ContentRecord): Uint8Array {
   return msgpackr.pack(record);
 }
 
 /** Reads a record; nothing when it is malformed. */
-export function decodeTurn(value: Uint8Array): TurnRecord | undefined {
+export function decodeContent(value: Uint8Array): ContentRecord | undefined {
   try {
-    return RECORD.safeParse(msgpackr.unpack(value)).data;
+    return CONTENT.safeParse(msgpackr.unpack(value)).data;
   } catch {
     return undefined;
   }
 }
 
-/** The key of a part of a turn's content; the first part has the turn's own id. */
-export function partKey(turn: string, part: number): string {
-  return part === 0 ? turn : `${turn}/${part}`;
+/** The key of a part of a turn's content. */
+export function contentKey(turn: string, part = 0): string {
+  return part === 0 ? `content/${turn}` : `content/${turn}/${part}`;
+}
+
+/** The key of a turn's marker. All markers sort behind all contents, so a listing of them is small. */
+export function markerKey(turn: string): string {
+  return `turn/${turn}`;
 }
 
 /** A text that sorts right before a key, so that a listing behind it starts with the key. */
