End the wait for the record of a budget with its turn

What callers saw: a program whose turn was refused (pool full, no history) while the record of its budget was still on its way could be told afterwards that its budget is spent, though that turn had handed out nothing. Cause: the turn was settled at once, but the loop that asks the home whether the record is there went on to the deadline. A home client that has settled a turn knows no home for it any more, so the next question set its tokens aside anew, with nobody left to give them back: they count as spent after 15 s. Ruled out: settling only when the last question is answered. A home that does not answer would hold the tokens of a refused turn for seconds, and the caller's next attempt would find its budget spent. Why it works: the loop ends with the turn, and a question that was under way at that moment is followed by a second settlement. That one does nothing unless the question set tokens aside anew.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -124,14 +124,30 @@
     reply: Reply,
   ): Promise<void> {
     const { call } = context;
-    const plan = await this.plan(context, grant);
-    if (plan.isErr) {
-      this.settle(call, NOTHING_HANDED_OUT);
-      reply.refuse(plan.error);
-      return;
-    }
-    const outcome = await new streamCall.StreamCall(this.parts, context, plan.value, reply).run();
+    const ending = new AbortController();
+    const covered = grant.isCovered ? undefined : this.covered(call, ending.signal);
+    const plan = await this.plan(context, grant, covered);
+    let outcome = NOTHING_HANDED_OUT;
+    if (plan.isErr) reply.refuse(plan.error);
+    else outcome = await new streamCall.StreamCall(this.parts, context, plan.value, reply).run();
+    ending.abort();
     this.settle(call, outcome);
+    // A home that was being asked meanwhile may have set the tokens aside anew.
+    if (covered !== undefined) this.afterwards(call, covered, () => this.settle(call, outcome));
+  }
+
+  /** Takes in what comes after nobody waits for it any more. */
+  private async afterwards<Value>(
+    { id }: Call,
+    late: Promise<Value>,
+    step: (value: Value) => void,
+  ): Promise<void> {
+    try {
+      step(await late);
+    } catch (error) {
+      const { logger } = this.parts;
+      logger.error('What a request asked for has failed.', { request: id, reason: String(error) });
+    }
   }
 
   private async reserve(call: Call): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
@@ -140,17 +156,16 @@
     return this.parts.budgets.reserve(reservation);
   }
 
-  /** Waits until the turn's tokens may be handed out; false when its time is over before. */
-  private async covered(context: callContext.CallContext): Promise<boolean> {
+  /** Waits until the turn's tokens may be handed out; false when the turn ends before. */
+  private async covered(call: Call, ending: AbortSignal): Promise<boolean> {
     const { budgets, clock: time, logger } = this.parts;
-    const { call, deadline } = context;
     const reservation = reservationOf(call);
     logger.info('An answer waits for the record of its budget.', { request: call.id });
-    while (reservation !== undefined && !call.gone.aborted && time.now() < deadline) {
+    while (reservation !== undefined && !ending.aborted) {
       const startedAt = time.now();
       if (await budgets.cover(reservation)) return true;
       const pause = COVER_INTERVAL_MS - (time.now() - startedAt);
-      if (pause > 0) await time.sleep(pause, call.gone);
+      if (pause > 0) await time.sleep(pause, ending);
     }
     return false;
   }
@@ -176,11 +191,11 @@
   private async plan(
     context: callContext.CallContext,
     grant: programHomes.Grant,
+    covered: Promise<boolean> | undefined,
   ): Promise<trueMyth.Result<streamCall.StreamPlan, errors.Fault>> {
     const { call, pool, route, workspace } = context;
     const tokensPerEvent = this.parts.tables.current?.pools.get(pool)?.tokensPerEvent ?? 1;
     const previous = route.keepsTurns ? call.place?.previousTurn : undefined;
-    const covered = grant.isCovered ? undefined : this.covered(context);
     const recordUse = (tokens: number, timeoutMs: number): Promise<boolean> =>
       this.recordUse(call, tokens, timeoutMs);
     const shared = { tokensPerEvent, covered, recordUse };
--- /dev/null
+++ b/packages/gateway/src/testing/RecordedLogger.ts
@@ -0,0 +1,28 @@
+import type * as logging from '@limpettack/logging';
+
+/** A line of the log. */
+export interface LogLine {
+  readonly message: string;
+  readonly fields: logging.LogFields;
+}
+
+/** A logger that keeps its lines. */
+export class RecordedLogger implements logging.Logger {
+  public readonly lines: LogLine[] = [];
+
+  public debug(message: string, fields: logging.LogFields = {}): void {
+    this.lines.push({ message, fields });
+  }
+
+  public info(message: string, fields: logging.LogFields = {}): void {
+    this.lines.push({ message, fields });
+  }
+
+  public warn(message: string, fields: logging.LogFields = {}): void {
+    this.lines.push({ message, fields });
+  }
+
+  public error(message: string, fields: logging.LogFields = {}): void {
+    this.lines.push({ message, fields });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/testing/gatewayStandIns.ts
@@ -0,0 +1,62 @@
+import type * as metrics from '@limpettack/metrics';
+import * as gateway from '../Gateway.js';
+import * as tablesHolder from '../TablesHolder.js';
+import * as gatewayFixtures from './gatewayFixtures.js';
+import * as recordedBudgets from './RecordedBudgets.js';
+import * as recordedLogger from './RecordedLogger.js';
+import type { Call, Route, TargetTransport } from '../Types.js';
+
+const NO_METRICS: metrics.Metrics = {
+  observeFirstToken: () => undefined,
+  observeBetweenTokens: () => undefined,
+  observeCall: () => undefined,
+  observeProgram: () => undefined,
+  countRefusal: () => undefined,
+  countAdmission: () => undefined,
+  gauge: () => undefined,
+  text: async () => '',
+};
+
+/** A gateway over stand-ins, and what tests look at. */
+export interface TestGateway {
+  readonly gateway: gateway.Gateway;
+  readonly budgets: recordedBudgets.RecordedBudgets;
+  readonly logger: recordedLogger.RecordedLogger;
+}
+
+/** Creates a gateway with one route over a scripted transport. */
+export function createGateway(
+  transport: TargetTransport,
+  route: Partial<Route>,
+  changes: Partial<gateway.GatewayParts>,
+): TestGateway {
+  const logger = new recordedLogger.RecordedLogger();
+  const budgets = new recordedBudgets.RecordedBudgets();
+  const tables = new tablesHolder.TablesHolder(logger);
+  const workspace = { name: 'w', priority: undefined, ratePerSecond: 0, burst: 0 };
+  tables.offer({
+    version: 1,
+    routes: [gatewayFixtures.createRoute(route)],
+    pools: new Map([['pool', { name: 'pool', maximumConnections: 8, tokensPerEvent: 20 }]]),
+    workspaces: new Map([['w', workspace]]),
+    workspacesByKey: new Map([['key', workspace]]),
+    needsKeys: true,
+    callerLimits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  });
+  const targets = ['one', 'two', 'three'].map((id) => gatewayFixtures.createTarget(id));
+  const parts = {
+    ...gatewayFixtures.createParts(transport, targets),
+    tables,
+    allowances: { admit: async () => ({ isAdmitted: true }) as const },
+    budgets,
+    logger,
+    metrics: NO_METRICS,
+    ...changes,
+  };
+  return { gateway: new gateway.Gateway(parts), budgets, logger };
+}
+
+/** A turn of a program, with the key of the workspace. */
+export function turnOf(program: string, previousTurn?: string): Pick<Call, 'key' | 'place'> {
+  return { key: 'key', place: { program, budgetTokens: 1_000, previousTurn } };
+}
