Refuse in time a turn whose history is not read in time

What callers saw: after all VMs had lost power, turns that go on from a kept one waited for their history until their deadline (3 s) and got no answer. Cause: the gateway awaited the look-up without regard to the deadline. The timer of a stream starts only once the history is there, so nothing ended the request before. Now: all that a request waits for before it is offered to a target has to be there within 0.45 of the time that it has left when it is taken; the history has what the limit and the budget leave of that. One whose caller goes ends at once. A log line tells the request, the kind of wait and its length; a look-up that fails later is logged. Evidence: new tests of the gateway over the logged turn store, 200 turns at once that go on from chains of two. log needs 900 or 1,250 ms an answer: before, no attempt was refused ("Expected: >= 200, Received: 0"); now all are refused below half of their time and served within the 3 s of their callers when they come back. log needs 4 s an answer: before, no answer came in the 3 s (the test timed out); now each attempt is refused in time. a look-up that fails after the refusal: the test timed out before. A caller that has gone: was waited for before. Ruled out: a share of its own for each wait (0.3 of what is left, twice, is over half of the time); a short bound. An attempt at another VM reads the history anew, so whoever is refused early there waits as long again; below half is the most that still leaves the caller the larger part of its time. Not mended here: the slow look-up itself.

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -1,24 +1,119 @@
 import * as jestGlobals from '@jest/globals';
 import * as clock from '@limpettack/clock';
+import type * as errors from '@limpettack/errors';
+import * as keyedLogTesting from '@limpettack/keyed-log/testing';
+import * as turns from '@limpettack/turns';
+import * as wireTesting from '@limpettack/wire/testing';
 import * as trueMyth from 'true-myth';
 import * as routeKinds from './RouteKinds.js';
 import * as sendFailures from './SendFailures.js';
 import * as fixtures from './testing/gatewayFixtures.js';
 import * as standIns from './testing/gatewayStandIns.js';
+import * as recordedLogger from './testing/RecordedLogger.js';
 import * as recordedReply from './testing/RecordedReply.js';
 import * as scriptedTransport from './testing/ScriptedTransport.js';
+import * as slowLog from './testing/SlowLog.js';
+import type { Call } from './Types.js';
 
-const { describe, expect, test } = jestGlobals;
+const { afterEach, describe, expect, test } = jestGlobals;
 
 const STREAM = { kind: routeKinds.ROUTE_KINDS.STREAM };
+const KEPT = { ...STREAM, keepsTurns: true, timeoutMs: 3_000 };
 
 /** The time of the requests. */
 const PATIENCE_MS = 1_000;
 
+/** The time that callers have for all their attempts. */
+const CALLER_MS = 3_000;
+
+/** Callers come back after this part of the time that they have left, at the latest. */
+const RETURN_SHARE = 1 / 3;
+
+/** Callers that have less time left do not come back. */
+const LEAST_MS = 200;
+
+/** Turns that go on from kept ones at once. */
+const LOAD = 200;
+
 /** How far the clock moves at a time. */
-const STEP_MS = 10;
+const STEP_MS = 5;
+
+const stores: turns.LoggedTurnStore[] = [];
+
+afterEach(() => stores.splice(0).forEach((store) => store.dispose()));
+
+/** One attempt of a caller. */
+interface Attempt {
+  readonly spanMs: clock.Milliseconds;
+  readonly patienceMs: clock.Milliseconds;
+  readonly reply: recordedReply.RecordedReply;
+}
 
 describe('Gateway', () => {
+  test.each([900, 1_250])(
+    'turns that go on from kept ones are refused in time while the log needs %d ms an answer, and served when they come back',
+    async (answerMs) => {
+      const { attempts, budgets, logger, transport } = await loadSlowLog(answerMs, CALLER_MS);
+      const refused = attempts.flatMap((all) => all.slice(0, -1));
+      expect(refused.length).toBeGreaterThanOrEqual(LOAD);
+      refused.forEach(expectRefusedInTime);
+      attempts.forEach((all) => expect(all.at(-1)?.reply.outcome).toBe('ended'));
+      expect(transport.sent).toHaveLength(LOAD);
+      transport.sent.forEach(({ request }) =>
+        expect(Buffer.from(request.body).toString()).toMatch(/^first-(\d+);second-\1;new;$/),
+      );
+      expect(budgets.open.size).toBe(0);
+      expect(budgets.settled.filter(({ tokens }) => tokens === 0)).toHaveLength(refused.length);
+      const lines = logger.lines.filter(({ fields }) => fields.kind === 'history');
+      expect(lines).toHaveLength(refused.length);
+      expect(lines[0]?.fields).toMatchObject({ request: 'program-0/0', spanMs: 1_350 });
+    },
+  );
+
+  test('turns whose history the log does not tell at all are refused in time, each time', async () => {
+    const { attempts, budgets, transport } = await loadSlowLog(4_000, CALLER_MS);
+    const all = attempts.flat();
+    expect(all.length).toBeGreaterThanOrEqual(2 * LOAD);
+    all.forEach(expectRefusedInTime);
+    expect(transport.sent).toHaveLength(0);
+    expect(budgets.open.size).toBe(0);
+    expect(budgets.settled.every(({ tokens }) => tokens === 0)).toBe(true);
+  });
+
+  test('a look-up that fails after its turn was refused is told in the log and does no harm', async () => {
+    const time = new clock.ManualClock();
+    const { gateway, logger, reply, transport } = createHangingLookUp(time, () =>
+      time.sleep(700).then(() => Promise.reject(new Error('broken'))),
+    );
+    const handled = gateway.handle(createNext(time), reply);
+    await advance(time, 500);
+    await handled;
+    expect(reply.fault?.kind).toBe('log-unavailable');
+    await advance(time, 500);
+    expect(logger.lines.some(({ fields }) => fields.reason === 'Error: broken')).toBe(true);
+    expect(transport.sent).toHaveLength(0);
+  });
+
+  test('nobody waits for the history of a turn whose caller has gone', async () => {
+    const time = new clock.ManualClock();
+    const { budgets, gateway, reply, transport } = createHangingLookUp(time, () =>
+      time.sleep(300).then(() => trueMyth.Result.ok([])),
+    );
+    const caller = new AbortController();
+    let isOver = false;
+    gateway.handle(createNext(time, caller.signal), reply).then(() => {
+      isOver = true;
+    });
+    await advance(time, 100);
+    caller.abort();
+    await eventsSettle();
+    expect(isOver).toBe(true);
+    expect(budgets.open.size).toBe(0);
+    expect(reply.fault).toBeUndefined();
+    await advance(time, 500);
+    expect(transport.sent).toHaveLength(0);
+  });
+
   test('the wait for the record of a budget ends with its turn and leaves no tokens set aside', async () => {
     const time = new clock.ManualClock();
     const full = Array.from({ length: 200 }, () =>
@@ -42,6 +137,115 @@
   });
 });
 
+function expectRefusedInTime({ patienceMs, reply, spanMs }: Attempt): void {
+  expect(reply.fault).toMatchObject({ kind: 'log-unavailable', run: 'not-run' });
+  expect(reply.fault?.retryAfterMs).toBeGreaterThan(0);
+  expect(spanMs).toBeLessThan(patienceMs / 2);
+}
+
+/** What many callers get at once whose turns go on from two others, by how slowly the log answers. */
+async function loadSlowLog(
+  answerMs: clock.Milliseconds,
+  spanMs: clock.Milliseconds,
+): Promise<
+  Omit<standIns.TestGateway, 'gateway'> & {
+    readonly attempts: readonly (readonly Attempt[])[];
+    readonly transport: scriptedTransport.ScriptedTransport;
+  }
+> {
+  const time = new clock.ManualClock();
+  const log = new slowLog.SlowLog(new keyedLogTesting.MemoryKeyedLog(), time);
+  const programs = Array.from({ length: LOAD }, (_, index) => index);
+  const former = createStore(log, time, 'former');
+  await Promise.all(programs.map((index) => keepTwo(former, index)));
+  log.answerMs = answerMs;
+  const scripts = programs.map(() => fixtures.streamEvents([1, 2], 'end'));
+  const transport = new scriptedTransport.ScriptedTransport(scripts);
+  const created = standIns.createGateway(transport, KEPT, {
+    clock: time,
+    turns: createStore(log, time, 'now'),
+  });
+  const callers = programs.map((index) => callUntilServed(created.gateway, time, index));
+  await eventsSettle();
+  await advance(time, spanMs);
+  return { ...created, transport, attempts: await Promise.all(callers) };
+}
+
+/** Keeps a turn and one that goes on from it. */
+async function keepTwo(store: turns.TurnStore, index: number): Promise<void> {
+  const kept = { workspace: 'w', retentionMs: 60_000 };
+  const first = `first-${index}`;
+  const second = `second-${index}`;
+  await store.keep({ ...kept, id: first, content: Buffer.from(`${first};`) }, 100);
+  const content = Buffer.from(`${second};`);
+  await store.keep({ ...kept, id: second, previous: first, content }, 100);
+}
+
+/** Sends a turn like a caller that comes back when it is refused as not run. */
+async function callUntilServed(
+  gateway: standIns.TestGateway['gateway'],
+  time: clock.Clock,
+  index: number,
+): Promise<readonly Attempt[]> {
+  const attempts: Attempt[] = [];
+  const program = `program-${index}`;
+  for (;;) {
+    const startedAt = time.now();
+    const patienceMs = CALLER_MS - startedAt;
+    const reply = new recordedReply.RecordedReply();
+    const call = fixtures.createCall(time, {
+      ...standIns.turnOf(program, `second-${index}`),
+      id: `${program}/${attempts.length}`,
+      body: Buffer.from('new;'),
+      patienceMs,
+    });
+    await gateway.handle(call, reply);
+    attempts.push({ reply, patienceMs, spanMs: time.now() - startedAt });
+    const leftMs = CALLER_MS - time.now();
+    const { fault } = reply;
+    if (fault === undefined || fault.run !== 'not-run' || leftMs < LEAST_MS) return attempts;
+    await time.sleep(Math.min(fault.retryAfterMs, RETURN_SHARE * leftMs));
+  }
+}
+
+function createStore(
+  log: slowLog.SlowLog,
+  time: clock.Clock,
+  producer: string,
+): turns.LoggedTurnStore {
+  const store = new turns.LoggedTurnStore({
+    log,
+    clock: time,
+    producer,
+    network: wireTesting.createTestNetwork(producer),
+    logger: new recordedLogger.RecordedLogger(),
+    partitionCount: 4,
+    recordBytes: 4_096,
+    cacheBytes: 10_000_000,
+  });
+  stores.push(store);
+  return store;
+}
+
+function createHangingLookUp(
+  time: clock.Clock,
+  history: () => Promise<trueMyth.Result<readonly Uint8Array[], errors.Fault>>,
+): standIns.TestGateway & {
+  readonly reply: recordedReply.RecordedReply;
+  readonly transport: scriptedTransport.ScriptedTransport;
+} {
+  const transport = new scriptedTransport.ScriptedTransport([]);
+  const keep = async (): Promise<never> => Promise.reject(new Error('Nothing is kept here.'));
+  const changes = { clock: time, turns: { history, keep } };
+  const created = standIns.createGateway(transport, KEPT, changes);
+  return { ...created, transport, reply: new recordedReply.RecordedReply() };
+}
+
+/** A turn that goes on from another one. */
+function createNext(time: clock.Clock, gone = new AbortController().signal): Call {
+  return fixtures.createCall(time, { ...standIns.turnOf('program', 'former'), gone });
+}
+
 /** Moves the clock on; what is due runs before it moves further. */
 async function advance(time: clock.ManualClock, spanMs: clock.Milliseconds): Promise<void> {
   for (let passed = 0; passed < spanMs; passed += STEP_MS) {
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,5 +1,5 @@
 import type * as allowances from '@limpettack/allowances';
-import type * as clock from '@limpettack/clock';
+import * as clock from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
 import type * as logging from '@limpettack/logging';
 import type * as metrics from '@limpettack/metrics';
@@ -11,6 +11,8 @@
 import * as routeKinds from './RouteKinds.js';
 import * as streamCall from './StreamCall.js';
 import type * as tablesHolder from './TablesHolder.js';
+import * as waitBounds from './waitBounds.js';
+import * as whileWanted from './whileWanted.js';
 import * as wholeCall from './WholeCall.js';
 import type { Call, Reply } from './Types.js';
 
@@ -79,12 +81,13 @@
   }
 
   private async serve(context: callContext.CallContext, reply: Reply): Promise<void> {
-    const { route } = context;
+    const { deadline, route } = context;
     if (this.parts.crashes.isRefused(context)) {
       reply.refuse(errors.createFault('request-quarantined'));
       return;
     }
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
+    const readyBy = waitBounds.readyBy(this.parts.clock.now(), deadline);
     // The limit and the budget lie on two other VMs, so both are asked at once.
     const [refusal, grant] = await Promise.all([
       this.checkLimit(context),
@@ -97,7 +100,7 @@
     }
     if (!isStream) await new wholeCall.WholeCall(this.parts, context, reply).run();
     else if (grant.isErr) reply.refuse(grant.error);
-    else await this.runStream(context, grant.value, reply);
+    else await this.runStream(context, grant.value, reply, readyBy);
   }
 
   /** Takes the request from its workspace's limit; a fault when the limit does not hold it. */
@@ -122,13 +125,14 @@
     context: callContext.CallContext,
     grant: programHomes.Grant,
     reply: Reply,
+    readyBy: clock.Milliseconds,
   ): Promise<void> {
     const { call } = context;
     const ending = new AbortController();
     const covered = grant.isCovered ? undefined : this.covered(call, ending.signal);
-    const plan = await this.plan(context, grant, covered);
+    const plan = await this.plan(context, grant, covered, readyBy);
     let outcome = NOTHING_HANDED_OUT;
-    if (plan.isErr) reply.refuse(plan.error);
+    if (plan.isErr) refuse(call, reply, plan.error);
     else outcome = await new streamCall.StreamCall(this.parts, context, plan.value, reply).run();
     ending.abort();
     this.settle(call, outcome);
@@ -192,6 +196,7 @@
     context: callContext.CallContext,
     grant: programHomes.Grant,
     covered: Promise<boolean> | undefined,
+    readyBy: clock.Milliseconds,
   ): Promise<trueMyth.Result<streamCall.StreamPlan, errors.Fault>> {
     const { call, pool, route, workspace } = context;
     const tokensPerEvent = this.parts.tables.current?.pools.get(pool)?.tokensPerEvent ?? 1;
@@ -201,13 +206,40 @@
     const shared = { tokensPerEvent, covered, recordUse };
     if (previous === undefined) return trueMyth.Result.ok({ body: call.body, ...shared });
     const hints = grant.writer === undefined ? {} : { writer: grant.writer };
-    const history = await this.parts.turns.history(previous, workspace?.name ?? '', hints);
+    const reading = this.parts.turns.history(previous, workspace?.name ?? '', hints);
+    const history = await this.waitFor(call, waitBounds.WAITS.HISTORY, readyBy, reading);
     return history.map((contents) => ({
       body: Buffer.concat([...contents, call.body]),
       ...shared,
     }));
   }
 
+  /**
+   * Waits for what a request needs before it is offered to a target. A fault, not run, when that
+   * takes too long or the caller goes; the work itself goes on, so that the next attempt finds what
+   * it has brought to hand.
+   */
+  private async waitFor<Value>(
+    call: Call,
+    kind: waitBounds.WaitKind,
+    readyBy: clock.Milliseconds,
+    work: Promise<trueMyth.Result<Value, errors.Fault>>,
+  ): Promise<trueMyth.Result<Value, errors.Fault>> {
+    const { clock: time, logger } = this.parts;
+    const startedAt = time.now();
+    const result = await whileWanted.whileWanted(time, readyBy - startedAt, call.gone, work);
+    if (result !== clock.LIMIT_PASSED && result !== whileWanted.CALLER_GONE) return result;
+    this.afterwards(call, work, () => undefined);
+    const isGone = result === whileWanted.CALLER_GONE;
+    logger.warn('A wait before the sending of a request was ended.', {
+      request: call.id,
+      kind,
+      spanMs: Math.round(time.now() - startedAt),
+      reason: isGone ? 'the caller has gone' : 'its time to wait is over',
+    });
+    return trueMyth.Result.err(waitBounds.refusalOf(kind));
+  }
+
   private noteEnd(
     call: Call,
     route: string,
@@ -242,6 +274,11 @@
   }
 }
 
+/** Refuses a request, unless nobody is there to hear it. */
+function refuse(call: Call, reply: Reply, fault: errors.Fault): void {
+  if (!call.gone.aborted) reply.refuse(fault);
+}
+
 /** The last target that a call was sent to, and how many there were. */
 function targetFields(context: callContext.CallContext | undefined): logging.LogFields {
   const target = context?.targets.at(-1);
