Refuse in time a turn whose home does not grant its budget in time

Cause: the reservation was awaited without regard to the request's time, and the client of the homes asked on for a request that nobody answered any more. Now: the wait for the reservation ends with the bound of all waits before a target (0.45 of the time left). The turn is refused as not run (home-unavailable, come back after 500 ms). A reservation that is granted later is settled at once as having handed out nothing. The client asks no further home once the time is over. Evidence: two new tests. 200 turns at once whose homes need 2.5 s: before, all were held for 2,500 ms ("Expected: 400, Received: 200" attempts); now all are refused below half of their time, hold no tokens, and are served when they come back. A client of four silent homes whose request may wait 900 ms asked 4 homes before; now one, and the tokens that this one may have set aside are given back as before. Ruled out: a shorter time for each home. A new home first reads its programs, for up to a second; taken for silent before that, it would be passed over for a second home, and two homes of one program hinder each other. The bound lets a request with 3 s outlast one silent home (1.3 s) and ask the next.

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -56,7 +56,7 @@
       const { attempts, budgets, logger, transport } = await loadSlowLog(answerMs, CALLER_MS);
       const refused = attempts.flatMap((all) => all.slice(0, -1));
       expect(refused.length).toBeGreaterThanOrEqual(LOAD);
-      refused.forEach(expectRefusedInTime);
+      refused.forEach((attempt) => expectRefusedInTime(attempt, 'log-unavailable'));
       attempts.forEach((all) => expect(all.at(-1)?.reply.outcome).toBe('ended'));
       expect(transport.sent).toHaveLength(LOAD);
       transport.sent.forEach(({ request }) =>
@@ -74,12 +74,40 @@
     const { attempts, budgets, transport } = await loadSlowLog(4_000, CALLER_MS);
     const all = attempts.flat();
     expect(all.length).toBeGreaterThanOrEqual(2 * LOAD);
-    all.forEach(expectRefusedInTime);
+    all.forEach((attempt) => expectRefusedInTime(attempt, 'log-unavailable'));
     expect(transport.sent).toHaveLength(0);
     expect(budgets.open.size).toBe(0);
     expect(budgets.settled.every(({ tokens }) => tokens === 0)).toBe(true);
   });
 
+  test('turns whose homes are slow are refused in time, hold no tokens, and are served when they come back', async () => {
+    const time = new clock.ManualClock();
+    const scripts = Array.from({ length: LOAD }, () => fixtures.streamEvents([1], 'end'));
+    const transport = new scriptedTransport.ScriptedTransport(scripts);
+    const route = { ...STREAM, timeoutMs: CALLER_MS };
+    const { budgets, gateway } = standIns.createGateway(transport, route, { clock: time });
+    const slowUntil = 1_800;
+    budgets.answer = async () => {
+      if (time.now() < slowUntil) await time.sleep(2_500);
+      return trueMyth.Result.ok({ isCovered: true });
+    };
+    const callers = Array.from({ length: LOAD }, (_, index) =>
+      callUntilServed(gateway, time, index),
+    );
+    await eventsSettle();
+    await advance(time, CALLER_MS);
+    const attempts = await Promise.all(callers);
+    attempts
+      .flatMap((all) => all.slice(0, -1))
+      .forEach((attempt) => expectRefusedInTime(attempt, 'home-unavailable'));
+    expect(attempts.flat().length).toBe(2 * LOAD);
+    attempts.forEach((all) => expect(all.at(-1)?.reply.outcome).toBe('ended'));
+    expect(transport.sent).toHaveLength(LOAD);
+    expect(budgets.open.size).toBe(0);
+    expect(budgets.settled.filter(({ tokens }) => tokens === 0)).toHaveLength(LOAD);
+    expect(budgets.patienceMs[0]).toBe(1_350);
+  });
+
   test('a look-up that fails after its turn was refused is told in the log and does no harm', async () => {
     const time = new clock.ManualClock();
     const { gateway, logger, reply, transport } = createHangingLookUp(time, () =>
@@ -137,8 +165,8 @@
   });
 });
 
-function expectRefusedInTime({ patienceMs, reply, spanMs }: Attempt): void {
-  expect(reply.fault).toMatchObject({ kind: 'log-unavailable', run: 'not-run' });
+function expectRefusedInTime({ patienceMs, reply, spanMs }: Attempt, kind: errors.ErrorKind): void {
+  expect(reply.fault).toMatchObject({ kind, run: 'not-run' });
   expect(reply.fault?.retryAfterMs).toBeGreaterThan(0);
   expect(spanMs).toBeLessThan(patienceMs / 2);
 }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -91,7 +91,7 @@
     // The limit and the budget lie on two other VMs, so both are asked at once.
     const [refusal, grant] = await Promise.all([
       this.checkLimit(context),
-      isStream ? this.reserve(context.call) : NO_BUDGET,
+      isStream ? this.reserve(context.call, readyBy) : NO_BUDGET,
     ]);
     if (refusal !== undefined) {
       if (grant.isOk) this.settle(context.call, NOTHING_HANDED_OUT);
@@ -99,7 +99,7 @@
       return;
     }
     if (!isStream) await new wholeCall.WholeCall(this.parts, context, reply).run();
-    else if (grant.isErr) reply.refuse(grant.error);
+    else if (grant.isErr) refuse(context.call, reply, grant.error);
     else await this.runStream(context, grant.value, reply, readyBy);
   }
 
@@ -154,10 +154,17 @@
     }
   }
 
-  private async reserve(call: Call): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
+  private async reserve(
+    call: Call,
+    readyBy: clock.Milliseconds,
+  ): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
+    const { budgets, clock: time } = this.parts;
     const reservation = reservationOf(call);
     if (reservation === undefined) return NO_BUDGET;
-    return this.parts.budgets.reserve(reservation);
+    const reserving = budgets.reserve(reservation, readyBy - time.now());
+    return this.waitFor(call, waitBounds.WAITS.BUDGET, readyBy, reserving, (late) => {
+      if (late.isOk) this.settle(call, NOTHING_HANDED_OUT);
+    });
   }
 
   /** Waits until the turn's tokens may be handed out; false when the turn ends before. */
@@ -207,6 +214,7 @@
     if (previous === undefined) return trueMyth.Result.ok({ body: call.body, ...shared });
     const hints = grant.writer === undefined ? {} : { writer: grant.writer };
     const reading = this.parts.turns.history(previous, workspace?.name ?? '', hints);
+    // The look-up goes on when the turn is refused, and the next attempt finds what it has read.
     const history = await this.waitFor(call, waitBounds.WAITS.HISTORY, readyBy, reading);
     return history.map((contents) => ({
       body: Buffer.concat([...contents, call.body]),
@@ -216,20 +224,21 @@
 
   /**
    * Waits for what a request needs before it is offered to a target. A fault, not run, when that
-   * takes too long or the caller goes; the work itself goes on, so that the next attempt finds what
-   * it has brought to hand.
+   * takes too long or the caller goes. The work itself goes on; what it brings late is taken in, if
+   * that is needed.
    */
   private async waitFor<Value>(
     call: Call,
     kind: waitBounds.WaitKind,
     readyBy: clock.Milliseconds,
     work: Promise<trueMyth.Result<Value, errors.Fault>>,
+    takeLate: (late: trueMyth.Result<Value, errors.Fault>) => void = () => undefined,
   ): Promise<trueMyth.Result<Value, errors.Fault>> {
     const { clock: time, logger } = this.parts;
     const startedAt = time.now();
     const result = await whileWanted.whileWanted(time, readyBy - startedAt, call.gone, work);
     if (result !== clock.LIMIT_PASSED && result !== whileWanted.CALLER_GONE) return result;
-    this.afterwards(call, work, () => undefined);
+    this.afterwards(call, work, takeLate);
     const isGone = result === whileWanted.CALLER_GONE;
     logger.warn('A wait before the sending of a request was ended.', {
       request: call.id,
--- a/packages/gateway/src/testing/RecordedBudgets.ts
+++ b/packages/gateway/src/testing/RecordedBudgets.ts
@@ -1,3 +1,4 @@
+import type * as clock from '@limpettack/clock';
 import type * as errors from '@limpettack/errors';
 import type * as programHomes from '@limpettack/program-homes';
 import * as trueMyth from 'true-myth';
@@ -11,6 +12,9 @@
 
   public coverCount = 0;
 
+  /** How long the homes may take, for each reservation. */
+  public readonly patienceMs: clock.Milliseconds[] = [];
+
   /** Answers a reservation. */
   public answer: () => Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> = async () =>
     trueMyth.Result.ok({ isCovered: true });
@@ -19,9 +23,11 @@
   public tellCovered: () => Promise<boolean> = async () => true;
 
   /** @inheritdoc */
-  public async reserve({
-    call,
-  }: programHomes.Reservation): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
+  public async reserve(
+    { call }: programHomes.Reservation,
+    patienceMs: clock.Milliseconds,
+  ): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
+    this.patienceMs.push(patienceMs);
     const granted = await this.answer();
     if (granted.isOk) this.open.add(call);
     return granted;
--- a/packages/gateway/src/waitBounds.ts
+++ b/packages/gateway/src/waitBounds.ts
@@ -5,6 +5,8 @@
 export const WAITS = {
   /** The turns that a turn goes on from. */
   HISTORY: 'history',
+  /** Tokens of its program's budget. */
+  BUDGET: 'budget',
 } as const;
 
 /** The name of a wait. */
@@ -19,8 +21,12 @@
 /** When callers may come back whose history was not read in time: as when the log is not reached. */
 const HISTORY_COME_BACK_MS = 600;
 
+/** When callers may come back whose program has a home that does not answer: as the home client says. */
+const BUDGET_COME_BACK_MS = 500;
+
 const REFUSALS: Record<WaitKind, { fault: errors.ErrorKind; retryAfterMs: clock.Milliseconds }> = {
   [WAITS.HISTORY]: { fault: 'log-unavailable', retryAfterMs: HISTORY_COME_BACK_MS },
+  [WAITS.BUDGET]: { fault: 'home-unavailable', retryAfterMs: BUDGET_COME_BACK_MS },
 };
 
 /** Until when a request may wait, all waits together, before it is offered to a target. */
--- a/packages/program-homes/src/HomeClient.test.ts
+++ b/packages/program-homes/src/HomeClient.test.ts
@@ -1,4 +1,5 @@
 import * as jestGlobals from '@jest/globals';
+import * as clock from '@limpettack/clock';
 import * as homeFixtures from './testing/homeFixtures.js';
 import type { Reservation } from './Types.js';
 
@@ -38,6 +39,24 @@
     expect(answer.isOk).toBe(true);
   });
 
+  test('no further home is asked for a request whose time to wait is over', async () => {
+    const time = new clock.ManualClock();
+    const { asked, client } = homeFixtures.createSilentClient(time);
+    const reserving = client.reserve(reservation('program', 'a'), 900);
+    for (let second = 0; second < 12; second += 1) {
+      await homeFixtures.eventsSettle();
+      time.advance(1_000);
+    }
+    const answer = await reserving;
+    expect(answer.isErr && answer.error).toMatchObject({
+      kind: 'home-unavailable',
+      run: 'not-run',
+    });
+    expect(asked.filter((name) => name === 'home.reserve')).toHaveLength(1);
+    // A silent home may have set the tokens aside.
+    expect(asked).toContain('home.settle');
+  });
+
   test('asks the home that granted a reservation whether it is covered', async () => {
     const fleet = await createFleet(2);
     const program = fleet.programOwnedBy(0);
--- a/packages/program-homes/src/HomeClient.ts
+++ b/packages/program-homes/src/HomeClient.ts
@@ -74,10 +74,15 @@
   }
 
   /** @inheritdoc */
-  public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
+  public async reserve(
+    reservation: Reservation,
+    patienceMs: clock.Milliseconds = Number.POSITIVE_INFINITY,
+  ): Promise<trueMyth.Result<Grant, errors.Fault>> {
+    const { clock: time } = this.options;
+    const askUntil = time.now() + patienceMs;
     const owners = this.homesOf(reservation.program);
     const answers: chooseHome.HomeAnswer[] = [];
-    while (answers.length < HOMES_ASKED) {
+    while (answers.length < HOMES_ASKED && time.now() < askUntil) {
       const next = chooseHome.chooseHome(owners, answers);
       if (next === undefined) break;
       const { address, isInsisting } = next;
--- a/packages/program-homes/src/Types.ts
+++ b/packages/program-homes/src/Types.ts
@@ -37,9 +37,13 @@
 export interface ProgramBudgets {
   /**
    * Sets tokens of the program's budget aside. Faults, all not run: `budget-exhausted`,
-   * `home-unavailable`, `log-unavailable`.
+   * `home-unavailable`, `log-unavailable`. No further home is asked after the patience, but one
+   * that is being asked then may still answer later.
    */
-  reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>>;
+  reserve(
+    reservation: Reservation,
+    patienceMs: clock.Milliseconds,
+  ): Promise<trueMyth.Result<Grant, errors.Fault>>;
   /**
    * Waits until the log holds enough that the tokens of a reserved turn may be handed out. False
    * when that takes too long; it can be asked for again.
--- a/packages/program-homes/src/testing/homeFixtures.ts
+++ b/packages/program-homes/src/testing/homeFixtures.ts
@@ -4,8 +4,9 @@
 import * as lifetime from '@limpettack/lifetime';
 import * as logging from '@limpettack/logging';
 import type * as membership from '@limpettack/membership';
-import type * as wire from '@limpettack/wire';
+import * as wire from '@limpettack/wire';
 import * as wireTesting from '@limpettack/wire/testing';
+import * as trueMyth from 'true-myth';
 import * as homeClient from '../HomeClient.js';
 import * as homePartition from '../HomePartition.js';
 import * as homeServer from '../HomeServer.js';
@@ -109,6 +110,47 @@
   hide(view: { readonly from: number; readonly member: number }): void;
 }
 
+/** A client whose four homes do not answer, and the names of what it asks them. */
+export function createSilentClient(time: clock.Clock): {
+  readonly client: homeClient.HomeClient;
+  readonly asked: readonly string[];
+} {
+  const asked: string[] = [];
+  const { self } = wireTesting.createTestNetwork('vm-0');
+  const members = [1, 2, 3, 4].map((vm) => ({
+    ...self,
+    name: `vm-${vm}`,
+    address: `vm-${vm}:1`,
+    state: 'available' as const,
+    listed: true,
+    leaving: false,
+  }));
+  const network: Pick<wire.PeerNetwork, 'self' | 'request'> = {
+    self,
+    request: async (_address, { name }, _request, { timeoutMs }) => {
+      asked.push(name);
+      await time.sleep(timeoutMs);
+      return trueMyth.Result.err({ kind: wire.PEER_FAILURES.TIMED_OUT, message: 'silent' });
+    },
+  };
+  const client = new homeClient.HomeClient({
+    server: undefined as never,
+    network: network as wire.PeerNetwork,
+    membership: { available: () => members, onChange: () => ({ dispose: () => undefined }) },
+    clock: time,
+    logger: new logging.PartLogger('homes'),
+    partitionCount: PARTITIONS,
+  });
+  return { client, asked };
+}
+
+/** Lets the events that are due run. */
+export async function eventsSettle(): Promise<void> {
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
 export async function createHomeFleet(count: number): Promise<HomeFleet> {
   const log = createLog();
   const time = new clock.SystemClock();
