Send nothing to a target once the time of the request is over

What callers saw: nothing good. A request whose time had passed while it waited (a slow body, limit, home or history) was still sent to a target with 1 ms left, ran there for nobody, and was answered 504, which lets nobody repeat it. Cause: both kinds of call start their timer for what is left, at least 0 ms, and send before it can fire; the time that a target gets is at least 1 ms. Now: before each send the time is compared. A request that no target has run is refused as not run (deadline-unreachable, with a time to come back); one that has run fails as before, or ends with the error of a target that is at hand. One whose time is over when it is taken takes nothing from limit and budget. Evidence: five new tests failed before: two of whole calls and one of streams ("Expected: 0, Received: 1" sent), one of an error that comes late ("Expected: 1, Received: 2" sent), one of the gateway (not refused, limit and budget asked). Ruled out: a least time below which nothing is sent. No load was seen that calls for one.

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -1,4 +1,5 @@
 import * as jestGlobals from '@jest/globals';
+import type * as allowances from '@limpettack/allowances';
 import * as clock from '@limpettack/clock';
 import type * as errors from '@limpettack/errors';
 import * as keyedLogTesting from '@limpettack/keyed-log/testing';
@@ -108,6 +109,26 @@
     expect(budgets.patienceMs[0]).toBe(1_350);
   });
 
+  test('a request whose time is over when it is taken takes nothing from its limit and its budget', async () => {
+    const time = new clock.ManualClock();
+    const transport = new scriptedTransport.ScriptedTransport([]);
+    let admitted = 0;
+    const admit = async (): Promise<allowances.Admission> => {
+      admitted += 1;
+      return { isAdmitted: true };
+    };
+    const changes = { clock: time, allowances: { admit } };
+    const { budgets, gateway } = standIns.createGateway(transport, STREAM, changes);
+    const reply = new recordedReply.RecordedReply();
+    const call = fixtures.createCall(time, standIns.turnOf('program'));
+    time.advance(PATIENCE_MS);
+    await gateway.handle(call, reply);
+    expect(reply.fault).toMatchObject({ kind: 'deadline-unreachable', run: 'not-run' });
+    expect(admitted).toBe(0);
+    expect(budgets.patienceMs).toHaveLength(0);
+    expect(transport.sent).toHaveLength(0);
+  });
+
   test('a look-up that fails after its turn was refused is told in the log and does no harm', async () => {
     const time = new clock.ManualClock();
     const { gateway, logger, reply, transport } = createHangingLookUp(time, () =>
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -86,6 +86,10 @@
       reply.refuse(errors.createFault('request-quarantined'));
       return;
     }
+    if (this.parts.clock.now() >= deadline) {
+      refuse(context.call, reply, waitBounds.refusalOfLate());
+      return;
+    }
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
     const readyBy = waitBounds.readyBy(this.parts.clock.now(), deadline);
     // The limit and the budget lie on two other VMs, so both are asked at once.
--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -158,6 +158,15 @@
     expect(reply.outcome).toBe('ended');
   });
 
+  test('a stream whose time is over before goes to no target and is refused as not run', async () => {
+    const scripts = [fixtures.streamEvents([1], 'end')];
+    const { outcome, reply, transport } = await run(scripts, STREAM, { patienceMs: 0 });
+    expect(transport.sent).toHaveLength(0);
+    expect(reply.fault).toMatchObject({ kind: 'deadline-unreachable', run: 'not-run' });
+    expect(reply.fault?.retryAfterMs).toBeGreaterThan(0);
+    expect(outcome).toEqual({ tokens: 0, isComplete: false, isKept: false });
+  });
+
   test('a request that is lost before its first event ends with an unknown outcome', async () => {
     const { reply } = await run([fixtures.fail(LOST)], STREAM);
     expect(reply.fault?.kind).toBe('target-failed');
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -8,6 +8,7 @@
 import * as sendFailures from './SendFailures.js';
 import type * as targetSelector from './TargetSelector.js';
 import type * as targetSender from './TargetSender.js';
+import * as waitBounds from './waitBounds.js';
 import type { AnswerHead, Reply, SendFailure, Target } from './Types.js';
 
 /** Pause before targets that were all full are asked again. */
@@ -142,7 +143,11 @@
 
   private sendNext(): void {
     if (this.isOver) return;
-    const { affinity, pool } = this.context;
+    const { affinity, deadline, pool } = this.context;
+    if (this.parts.clock.now() >= deadline) {
+      this.onDeadline();
+      return;
+    }
     const target = this.parts.selector.select(pool, affinity, this.tried);
     if (target === undefined) this.waitForRoom();
     else this.sendTo(target);
@@ -363,6 +368,11 @@
 
   private onDeadline(): void {
     if (this.isOver) return;
+    if (this.runs === 0) {
+      this.reply.refuse(waitBounds.refusalOfLate());
+      this.finish(false, false);
+      return;
+    }
     this.exchange?.abort();
     this.fail('deadline-exceeded', 'The time of the request is over.');
   }
--- a/packages/gateway/src/WholeCall.test.ts
+++ b/packages/gateway/src/WholeCall.test.ts
@@ -81,6 +81,28 @@
     expect(reply.fault?.kind).toBe('deadline-exceeded');
   });
 
+  test.each([{}, ONCE])(
+    'a call whose time is over before goes to no target and is refused as not run (%j)',
+    async (route) => {
+      const { reply, sent } = await run([fixtures.answerWhole('no')], route, { patienceMs: 0 });
+      expect(sent).toBe(0);
+      expect(reply.fault).toMatchObject({ kind: 'deadline-unreachable', run: 'not-run' });
+      expect(reply.fault?.retryAfterMs).toBeGreaterThan(0);
+    },
+  );
+
+  test('a target that answers with an error when the time is over is not followed by another', async () => {
+    const late: scriptedTransport.Script = (handler) => {
+      const until = performance.now() + 60;
+      while (performance.now() < until);
+      fixtures.answerWhole('bad', 500)(handler);
+    };
+    const scripts = [late, fixtures.answerWhole('no')];
+    const { reply, sent } = await run(scripts, {}, { patienceMs: 50 });
+    expect(sent).toBe(1);
+    expect(reply.answer?.status).toBe(500);
+  });
+
   test('stops a repeatable call whose caller has gone, and lets the others run on', async () => {
     const caller = new AbortController();
     const hang: scriptedTransport.Script = () => caller.abort();
--- a/packages/gateway/src/WholeCall.ts
+++ b/packages/gateway/src/WholeCall.ts
@@ -2,6 +2,7 @@
 import * as errors from '@limpettack/errors';
 import * as routeKinds from './RouteKinds.js';
 import * as sendFailures from './SendFailures.js';
+import * as waitBounds from './waitBounds.js';
 import type * as callContext from './CallContext.js';
 import type * as crashWatch from './CrashWatch.js';
 import type * as targetSelector from './TargetSelector.js';
@@ -95,7 +96,12 @@
 
   private sendNext(): void {
     if (this.isOver) return;
-    const { affinity, pool } = this.context;
+    const { affinity, deadline, pool } = this.context;
+    if (this.parts.clock.now() >= deadline) {
+      // What still runs is ended by the timer; an error that is at hand is passed on instead.
+      if (this.running.size === 0 && this.lastAnswer === undefined) this.onDeadline();
+      return;
+    }
     const target = this.parts.selector.select(pool, affinity, this.tried);
     if (target !== undefined) this.sendTo(target);
     else if (this.running.size === 0) this.waitForRoom();
@@ -215,7 +221,8 @@
   }
 
   private onDeadline(): void {
-    this.fail('deadline-exceeded', 'The time of the request is over.');
+    if (this.runs === 0) this.finish(() => this.reply.refuse(waitBounds.refusalOfLate()));
+    else this.fail('deadline-exceeded', 'The time of the request is over.');
   }
 
   /** A call that must not be repeated runs on: its effect is wanted once it has begun. */
--- a/packages/gateway/src/waitBounds.ts
+++ b/packages/gateway/src/waitBounds.ts
@@ -39,3 +39,8 @@
   const { fault, retryAfterMs } = REFUSALS[kind];
   return errors.createFault(fault, undefined, { run: errors.RUN_STATES.NOT_RUN, retryAfterMs });
 }
+
+/** The fault for a request whose time was over before it was sent: it has surely not run. */
+export function refusalOfLate(): errors.Fault {
+  return errors.createFault('deadline-unreachable');
+}
