Send nothing for a caller that went while its request waited for the limit

What targets saw: requests whose callers had already gone. Calls with whole answers listen for the caller's going, but one that went before they were made is heard by nobody, so they were sent all the same (streams look at it first). Cause: the gateway did not look at the caller after its waits. Now: it does, gives the budget back, and says nothing to a caller that is not there; such a request ends as abandoned in the metrics also where it was refused. Evidence: the new test of the gateway for all kinds of routes failed before for both kinds of whole answers ("Expected length: 0, Received length: 1" sent); it passed for streams. Ruled out: the same look within the calls themselves.

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -129,6 +129,32 @@
     expect(transport.sent).toHaveLength(0);
   });
 
+  test.each(Object.values(routeKinds.ROUTE_KINDS))(
+    'a request whose caller goes while it waits for the limit goes to no target (%s)',
+    async (kind) => {
+      const time = new clock.ManualClock();
+      const transport = new scriptedTransport.ScriptedTransport([]);
+      const admit = async (): Promise<allowances.Admission> => {
+        await time.sleep(200);
+        return { isAdmitted: true };
+      };
+      const changes = { clock: time, allowances: { admit } };
+      const { budgets, gateway } = standIns.createGateway(transport, { kind }, changes);
+      const reply = new recordedReply.RecordedReply();
+      const caller = new AbortController();
+      const turn = standIns.turnOf('program');
+      const call = fixtures.createCall(time, { ...turn, gone: caller.signal });
+      const handled = gateway.handle(call, reply);
+      await advance(time, 100);
+      caller.abort();
+      await advance(time, 200);
+      expect(transport.sent).toHaveLength(0);
+      await handled;
+      expect(reply.fault).toBeUndefined();
+      expect(budgets.open.size).toBe(0);
+    },
+  );
+
   test('a look-up that fails after its turn was refused is told in the log and does no harm', async () => {
     const time = new clock.ManualClock();
     const { gateway, logger, reply, transport } = createHangingLookUp(time, () =>
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -81,13 +81,13 @@
   }
 
   private async serve(context: callContext.CallContext, reply: Reply): Promise<void> {
-    const { deadline, route } = context;
+    const { call, deadline, route } = context;
     if (this.parts.crashes.isRefused(context)) {
       reply.refuse(errors.createFault('request-quarantined'));
       return;
     }
     if (this.parts.clock.now() >= deadline) {
-      refuse(context.call, reply, waitBounds.refusalOfLate());
+      refuse(call, reply, waitBounds.refusalOfLate());
       return;
     }
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
@@ -95,15 +95,15 @@
     // The limit and the budget lie on two other VMs, so both are asked at once.
     const [refusal, grant] = await Promise.all([
       this.checkLimit(context),
-      isStream ? this.reserve(context.call, readyBy) : NO_BUDGET,
+      isStream ? this.reserve(call, readyBy) : NO_BUDGET,
     ]);
-    if (refusal !== undefined) {
-      if (grant.isOk) this.settle(context.call, NOTHING_HANDED_OUT);
-      reply.refuse(refusal);
+    if (refusal !== undefined || call.gone.aborted) {
+      if (grant.isOk) this.settle(call, NOTHING_HANDED_OUT);
+      if (refusal !== undefined) refuse(call, reply, refusal);
       return;
     }
     if (!isStream) await new wholeCall.WholeCall(this.parts, context, reply).run();
-    else if (grant.isErr) refuse(context.call, reply, grant.error);
+    else if (grant.isErr) refuse(call, reply, grant.error);
     else await this.runStream(context, grant.value, reply, readyBy);
   }
 
