Answer a turn that its limit refuses without waiting for its home

Cause: limit and budget are asked at once, and both answers were awaited before either counted. Now: the refusal of the limit is sent at once. What the home grants later is given back as handed out nothing. Ruled out: asking the home only when the limit has admitted. That would add a trip to another VM to each turn.

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -129,6 +129,30 @@
     expect(transport.sent).toHaveLength(0);
   });
 
+  test('turns that their limit refuses do not wait for their homes, and hold no tokens later', async () => {
+    const time = new clock.ManualClock();
+    const transport = new scriptedTransport.ScriptedTransport([]);
+    const admit = async (): Promise<allowances.Admission> => ({
+      isAdmitted: false,
+      retryAfterMs: 50,
+    });
+    const changes = { clock: time, allowances: { admit } };
+    const { budgets, gateway } = standIns.createGateway(transport, STREAM, changes);
+    budgets.answer = () => time.sleep(300).then(() => trueMyth.Result.ok({ isCovered: true }));
+    const replies = Array.from({ length: LOAD }, () => new recordedReply.RecordedReply());
+    replies.forEach((reply, index) => {
+      const turn = { ...standIns.turnOf(`program-${index}`), id: `turn-${index}` };
+      gateway.handle(fixtures.createCall(time, turn), reply);
+    });
+    await eventsSettle();
+    expect(replies.filter(({ fault }) => fault?.kind === 'rate-limited')).toHaveLength(LOAD);
+    expect(gateway.running).toBe(0);
+    await advance(time, PATIENCE_MS);
+    expect(budgets.settled).toHaveLength(LOAD);
+    expect(budgets.open.size).toBe(0);
+    expect(transport.sent).toHaveLength(0);
+  });
+
   test.each(Object.values(routeKinds.ROUTE_KINDS))(
     'a request whose caller goes while it waits for the limit goes to no target (%s)',
     async (kind) => {
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -93,15 +93,15 @@
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
     const readyBy = waitBounds.readyBy(this.parts.clock.now(), deadline);
     // The limit and the budget lie on two other VMs, so both are asked at once.
-    const [refusal, grant] = await Promise.all([
-      this.checkLimit(context),
-      isStream ? this.reserve(call, readyBy) : NO_BUDGET,
-    ]);
+    const reserving = isStream ? this.reserve(call, readyBy) : Promise.resolve(NO_BUDGET);
+    const refusal = await this.checkLimit(context);
     if (refusal !== undefined || call.gone.aborted) {
-      if (grant.isOk) this.settle(call, NOTHING_HANDED_OUT);
+      // Nobody waits for the home any more, and what it may still grant is not used.
+      this.afterwards(call, reserving, (late) => this.giveBack(call, late));
       if (refusal !== undefined) refuse(call, reply, refusal);
       return;
     }
+    const grant = await reserving;
     if (!isStream) await new wholeCall.WholeCall(this.parts, context, reply).run();
     else if (grant.isErr) refuse(call, reply, grant.error);
     else await this.runStream(context, grant.value, reply, readyBy);
@@ -166,9 +166,14 @@
     const reservation = reservationOf(call);
     if (reservation === undefined) return NO_BUDGET;
     const reserving = budgets.reserve(reservation, readyBy - time.now());
-    return this.waitFor(call, waitBounds.WAITS.BUDGET, readyBy, reserving, (late) => {
-      if (late.isOk) this.settle(call, NOTHING_HANDED_OUT);
-    });
+    return this.waitFor(call, waitBounds.WAITS.BUDGET, readyBy, reserving, (late) =>
+      this.giveBack(call, late),
+    );
+  }
+
+  /** Settles the reservation of a turn that was not sent, if there is one. */
+  private giveBack(call: Call, granted: trueMyth.Result<programHomes.Grant, errors.Fault>): void {
+    if (granted.isOk) this.settle(call, NOTHING_HANDED_OUT);
   }
 
   /** Waits until the turn's tokens may be handed out; false when the turn ends before. */
