--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,5 +1,5 @@
 import type * as allowances from '@limpettack/allowances';
-import type * as clock from '@limpettack/clock';
+import * as clock from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
 import type * as logging from '@limpettack/logging';
 import type * as metrics from '@limpettack/metrics';
@@ -11,6 +11,8 @@
 import * as routeKinds from './RouteKinds.js';
 import * as streamCall from './StreamCall.js';
 import type * as tablesHolder from './TablesHolder.js';
+import * as waitBounds from './waitBounds.js';
+import * as whileWanted from './whileWanted.js';
 import * as wholeCall from './WholeCall.js';
 import type { Call, Reply } from './Types.js';
 
@@ -79,25 +81,30 @@
   }
 
   private async serve(context: callContext.CallContext, reply: Reply): Promise<void> {
-    const { route } = context;
+    const { call, deadline, route } = context;
     if (this.parts.crashes.isRefused(context)) {
       reply.refuse(errors.createFault('request-quarantined'));
       return;
     }
+    if (this.parts.clock.now() >= deadline) {
+      refuse(call, reply, waitBounds.refusalOfLate());
+      return;
+    }
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
+    const readyBy = waitBounds.readyBy(this.parts.clock.now(), deadline);
     // The limit and the budget lie on two other VMs, so both are asked at once.
-    const [refusal, grant] = await Promise.all([
-      this.checkLimit(context),
-      isStream ? this.reserve(context.call) : NO_BUDGET,
-    ]);
-    if (refusal !== undefined) {
-      if (grant.isOk) this.settle(context.call, NOTHING_HANDED_OUT);
-      reply.refuse(refusal);
+    const reserving = isStream ? this.reserve(call, readyBy) : Promise.resolve(NO_BUDGET);
+    const refusal = await this.checkLimit(context);
+    if (refusal !== undefined || call.gone.aborted) {
+      // Nobody waits for the home any more, and what it may still grant is not used.
+      this.afterwards(call, reserving, (late) => this.giveBack(call, late));
+      if (refusal !== undefined) refuse(call, reply, refusal);
       return;
     }
+    const grant = await reserving;
     if (!isStream) await new wholeCall.WholeCall(this.parts, context, reply).run();
-    else if (grant.isErr) reply.refuse(grant.error);
-    else await this.runStream(context, grant.value, reply);
+    else if (grant.isErr) refuse(call, reply, grant.error);
+    else await this.runStream(context, grant.value, reply, readyBy);
   }
 
   /** Takes the request from its workspace's limit; a fault when the limit does not hold it. */
@@ -122,35 +129,63 @@
     context: callContext.CallContext,
     grant: programHomes.Grant,
     reply: Reply,
+    readyBy: clock.Milliseconds,
   ): Promise<void> {
     const { call } = context;
-    const plan = await this.plan(context, grant);
-    if (plan.isErr) {
-      this.settle(call, NOTHING_HANDED_OUT);
-      reply.refuse(plan.error);
-      return;
-    }
-    const outcome = await new streamCall.StreamCall(this.parts, context, plan.value, reply).run();
+    const ending = new AbortController();
+    const covered = grant.isCovered ? undefined : this.covered(call, ending.signal);
+    const plan = await this.plan(context, grant, covered, readyBy);
+    let outcome = NOTHING_HANDED_OUT;
+    if (plan.isErr) refuse(call, reply, plan.error);
+    else outcome = await new streamCall.StreamCall(this.parts, context, plan.value, reply).run();
+    ending.abort();
     this.settle(call, outcome);
+    // A home that was being asked meanwhile may have set the tokens aside anew.
+    if (covered !== undefined) this.afterwards(call, covered, () => this.settle(call, outcome));
+  }
+
+  /** Takes in what comes after nobody waits for it any more. */
+  private async afterwards<Value>(
+    { id }: Call,
+    late: Promise<Value>,
+    step: (value: Value) => void,
+  ): Promise<void> {
+    try {
+      step(await late);
+    } catch (error) {
+      const { logger } = this.parts;
+      logger.error('What a request asked for has failed.', { request: id, reason: String(error) });
+    }
   }
 
-  private async reserve(call: Call): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
+  private async reserve(
+    call: Call,
+    readyBy: clock.Milliseconds,
+  ): Promise<trueMyth.Result<programHomes.Grant, errors.Fault>> {
+    const { budgets, clock: time } = this.parts;
     const reservation = reservationOf(call);
     if (reservation === undefined) return NO_BUDGET;
-    return this.parts.budgets.reserve(reservation);
+    const reserving = budgets.reserve(reservation, readyBy - time.now());
+    return this.waitFor(call, waitBounds.WAITS.BUDGET, readyBy, reserving, (late) =>
+      this.giveBack(call, late),
+    );
+  }
+
+  /** Settles the reservation of a turn that was not sent, if there is one. */
+  private giveBack(call: Call, granted: trueMyth.Result<programHomes.Grant, errors.Fault>): void {
+    if (granted.isOk) this.settle(call, NOTHING_HANDED_OUT);
   }
 
-  /** Waits until the turn's tokens may be handed out; false when its time is over before. */
-  private async covered(context: callContext.CallContext): Promise<boolean> {
+  /** Waits until the turn's tokens may be handed out; false when the turn ends before. */
+  private async covered(call: Call, ending: AbortSignal): Promise<boolean> {
     const { budgets, clock: time, logger } = this.parts;
-    const { call, deadline } = context;
     const reservation = reservationOf(call);
     logger.info('An answer waits for the record of its budget.', { request: call.id });
-    while (reservation !== undefined && !call.gone.aborted && time.now() < deadline) {
+    while (reservation !== undefined && !ending.aborted) {
       const startedAt = time.now();
       if (await budgets.cover(reservation)) return true;
       const pause = COVER_INTERVAL_MS - (time.now() - startedAt);
-      if (pause > 0) await time.sleep(pause, call.gone);
+      if (pause > 0) await time.sleep(pause, ending);
     }
     return false;
   }
@@ -176,23 +211,53 @@
   private async plan(
     context: callContext.CallContext,
     grant: programHomes.Grant,
+    covered: Promise<boolean> | undefined,
+    readyBy: clock.Milliseconds,
   ): Promise<trueMyth.Result<streamCall.StreamPlan, errors.Fault>> {
     const { call, pool, route, workspace } = context;
     const tokensPerEvent = this.parts.tables.current?.pools.get(pool)?.tokensPerEvent ?? 1;
     const previous = route.keepsTurns ? call.place?.previousTurn : undefined;
-    const covered = grant.isCovered ? undefined : this.covered(context);
     const recordUse = (tokens: number, timeoutMs: number): Promise<boolean> =>
       this.recordUse(call, tokens, timeoutMs);
     const shared = { tokensPerEvent, covered, recordUse };
     if (previous === undefined) return trueMyth.Result.ok({ body: call.body, ...shared });
     const hints = grant.writer === undefined ? {} : { writer: grant.writer };
-    const history = await this.parts.turns.history(previous, workspace?.name ?? '', hints);
+    const reading = this.parts.turns.history(previous, workspace?.name ?? '', hints);
+    // The look-up goes on when the turn is refused, and the next attempt finds what it has read.
+    const history = await this.waitFor(call, waitBounds.WAITS.HISTORY, readyBy, reading);
     return history.map((contents) => ({
       body: Buffer.concat([...contents, call.body]),
       ...shared,
     }));
   }
 
+  /**
+   * Waits for what a request needs before it is offered to a target. A fault, not run, when that
+   * takes too long or the caller goes. The work itself goes on; what it brings late is taken in, if
+   * that is needed.
+   */
+  private async waitFor<Value>(
+    call: Call,
+    kind: waitBounds.WaitKind,
+    readyBy: clock.Milliseconds,
+    work: Promise<trueMyth.Result<Value, errors.Fault>>,
+    takeLate: (late: trueMyth.Result<Value, errors.Fault>) => void = () => undefined,
+  ): Promise<trueMyth.Result<Value, errors.Fault>> {
+    const { clock: time, logger } = this.parts;
+    const startedAt = time.now();
+    const result = await whileWanted.whileWanted(time, readyBy - startedAt, call.gone, work);
+    if (result !== clock.LIMIT_PASSED && result !== whileWanted.CALLER_GONE) return result;
+    this.afterwards(call, work, takeLate);
+    const isGone = result === whileWanted.CALLER_GONE;
+    logger.warn('A wait before the sending of a request was ended.', {
+      request: call.id,
+      kind,
+      spanMs: Math.round(time.now() - startedAt),
+      reason: isGone ? 'the caller has gone' : 'its time to wait is over',
+    });
+    return trueMyth.Result.err(waitBounds.refusalOf(kind));
+  }
+
   private noteEnd(
     call: Call,
     route: string,
@@ -227,6 +292,11 @@
   }
 }
 
+/** Refuses a request, unless nobody is there to hear it. */
+function refuse(call: Call, reply: Reply, fault: errors.Fault): void {
+  if (!call.gone.aborted) reply.refuse(fault);
+}
+
 /** The last target that a call was sent to, and how many there were. */
 function targetFields(context: callContext.CallContext | undefined): logging.LogFields {
   const target = context?.targets.at(-1);
