Give the tokens of a turn back before it is refused

A turn whose history was not read kept its tokens set aside while the look-up went on, and the next try found the budget spent.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -136,10 +136,12 @@
     const covered = grant.isCovered ? undefined : this.covered(call, ending.signal);
     const plan = await this.plan(context, grant, covered, readyBy);
     let outcome = NOTHING_HANDED_OUT;
-    if (plan.isErr) refuse(call, reply, plan.error);
-    else outcome = await new streamCall.StreamCall(this.parts, context, plan.value, reply).run();
+    if (plan.isOk)
+      outcome = await new streamCall.StreamCall(this.parts, context, plan.value, reply).run();
     ending.abort();
     this.settle(call, outcome);
+    // The tokens are given back first: the next attempt may come at once.
+    if (plan.isErr) refuse(call, reply, plan.error);
     // A home that was being asked meanwhile may have set the tokens aside anew.
     if (covered !== undefined) this.afterwards(call, covered, () => this.settle(call, outcome));
   }
