Read turns in few lanes, and name the turns before a turn in its marker

Reads by offset take 16 of the 24 connections to the log at most. - The record of a content could exceed the log's limit when ids are long (263,882 bytes of 262,144 with 16 ids of 128 characters). The room for other fields is 4 KB now.

Also: a marker names the turns before its turn, so that these are read beside it and not after it: two answers of the store for any chain of up to 17 turns. Parts of a content have keys of their own, so that a turn whose id looks like a part is none. A record that cannot be read is no longer taken for a turn that is not kept, and a chain that is longer than is followed is refused in place of cut. The second append of a large turn has what time the first left.

--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -10,8 +10,8 @@
 import type * as turnRecords from './turnRecords.js';
 import type { Turn, TurnHints, TurnStore } from './Types.js';
 
-/** The longest chain that is followed. */
-const LONGEST_CHAIN = 512;
+/** The longest chain that is put together. */
+const LONGEST_CHAIN = 4_096;
 
 /**
  * So many turns before a turn are named in its record, and read beside each other. It covers the
@@ -100,6 +100,9 @@
     if (missing !== undefined) {
       return trueMyth.Result.err(this.unknown(turn, `${missing} is not kept`));
     }
+    if (turns.at(-1)?.previous !== undefined) {
+      return trueMyth.Result.err(this.unavailable(turn, 'The chain is too long.'));
+    }
     return trueMyth.Result.ok(turns.map(({ content }) => content).reverse());
   }
 
@@ -133,9 +136,14 @@
     return [{ id, offset }, ...earlier].slice(0, EARLIER_TURNS);
   }
 
-  private lookUp(turn: string, hints: TurnHints): Promise<keyedLog.LogResult<Chain>> {
-    const running = this.lookUps.get(turn);
-    if (running !== undefined) return running;
+  private async lookUp(turn: string, hints: TurnHints): Promise<keyedLog.LogResult<Chain>> {
+    const joined = await this.lookUps.get(turn);
+    // A look-up that began before this request may have missed a turn that was kept since.
+    if (joined !== undefined && (joined.isErr || joined.value.missing === undefined)) return joined;
+    return this.lookUps.get(turn) ?? this.startLookUp(turn, hints);
+  }
+
+  private startLookUp(turn: string, hints: TurnHints): Promise<keyedLog.LogResult<Chain>> {
     const started = this.putTogether(turn, hints).finally(() => this.lookUps.delete(turn));
     this.lookUps.set(turn, started);
     return started;
@@ -149,7 +157,7 @@
     let next: string | undefined = turn;
     let missing: string | undefined;
     while (next !== undefined && missing === undefined && turns.length < LONGEST_CHAIN) {
-      const found: turnLog.FoundTurn = await (ahead.get(next) ?? this.find(next, hints));
+      const found: turnLog.FoundTurn = await (ahead.get(next) ?? this.find(next, hints, ahead));
       if (found.isErr) return trueMyth.Result.err(found.error);
       const record: turnRecords.TurnRecord | undefined = found.value;
       if (record === undefined) {
@@ -174,7 +182,11 @@
       .forEach((position) => ahead.set(position.id, this.remembered(this.log.readAt(position))));
   }
 
-  private async find(turn: string, hints: TurnHints): Promise<turnLog.FoundTurn> {
+  private async find(
+    turn: string,
+    hints: TurnHints,
+    ahead: Map<string, Promise<turnLog.FoundTurn>>,
+  ): Promise<turnLog.FoundTurn> {
     const known = this.cache.get(turn);
     if (known !== undefined) return trueMyth.Result.ok(known);
     const { writer } = hints;
@@ -182,7 +194,13 @@
       const fetched = await this.fetchFrom(writer, turn);
       if (fetched !== undefined) return trueMyth.Result.ok(fetched);
     }
-    return this.remembered(this.log.find(turn));
+    const located = await this.log.locate(turn);
+    if (located.isErr) return trueMyth.Result.err(located.error);
+    if (located.value === undefined) return trueMyth.Result.ok(undefined);
+    const { earlier, position } = located.value;
+    const reading = this.remembered(this.log.readAt(position));
+    this.readAhead(earlier, ahead);
+    return reading;
   }
 
   private async remembered(reading: Promise<turnLog.FoundTurn>): Promise<turnLog.FoundTurn> {
--- a/packages/turns/src/TurnLog.ts
+++ b/packages/turns/src/TurnLog.ts
@@ -3,6 +3,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
+import * as readLanes from './ReadLanes.js';
 import * as turnRecords from './turnRecords.js';
 
 /** The topic that holds the turns. */
@@ -11,8 +12,23 @@
 /** Time between two attempts of one append. */
 const RETRY_MS = 100;
 
-/** Room for a record's other fields within the log's limit of a record. */
-const RECORD_OVERHEAD_BYTES = 1_024;
+/**
+ * Room for a record's other fields within the log's limit of a record: the ids of the turn and of
+ * 16 turns before it, each of 128 characters at most.
+ */
+const RECORD_OVERHEAD_BYTES = 4_096;
+
+/**
+ * Reads of contents at one time: two thirds of the connections to the log that a process has, since
+ * appends must not wait for many reads while the log is slow.
+ */
+const CONTENT_READS = 16;
+
+/**
+ * Searches of contents by their keys at one time. Each brings up to a megabyte, and two at once take
+ * longer than a call may over the link of a small VM.
+ */
+const CONTENT_SEARCHES = 1;
 
 /** A read of one record names no more; the first record of a read always comes whole. */
 const ONE_RECORD_BYTES = 1;
@@ -32,6 +48,14 @@
 /** A turn that is in the log or not; a failure when that could not be read. */
 export type FoundTurn = keyedLog.LogResult<turnRecords.TurnRecord | undefined>;
 
+/** Where a turn lies, and the turns before it. */
+export interface LocatedTurn {
+  readonly position: turnRecords.TurnPosition;
+  readonly earlier: readonly turnRecords.TurnPosition[];
+}
+
+type FoundRecord = keyedLog.LogResult<keyedLog.StoredRecord | undefined>;
+
 /**
  * The turns in the log. Each has a record with its content, and behind it a marker under the turn's
  * id. A listing in search of an id meets markers only, so it is small however much is kept; the
@@ -40,6 +64,10 @@
 export class TurnLog implements lifetime.Disposable {
   private readonly writers: readonly keyedLog.PartitionWriter[];
 
+  private readonly contentReads = new readLanes.ReadLanes(CONTENT_READS);
+
+  private readonly contentSearches = new readLanes.ReadLanes(CONTENT_SEARCHES);
+
   public constructor(private readonly options: TurnLogOptions) {
     const { clock: time, log, logger, partitionCount, producer } = options;
     this.writers = Array.from(
@@ -61,12 +89,13 @@
     turn: Omit<turnRecords.TurnRecord, 'offset'>,
     timeoutMs: clock.Milliseconds,
   ): Promise<keyedLog.LogResult<turnRecords.TurnRecord>> {
-    const { id } = turn;
+    const { earlier, id } = turn;
+    const latest = this.options.clock.now() + timeoutMs;
     const writer = this.writerOf(id);
     const [content = turn.content, ...rest] = this.split(turn.content);
     const appended = await Promise.all(
       rest.map((value, index) =>
-        writer.append({ key: turnRecords.contentKey(id, index + 1), value }, timeoutMs),
+        writer.append({ key: turnRecords.partKey(id, index + 1), value }, timeoutMs),
       ),
     );
     const further: number[] = [];
@@ -74,41 +103,49 @@
       if (receipt.isErr) return trueMyth.Result.err(receipt.error);
       further.push(receipt.value.firstOffset);
     }
-    const value = turnRecords.encodeContent({ ...turn, content, further });
     const records = [
-      { key: turnRecords.contentKey(id), value },
-      { key: turnRecords.markerKey(id), value: turnRecords.MARKER },
+      { key: turnRecords.contentKey(id), value: turnRecords.encode({ ...turn, content, further }) },
+      { key: turnRecords.markerKey(id), value: turnRecords.encode({ earlier }) },
     ];
-    const receipt = await writer.appendTogether(records, timeoutMs);
+    const leftMs = latest - this.options.clock.now();
+    const receipt = await writer.appendTogether(records, leftMs);
     return receipt.map(({ firstOffset }) => ({ ...turn, offset: firstOffset }));
   }
 
   /** Takes a turn out of the log. */
   public async remove(turn: string, size: number, timeoutMs: clock.Milliseconds): Promise<void> {
-    const parts = Math.max(1, Math.ceil(size / this.partBytes));
-    const keys = Array.from({ length: parts }, (_, part) => turnRecords.contentKey(turn, part));
-    const records = [turnRecords.markerKey(turn), ...keys].map((key) => ({ key }));
+    const further = Math.max(0, Math.ceil(size / this.partBytes) - 1);
+    const parts = Array.from({ length: further }, (_, index) =>
+      turnRecords.partKey(turn, index + 1),
+    );
+    const keys = [turnRecords.markerKey(turn), turnRecords.contentKey(turn), ...parts];
+    const records = keys.map((key) => ({ key }));
     await this.writerOf(turn).appendTogether(records, timeoutMs);
   }
 
-  /** Finds a turn by its id. */
-  public async find(turn: string): Promise<FoundTurn> {
+  /** Finds where a turn lies by its id; nothing when it is not kept. */
+  public async locate(turn: string): Promise<keyedLog.LogResult<LocatedTurn | undefined>> {
     const marker = await this.findKey(turn, turnRecords.markerKey(turn));
     if (marker.isErr) return trueMyth.Result.err(marker.error);
-    if (marker.value === undefined) return trueMyth.Result.ok(undefined);
-    return this.readAt({ id: turn, offset: marker.value.offset - 1 });
+    if (marker.value?.value === undefined) return trueMyth.Result.ok(undefined);
+    const { offset, value } = marker.value;
+    const decoded = turnRecords.decodeMarker(value);
+    if (decoded === undefined) return malformed(turn);
+    const position = { id: turn, offset: offset - 1 };
+    return trueMyth.Result.ok({ position, earlier: decoded.earlier });
   }
 
   /** Reads the turn at a position. */
   public async readAt({ id, offset }: turnRecords.TurnPosition): Promise<FoundTurn> {
     const record = await this.readRecord(id, turnRecords.contentKey(id), offset);
     if (record.isErr) return trueMyth.Result.err(record.error);
-    const first = record.value?.value && turnRecords.decodeContent(record.value.value);
-    if (first === undefined) return trueMyth.Result.ok(undefined);
+    if (record.value?.value === undefined) return trueMyth.Result.ok(undefined);
+    const first = turnRecords.decodeContent(record.value.value);
+    if (first === undefined) return malformed(id);
     const { further, ...turn } = first;
     const rest = await Promise.all(
       further.map((position, index) =>
-        this.readRecord(id, turnRecords.contentKey(id, index + 1), position),
+        this.readRecord(id, turnRecords.partKey(id, index + 1), position),
       ),
     );
     const contents = [turn.content];
@@ -126,25 +163,21 @@
   }
 
   /** Reads one record by its offset, and by its key where the log no longer keeps its history. */
-  private async readRecord(
-    turn: string,
-    key: string,
-    offset: number,
-  ): Promise<keyedLog.LogResult<keyedLog.StoredRecord | undefined>> {
+  private async readRecord(turn: string, key: string, offset: number): Promise<FoundRecord> {
     const options = { waitMs: 0, maximumBytes: ONE_RECORD_BYTES };
-    const page = await this.options.log.read(this.partitionOf(turn), offset, options);
-    if (page.isErr) {
-      if (page.error.kind === keyedLog.LOG_FAILURES.EXPIRED) return this.findKey(turn, key);
+    const partition = this.partitionOf(turn);
+    const page = await this.contentReads.run(() =>
+      this.options.log.read(partition, offset, options),
+    );
+    if (page.isErr && page.error.kind !== keyedLog.LOG_FAILURES.EXPIRED) {
       return trueMyth.Result.err(page.error);
     }
-    const [record] = page.value.records;
-    return record?.key === key ? trueMyth.Result.ok(record) : this.findKey(turn, key);
+    const record = page.isOk ? page.value.records[0] : undefined;
+    if (record?.key === key) return trueMyth.Result.ok(record);
+    return this.contentSearches.run(() => this.findKey(turn, key));
   }
 
-  private async findKey(
-    turn: string,
-    key: string,
-  ): Promise<keyedLog.LogResult<keyedLog.StoredRecord | undefined>> {
+  private async findKey(turn: string, key: string): Promise<FoundRecord> {
     const { clock: time, log, logger } = this.options;
     const startedAt = time.now();
     const partition = this.partitionOf(turn);
@@ -183,3 +216,9 @@
     return this.writers[keyedLog.partitionOf(turn, this.options.partitionCount)]!;
   }
 }
+
+/** A record that cannot be read says nothing about whether the turn is kept. */
+function malformed<Value>(turn: string): keyedLog.LogResult<Value> {
+  const message = `The record of turn ${turn} is malformed.`;
+  return trueMyth.Result.err({ kind: keyedLog.LOG_FAILURES.LOST, message });
+}
--- a/packages/turns/src/turnRecords.ts
+++ b/packages/turns/src/turnRecords.ts
@@ -20,6 +20,8 @@
   further: zod.array(zod.number().int().nonnegative()).readonly(),
 });
 
+const MARKER = CONTENT.pick({ earlier: true });
+
 const TURN = CONTENT.omit({ further: true }).extend({ offset: POSITION.shape.offset });
 
 /** Where a turn lies in the log. */
@@ -28,34 +30,40 @@
 /** A turn as the log holds it. */
 export type ContentRecord = zod.infer<typeof CONTENT>;
 
+/** Marks that a turn is kept: its content lies right before it. */
+export type MarkerRecord = zod.infer<typeof MARKER>;
+
 /** A turn with its place in the log, as processes hold it. */
 export type TurnRecord = zod.infer<typeof TURN>;
 
 /** The check of a turn that a peer sends. */
 export const TURN_RECORD: zod.ZodType<TurnRecord> = TURN;
 
-/** Marks that a turn is kept. Its content lies right before it. */
-export const MARKER: Uint8Array = Buffer.from([1]);
-
-export function encodeContent(record: ContentRecord): Uint8Array {
+export function encode(record: ContentRecord | MarkerRecord): Uint8Array {
   return msgpackr.pack(record);
 }
 
-/** Reads a record; nothing when it is malformed. */
+/** Reads the record of a content; nothing when it is malformed. */
 export function decodeContent(value: Uint8Array): ContentRecord | undefined {
-  try {
-    return CONTENT.safeParse(msgpackr.unpack(value)).data;
-  } catch {
-    return undefined;
-  }
+  return decode(CONTENT, value);
+}
+
+/** Reads a marker; nothing when it is malformed. */
+export function decodeMarker(value: Uint8Array): MarkerRecord | undefined {
+  return decode(MARKER, value);
 }
 
-/** The key of a part of a turn's content. */
-export function contentKey(turn: string, part = 0): string {
-  return part === 0 ? `content/${turn}` : `content/${turn}/${part}`;
+/** The key of the record with a turn's content, or the first part of it. */
+export function contentKey(turn: string): string {
+  return `content/${turn}`;
 }
 
-/** The key of a turn's marker. All markers sort behind all contents, so a listing of them is small. */
+/** The key of a further part of a turn's content; the first of them is part 1. */
+export function partKey(turn: string, part: number): string {
+  return `part/${part}/${turn}`;
+}
+
+/** The key of a turn's marker. Markers sort behind all contents, so a listing of them is small. */
 export function markerKey(turn: string): string {
   return `turn/${turn}`;
 }
@@ -65,3 +73,11 @@
   const last = key.charCodeAt(key.length - 1);
   return `${key.slice(0, -1)}${String.fromCharCode(last - 1)}~`;
 }
+
+function decode<Record>(shape: zod.ZodType<Record>, value: Uint8Array): Record | undefined {
+  try {
+    return shape.safeParse(msgpackr.unpack(value)).data;
+  } catch {
+    return undefined;
+  }
+}
