Give the tokens after a takeover to requests that can still wait for them

Cause: while nothing may be granted, requests wait at the new owner. When that ends, requests beyond the tokens of the next two seconds were refused from the last one on, and each was measured at its own place only. The oldest stayed in front with little of their time limit left, kept the places of the next tokens, and ended before these came; the younger ones, which had seconds left, were refused at once. With requests that have waited nearly as long as they may, every token of the next seconds was lost that way.

An owner that renews its claim ends the waiting too, which may have added to it.

Mended: places are given in order to those requests only whose token comes, and can be heard of, within their time limit. The others are refused at once. A decision is heard when the requester asks again or when the answer has waited for other decisions, so these two times are left at the end.

--- a/packages/limits/src/FleetAdmission.test.ts
+++ b/packages/limits/src/FleetAdmission.test.ts
@@ -121,6 +121,25 @@
     expect(Math.max(...fleet.grants) - provedAt).toBeGreaterThanOrEqual(500);
   });
 
+  test('leaves no token to requests whose time ends before it comes', async () => {
+    const fleet = await createFleet();
+    fleet.kill(0);
+    fleet.kill(1);
+    fleet.claimAndRead(2, 3);
+    const answers: Answer[] = [];
+    for (let count = 0; count < 50; count += 1) {
+      answers.push(ask(fleet, 3, `waiting-${count}`));
+      await fleet.run(100, 5);
+    }
+    // The first request has 100 ms left, the second 200 ms, and a token comes each 100 ms.
+    fleet.dropFromList(0);
+    fleet.dropFromList(1);
+    await fleet.run(3_000, 5);
+    // Two seconds of the rate, since no request may wait longer for its token.
+    expect(countGranted(answers)).toBe(20);
+    expect(fleet.grants).toHaveLength(20);
+  });
+
   test('takes the state from the standby when a third VM claims', async () => {
     const fleet = await createFleet();
     askMany(fleet, 0, 'before', 1);
--- a/packages/limits/src/FleetAdmission.ts
+++ b/packages/limits/src/FleetAdmission.ts
@@ -9,6 +9,7 @@
 import type * as wire from '@limpettack/wire';
 import * as trueMyth from 'true-myth';
 import * as aloneAgreement from './AloneAgreement.js';
+import * as askTimes from './askTimes.js';
 import type * as bucketOwner from './BucketOwner.js';
 import * as decisionCache from './DecisionCache.js';
 import * as grantBatcher from './GrantBatcher.js';
@@ -30,9 +31,6 @@
 /** How long an owner lets a message wait for the answers to all of its requests. */
 const LONGEST_WAIT_MS = 50;
 
-/** How long an answer with some decisions waits for the others. */
-const LINGER_MS = 10;
-
 /** Time for a message with requests, the wait at the owner included. */
 const GRANT_TIMEOUT_MS = 1_000;
 
@@ -196,7 +194,7 @@
     const decisions = request.items.map((item) => this.decide(item));
     const undecided = Promise.race([
       time.sleep(LONGEST_WAIT_MS, stop.signal),
-      Promise.race(decisions).then(() => time.sleep(LINGER_MS, stop.signal)),
+      Promise.race(decisions).then(() => time.sleep(askTimes.LINGER_MS, stop.signal)),
     ]).then(() => ({ kind: messages.ANSWER_KINDS.PENDING }));
     const answers = await Promise.all(
       decisions.map((decision) => Promise.race([decision, undecided])),
--- a/packages/limits/src/OwnedBucket.ts
+++ b/packages/limits/src/OwnedBucket.ts
@@ -1,4 +1,5 @@
 import type * as clock from '@limpettack/clock';
+import * as askTimes from './askTimes.js';
 import * as messages from './messages.js';
 import type { ReplicatedBucket } from './messages.js';
 import type * as tokenBucket from './TokenBucket.js';
@@ -146,20 +147,45 @@
     }
   }
 
-  /** Refuses from the last request on; those before it are nearer to their token. */
+  /**
+   * Refuses the requests that no token will come for in time. They take no place in the order, so
+   * that the tokens go to those behind them that can still wait.
+   */
   private refuseExcess(situation: Situation): void {
     // When others hold nearly the whole burst, requests wait for the end of the takeover.
     if (this.bucket.burst - situation.held < 1) return;
-    while (this.waiting.length > this.bucket.level + this.outstanding + ROUNDING) {
-      const waiter = this.waiting.at(-1)!;
-      const missing = this.waiting.length - this.bucket.level - this.outstanding;
-      const waitMs = Math.max(1, this.bucket.timeFor(missing));
-      const isInTime = situation.now + waitMs < waiter.expiresAt;
-      if (waitMs <= situation.patienceMs && isInTime) return;
-      this.waiting.pop();
+    if (this.missingFor(this.waiting.length) === 0) return;
+    const kept: Waiter[] = [];
+    const refused: Waiter[] = [];
+    this.waiting.forEach((waiter) => {
+      const isInTime = this.isInTime(waiter, kept.length + 1, situation);
+      (isInTime ? kept : refused).push(waiter);
+    });
+    this.waiting = kept;
+    refused.forEach((waiter, index) => {
       this.onDecision(false);
-      waiter.decide({ kind: messages.ANSWER_KINDS.REFUSED, retryAfterMs: waitMs });
-    }
+      const retryAfterMs = this.waitFor(kept.length + index + 1);
+      waiter.decide({ kind: messages.ANSWER_KINDS.REFUSED, retryAfterMs });
+    });
+  }
+
+  /** Whether the token for a place in the order, from 1 on, is there or comes in time. */
+  private isInTime(waiter: Waiter, place: number, situation: Situation): boolean {
+    if (this.missingFor(place) === 0) return true;
+    const waitMs = this.waitFor(place);
+    const heardAt = situation.now + waitMs + askTimes.HEARING_MS;
+    return waitMs <= situation.patienceMs && heardAt < waiter.expiresAt;
+  }
+
+  /** How many tokens must come before so many requests have one each. */
+  private missingFor(requests: number): number {
+    const missing = requests - this.bucket.level - this.outstanding;
+    return missing > ROUNDING ? missing : 0;
+  }
+
+  /** How long it takes until so many requests have a token each. */
+  private waitFor(requests: number): clock.Milliseconds {
+    return Math.max(1, this.bucket.timeFor(this.missingFor(requests)));
   }
 
   private dropExpired(now: clock.Milliseconds): void {
--- a/packages/limits/src/OwnerRoute.ts
+++ b/packages/limits/src/OwnerRoute.ts
@@ -1,11 +1,9 @@
 import type * as clock from '@limpettack/clock';
 import type * as journal from '@limpettack/journal';
+import * as askTimes from './askTimes.js';
 import * as holderHistory from './HolderHistory.js';
 import type { JournalView } from './Types.js';
 
-/** How long to wait before a request is asked again when no claim is seen meanwhile. */
-const ASK_AGAIN_MS = 20;
-
 /** Finds whom to ask for a shard's buckets, and notices when that changes. */
 export class OwnerRoute {
   public constructor(
@@ -42,7 +40,7 @@
   /** Waits for another claim, and not for long. */
   public async beforeAskingAgain(shard: number, remainingMs: clock.Milliseconds): Promise<void> {
     const stop = new AbortController();
-    const span = Math.min(ASK_AGAIN_MS, remainingMs);
+    const span = Math.min(askTimes.ASK_AGAIN_MS, remainingMs);
     const { signal } = stop;
     await Promise.race([this.untilChange(shard, signal), this.time.sleep(span, signal)]);
     stop.abort();
