Let requests wait on for tokens when the new owner renews its claim

Cause: the new owner of a shard renews its claim as soon as a better standby is back, often within a second of the takeover. The buckets of the renewed epoch took the ten seconds in which requests may wait for tokens as over, since a renewal begins none. All requests that had waited were refused at once.

Mended: the end of that time goes on to the buckets of the next epoch of the same process, whose clock it is.

Ruled out: that the time of these requests had ended.

--- a/packages/limits/src/BucketOwner.ts
+++ b/packages/limits/src/BucketOwner.ts
@@ -25,6 +25,8 @@
   readonly state: messages.ShardState;
   /** Whether another process owned the shard before, so that requests may have had to wait. */
   readonly isTakeover: boolean;
+  /** The end of the time after an earlier takeover, when this process has renewed its claim. */
+  readonly catchUpUntil: clock.Milliseconds | undefined;
   readonly clock: clock.Clock;
   readonly limitOf: LimitLookup;
   readonly onDecision: (event: DecisionEvent) => void;
@@ -51,7 +53,7 @@
 
   private alone = false;
 
-  private catchUpUntil: clock.Milliseconds = 0;
+  private waitsUntil: clock.Milliseconds = 0;
 
   private isStopped = false;
 
@@ -72,6 +74,11 @@
     return this.held.entries;
   }
 
+  /** Until when requests may wait for tokens, because those before them had to. */
+  public get catchUpUntil(): clock.Milliseconds {
+    return this.waitsUntil;
+  }
+
   /** Whether no tokens can be granted yet, because nothing is known of earlier grants. */
   public get isResolving(): boolean {
     return this.held.isUnlimited;
@@ -104,7 +111,8 @@
       this.dirty.add(workspace);
     });
     this.standbyIsComplete = false;
-    this.catchUpUntil = this.options.isTakeover ? now + CATCH_UP_MS : now;
+    const { isTakeover, catchUpUntil } = this.options;
+    this.waitsUntil = isTakeover ? now + CATCH_UP_MS : (catchUpUntil ?? now);
     this.markHeaderDirty();
   }
 
@@ -233,12 +241,12 @@
   private startEmpty(): void {
     const now = this.options.clock.now();
     this.emptySince = now;
-    this.catchUpUntil = now + CATCH_UP_MS;
+    this.waitsUntil = now + CATCH_UP_MS;
   }
 
   private situationOf(workspace: string): ownedBucket.Situation {
     const now = this.options.clock.now();
-    const isCatchingUp = now < this.catchUpUntil;
+    const isCatchingUp = now < this.waitsUntil;
     return { now, held: this.held.of(workspace), patienceMs: isCatchingUp ? PATIENCE_MS : 0 };
   }
 
--- a/packages/limits/src/FleetAdmission.test.ts
+++ b/packages/limits/src/FleetAdmission.test.ts
@@ -140,6 +140,20 @@
     expect(fleet.grants).toHaveLength(20);
   });
 
+  test('lets requests wait on when the new owner renews its claim', async () => {
+    const fleet = await createFleet();
+    askMany(fleet, 2, 'drain', 5);
+    await fleet.run(10);
+    fleet.kill(0);
+    fleet.dropFromList(0);
+    fleet.claimAndRead(1, 2);
+    const answers = askMany(fleet, 3, 'waiting', 10);
+    await fleet.run(50);
+    fleet.claimAndRead(1, 3);
+    await fleet.run(2_000);
+    expect(countGranted(answers)).toBe(10);
+  });
+
   test('takes the state from the standby when a third VM claims', async () => {
     const fleet = await createFleet();
     askMany(fleet, 0, 'before', 1);
--- a/packages/limits/src/ShardLimits.ts
+++ b/packages/limits/src/ShardLimits.ts
@@ -25,7 +25,10 @@
   readonly onDecision: (event: DecisionEvent) => void;
 }
 
-type OwnerStart = Pick<bucketOwner.BucketOwnerOptions, 'standby' | 'state' | 'isTakeover'>;
+type OwnerStart = Pick<
+  bucketOwner.BucketOwnerOptions,
+  'standby' | 'state' | 'isTakeover' | 'catchUpUntil'
+>;
 
 /**
  * This process's part in one shard: owner of its buckets, standby, or neither. Everything here
@@ -104,11 +107,13 @@
     this.learn(ownership);
     const { epoch, standby } = ownership;
     if (epoch < this.epoch || this.ownerState?.epoch === epoch) return undefined;
-    const isTakeover = epoch > 1 && this.ownerState?.epoch !== epoch - 1;
+    const renewed = this.ownerState?.epoch === epoch - 1 ? this.ownerState : undefined;
+    const isTakeover = epoch > 1 && renewed === undefined;
     const state = this.stateOf(epoch - 1) ?? this.createState(epoch);
     const extra = standby ? [] : this.holdersToAsk(epoch, state);
     const held = [...state.held, ...extra];
-    return this.startOwner(epoch, { standby, isTakeover, state: { ...state, held } });
+    const start = { standby, isTakeover, catchUpUntil: renewed?.catchUpUntil };
+    return this.startOwner(epoch, { ...start, state: { ...state, held } });
   }
 
   /** Takes the state of a holder that has acknowledged, while this owner knows none. */
@@ -128,7 +133,8 @@
     const replica = this.currentReplica;
     if (!replica) return undefined;
     const state = replica.exportState();
-    return this.startOwner(replica.epoch, { standby: undefined, isTakeover: true, state });
+    const start = { standby: undefined, isTakeover: true, catchUpUntil: undefined };
+    return this.startOwner(replica.epoch, { ...start, state });
   }
 
   /** Answers the owner as its standby. */
