Bound the answers of the store's stand-in as the real store does

After all VMs of a large installation had lost power, programs found no history within the time of recovery: each look-up of a turn lists a page of up to 500 records or 1 MB, over links of 20 to 30 Mbit/s. No test could show it: the stand-in bounded a listing by records only and a read by nothing, and it answered at once.

MemoryKeyedLog now ends a listing at 500 records or 1 MB of keys and values, and a read at the size that it asks for (1,024 KB where it asks for none): the first record comes whole, further ones while all together stay within it. A log also keeps the newest record of each key at hand, since going through all records for each listing would make the stand-in itself slow with tens of megabytes stored.

Ruled out: bounds in FakeStore alone, since the tests of the packages use the log without it.

--- a/packages/keyed-log/src/testing/MemoryKeyedLog.ts
+++ b/packages/keyed-log/src/testing/MemoryKeyedLog.ts
@@ -9,12 +9,31 @@
   LogResult,
   NewestPage,
   PartitionName,
+  ReadOptions,
   ReadPage,
   StoredRecord,
 } from '../Types.js';
 
+/** Records of one listing at most, from the platform's pages on its store. */
+const LISTED_RECORDS = 500;
+
+/** Bytes of the keys and values of one listing at most (1 MB), from the same pages. */
+const LISTED_BYTES = 1_048_576;
+
+/** Kilobytes of one read at most where it asks for no size, from the same pages. */
+const READ_KILOBYTES = 1_024;
+
+const BYTES_PER_KILOBYTE = 1_024;
+
+/** How a read of the log in memory is bounded. */
+export interface BoundedReadOptions extends Partial<ReadOptions> {
+  /** The first record comes whole, further ones while all together stay within this size. */
+  readonly maximumKilobytes?: number | undefined;
+}
+
 interface StoredPartition {
   readonly records: StoredRecord[];
+  readonly newest: Map<string, StoredRecord>;
   readonly receipts: Map<string, AppendReceipt>;
   /** Records before this offset can only be had as the newest of their key. */
   firstOffset: number;
@@ -31,7 +50,8 @@
   /** Appends take effect though the answer is lost while this is set. */
   public losesAnswers = false;
 
-  public pageSize = 500;
+  /** Records of one listing at most. */
+  public pageSize = LISTED_RECORDS;
 
   public appendCount = 0;
 
@@ -62,26 +82,31 @@
     const failure = this.takeFailure();
     if (failure !== undefined) return fail(failure);
     const partition = this.partition(name);
-    const byKey = new Map(partition.records.map((record) => [record.key, record]));
-    const records = [...byKey.values()]
+    const records = [...partition.newest.values()]
       .filter(({ key, value }) => value !== undefined && key > after)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
+    const listed = takeWithin(records.slice(0, this.pageSize), LISTED_BYTES);
     return trueMyth.Result.ok({
-      records: records.slice(0, this.pageSize),
-      hasMore: records.length > this.pageSize,
+      records: listed,
+      hasMore: records.length > listed.length,
       endOffset: partition.records.length,
     });
   }
 
   /** @inheritdoc */
-  public async read(name: PartitionName, from: number): Promise<LogResult<ReadPage>> {
+  public async read(
+    name: PartitionName,
+    from: number,
+    options: BoundedReadOptions = {},
+  ): Promise<LogResult<ReadPage>> {
     this.readCount += 1;
     const failure = this.takeFailure();
     if (failure !== undefined) return fail(failure);
     const partition = this.partition(name);
     if (from < partition.firstOffset) return fail(logFailures.LOG_FAILURES.EXPIRED);
+    const { maximumKilobytes = READ_KILOBYTES } = options;
     return trueMyth.Result.ok({
-      records: partition.records.slice(from),
+      records: takeWithin(partition.records.slice(from), maximumKilobytes * BYTES_PER_KILOBYTE),
       firstOffset: partition.firstOffset,
       endOffset: partition.records.length,
     });
@@ -100,9 +125,11 @@
   ): AppendReceipt | undefined {
     const firstOffset = partition.records.length;
     if (options.expectedEnd !== undefined && options.expectedEnd !== firstOffset) return undefined;
-    records.forEach((record) =>
-      partition.records.push({ ...record, offset: partition.records.length }),
-    );
+    records.forEach((record) => {
+      const stored = { ...record, offset: partition.records.length };
+      partition.records.push(stored);
+      partition.newest.set(record.key, stored);
+    });
     return { firstOffset, endOffset: partition.records.length };
   }
 
@@ -110,7 +137,12 @@
     const id = `${name.topic}/${name.partition}`;
     const known = this.partitions.get(id);
     if (known !== undefined) return known;
-    const created: StoredPartition = { records: [], receipts: new Map(), firstOffset: 0 };
+    const created: StoredPartition = {
+      records: [],
+      newest: new Map(),
+      receipts: new Map(),
+      firstOffset: 0,
+    };
     this.partitions.set(id, created);
     return created;
   }
@@ -120,6 +152,16 @@
   }
 }
 
+/** The first record, and those after it while all together stay within a size in bytes. */
+function takeWithin(records: readonly StoredRecord[], bytes: number): readonly StoredRecord[] {
+  let total = 0;
+  const beyond = records.findIndex(({ key, value }, index) => {
+    total += Buffer.byteLength(key) + (value?.length ?? 0);
+    return index > 0 && total > bytes;
+  });
+  return beyond < 0 ? records : records.slice(0, beyond);
+}
+
 function fail<Value>(kind: LogFailureKind): LogResult<Value> {
   return trueMyth.Result.err({ kind, message: `The log in memory fails: ${kind}.` });
 }
