Judge in the soak whether kept turns are found after a loss of all power

The soak of the platform's program lost power at random moments, with few small turns stored and each look-up answered at once, and no program went on from turns kept before. So it passed while large installations found no history within the time of recovery.

After the random faults 24 chains are now kept (3 to 14 turns, 14 KB and then 1 to 7 KB each) among 24 MB of other turns, all processes are killed at once and start again with 3 MB/s each to the store, and a new program goes on from each chain. A chain that reaches no target within 15 s is a violation; so are 404 at any time, and a body that is not the chain's inputs and outputs in order and then the new input. Violations name the turn and its tries; a body that differs is shown from the first difference on. Attempts have ids like those of callers, so that turns lie in the store in no order of time; the other turns are stored by the product's own class, so that they have its format.

--- a/benchmarks/platform-soak/ProcessFleet.mjs
+++ b/benchmarks/platform-soak/ProcessFleet.mjs
@@ -22,6 +22,8 @@
     this.onExit = onExit;
     this.vms = [];
     this.domains = 2;
+    this.partitionCount = 4;
+    this.recordBytes = 262_144;
     /** Arguments of the runtime. */
     this.arguments = [];
   }
@@ -45,7 +47,11 @@
       Seeds: this.vms.map((vm) => vm.peers).slice(0, 3),
       Limits: { MemoryMb: 200 },
       Bounds: { GraceS: GRACE_S },
-      Platform: { Address: await store.listen(), parts: 4, RecordBytes: 262_144 },
+      Platform: {
+        Address: await store.listen(),
+        parts: this.partitionCount,
+        RecordBytes: this.recordBytes,
+      },
     };
     await fs.writeFile(file, JSON.stringify(settings));
     const vm = { name, store, file, callers, ready, peers: `127.0.0.1:${last}`, busy: false };
--- a/benchmarks/platform-soak/programs.mjs
+++ b/benchmarks/platform-soak/programs.mjs
@@ -1,6 +1,7 @@
 import * as timers from 'node:timers/promises';
 import * as undici from 'undici';
 import * as verdictsModule from '../soak/Verdicts.mjs';
+import * as createAttemptId from './createAttemptId.mjs';
 
 const { PROMISES } = verdictsModule;
 
@@ -18,6 +19,8 @@
 const NOT_RUN = new Set([402, 429, 503]);
 /** Statuses that must not come while the tables allow the request. */
 const DENIED = new Set([400, 401, 403, 404, 410, 413]);
+/** Characters of a body that are shown where it differs from the one wanted. */
+const SHOWN_CHARACTERS = 60;
 
 /** Programs of callers, and what they saw. */
 export class Programs {
@@ -36,7 +39,7 @@
   /** One attempt at one of the VMs. */
   async attempt(path, body, headers) {
     this.attempts += 1;
-    const id = `attempt-${this.attempts}`;
+    const id = createAttemptId.createAttemptId(`attempt ${this.attempts}`);
     const vm = this.random.pick(this.fleet.vms);
     try {
       const response = await undici.request(`http://127.0.0.1:${vm.callers}${path}`, {
@@ -82,14 +85,28 @@
       const input = `${name} turn ${turn};`;
       const answer = await this.runTurn({ name, input, previous, history, deadline: deadline() });
       if (answer === undefined) return;
-      history += input + dataOf(answer.text);
+      history += input + dataOf(answer);
       previous = answer.id;
       await this.order(`${name} order ${turn}`);
     }
     this.verdicts.count('programs that ended');
   }
 
-  async runTurn({ name, input, previous, history, deadline }) {
+  /** Tries a turn until it is answered; nothing when it may not be answered any more. */
+  async runTurn({ deadline, ...turn }) {
+    const tries = [];
+    while (this.isEnding ? Date.now() < deadline : true) {
+      const answer = await this.tryTurn({ ...turn, tries });
+      if (answer === undefined) return undefined;
+      if (answer.status === 200 && answer.isWhole) return answer;
+      await pause(answer);
+    }
+    this.verdicts.check(PROMISES.BOUNDED_TIME, false, () => `found no end: ${told(turn, tries)}`);
+    return undefined;
+  }
+
+  /** One try at a turn, noted among its tries; nothing when the answer must not come. */
+  async tryTurn({ name, input, previous, history, tries }) {
     const headers = {
       'program-id': name,
       'session-id': name,
@@ -97,25 +114,16 @@
       'token-usage': `10,${MOST_TOKENS}`,
       ...(previous === undefined ? {} : { 'previous-turn': previous }),
     };
-    while (this.isEnding ? Date.now() < deadline : true) {
-      const answer = await this.attempt('/kept/x', input, headers);
-      this.expected.set(answer.id, history + input);
-      const { status } = answer;
-      const isAllowed = !DENIED.has(status) && status !== 402;
-      this.verdicts.check(
-        PROMISES.ORDER_AND_HISTORY,
-        isAllowed,
-        `${name}: ${status} after ${previous}`,
-      );
-      if (!isAllowed) return undefined;
-      if (status === 200 && answer.isWhole) {
-        this.checkEvents(name, answer.text);
-        return answer;
-      }
-      await pause(answer);
-    }
-    this.verdicts.check(PROMISES.BOUNDED_TIME, false, `${name}: a turn found no end`);
-    return undefined;
+    const startedAt = Date.now();
+    const answer = await this.attempt('/kept/x', input, headers);
+    const { id, isWhole, status, text } = answer;
+    tries.push({ id, status, spanMs: Date.now() - startedAt });
+    this.expected.set(id, history + input);
+    const isAllowed = !DENIED.has(status) && status !== 402;
+    const detail = () => `${status} must not come: ${told({ name, previous }, tries)}`;
+    this.verdicts.check(PROMISES.ORDER_AND_HISTORY, isAllowed, detail);
+    if (status === 200 && isWhole) this.checkEvents(name, text);
+    return isAllowed ? answer : undefined;
   }
 
   checkEvents(name, text) {
@@ -169,7 +177,7 @@
     runs.forEach(({ attempt, body }) => {
       const wanted = this.expected.get(attempt);
       if (wanted === undefined) return;
-      const detail = () => `${attempt}: got ${body}, wanted ${wanted}`;
+      const detail = () => `${attempt}: ${difference(body, wanted)}`;
       this.verdicts.check(PROMISES.ORDER_AND_HISTORY, body === wanted, detail);
     });
     this.orders.forEach((ids, body) => {
@@ -180,10 +188,27 @@
 }
 
 /** Callers come back when they are told to, or soon. */
-function pause({ retryAfterMs }) {
+export function pause({ retryAfterMs }) {
   return timers.setTimeout(Math.min(LONGEST_RETRY_MS, Math.max(RETRY_MS, retryAfterMs)));
 }
 
-function dataOf(text) {
+/** What an answer adds to the history. */
+export function dataOf({ text }) {
   return [...text.matchAll(/^data: (.*)$/gm)].map(([, data]) => `${data}\n`).join('');
 }
+
+/** A turn and its tries, in words. */
+export function told({ name, previous = 'none' }, tries) {
+  const answered = tries.filter(({ status }) => status !== 0);
+  const shown = answered.map(({ id, spanMs, status }) => `${id} ${status} in ${spanMs} ms`);
+  const counts = `${tries.length} tries, ${tries.length - answered.length} without an answer`;
+  return `${name} after turn ${previous}; ${[counts, ...shown].join(', ')}`;
+}
+
+function difference(body, wanted) {
+  const at = [...wanted].findIndex((character, index) => body[index] !== character);
+  const from = at < 0 ? wanted.length : at;
+  const shown = (text) =>
+    `${text.length} characters, "${text.slice(from, from + SHOWN_CHARACTERS)}"`;
+  return `got ${shown(body)}, wanted ${shown(wanted)} from ${from} on`;
+}
--- a/benchmarks/platform-soak/runSeed.mjs
+++ b/benchmarks/platform-soak/runSeed.mjs
@@ -5,6 +5,7 @@
 import * as createRandom from '../soak/createRandom.mjs';
 import * as verdictsModule from '../soak/Verdicts.mjs';
 import * as createFaults from './createFaults.mjs';
+import * as keptChains from './KeptChains.mjs';
 import * as processFleet from './ProcessFleet.mjs';
 import * as programsModule from './programs.mjs';
 
@@ -15,6 +16,8 @@
 const LOOP_LANES = 2;
 /** All programs end within this time after the last fault. */
 const END_WITHIN_MS = 20_000;
+/** The random choices of the chains' shapes. */
+const SHAPES_LANE = 1;
 const LEAST_GAP_MS = 200;
 const MOST_GAP_MS = 1_200;
 
@@ -46,6 +49,10 @@
     programs.isEnding = true;
     programs.endsBy = Date.now() + END_WITHIN_MS;
     await running;
+    const shapes = createRandom.createRandom(seed, SHAPES_LANE);
+    const parts = { engines, fleet, log, programs, random: shapes, verdicts };
+    events.push('then: all VMs lose power with chains kept');
+    await new keptChains.KeptChains(parts).run();
     programs.checkRuns(engines);
     verdicts.check(PROMISES.PROCESSES, true);
     return { events, warnings: [] };
--- a/benchmarks/soak/Verdicts.mjs
+++ b/benchmarks/soak/Verdicts.mjs
@@ -1,6 +1,7 @@
 /** The promises that the soak judges. */
 export const PROMISES = {
   ORDER_AND_HISTORY: 'order and history',
+  KEPT_TURNS: 'kept turns after power loss',
   BUDGET: 'budget',
   ENGINE_MEMORY: 'engine memory',
   ISOLATION: "callers' keys",
