Say how a VM ended that the soak told to stop

"vm-1 did not end in order" left open what it did. The violation now names the exit code or signal, or that the process still runs, and how long after its start it was told to stop. What is judged is the same.

--- a/benchmarks/platform-soak/ProcessFleet.mjs
+++ b/benchmarks/platform-soak/ProcessFleet.mjs
@@ -74,10 +74,11 @@
       output = (output + data).slice(-OUTPUT_KEPT);
     });
     child.isExpectedToEnd = false;
+    child.startedAt = Date.now();
     child.hasEnded = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
         if (!child.isExpectedToEnd) this.onExit(`${vm.name}: ${code ?? signal} ${output}`);
-        resolve(code);
+        resolve(code ?? signal);
       });
     });
     vm.child = child;
@@ -110,12 +111,15 @@
   vm.child.kill('SIGCONT');
 }
 
-/** Has a process end in order; resolves with whether it did so within its time. */
+/** Has a process end in order; resolves with what it did instead, or with nothing. */
 export async function stop(vm) {
-  vm.child.isExpectedToEnd = true;
-  vm.child.kill('SIGTERM');
-  const late = timers.setTimeout(STOPPED_WITHIN_MS);
-  return (await Promise.race([vm.child.hasEnded, late])) === 0;
+  const { child } = vm;
+  const spanMs = Date.now() - child.startedAt;
+  child.isExpectedToEnd = true;
+  child.kill('SIGTERM');
+  const late = timers.setTimeout(STOPPED_WITHIN_MS, 'still running');
+  const end = await Promise.race([child.hasEnded, late]);
+  return end === 0 ? undefined : `${end}, told to stop ${spanMs} ms after its start`;
 }
 
 async function untilReady(vm) {
--- a/benchmarks/platform-soak/createFaults.mjs
+++ b/benchmarks/platform-soak/createFaults.mjs
@@ -28,12 +28,9 @@
     freeze: () => withVm((vm) => processFleet.freeze(vm, span(200, 2_000))),
     stop: () =>
       withVm(async (vm) => {
-        const isInTime = await processFleet.stop(vm);
-        verdicts.check(
-          verdictsModule.PROMISES.PROCESSES,
-          isInTime,
-          `${vm.name} did not end in order`,
-        );
+        const failure = await processFleet.stop(vm);
+        const detail = `${vm.name} did not end in order: ${failure}`;
+        verdicts.check(verdictsModule.PROMISES.PROCESSES, failure === undefined, detail);
         fleet.spawn(vm);
       }),
     'power lost': async () => {
