Bound the turns of the soak that begin before its last fault

A turn read the time by which it must have an answer when it began. Before the last fault that time is not known yet, so such a turn was tried without end, and the soak hung in place of telling a violation. The time is now asked for at each try.

--- a/benchmarks/platform-soak/KeptChains.mjs
+++ b/benchmarks/platform-soak/KeptChains.mjs
@@ -102,7 +102,7 @@
     const chain = { name: `kept-${at}`, turns: shape.length, previous: undefined, history: '' };
     for (let turn = 0; turn < shape.length; turn += 1) {
       const input = `${chain.name} turn ${turn};`.padEnd(shape[turn], 'x');
-      const answer = await this.programs.runTurn({ ...chain, input, deadline });
+      const answer = await this.programs.runTurn({ ...chain, input, deadline: () => deadline });
       if (answer === undefined) return undefined;
       chain.history += input + programsModule.dataOf(answer);
       chain.previous = answer.id;
--- a/benchmarks/platform-soak/programs.mjs
+++ b/benchmarks/platform-soak/programs.mjs
@@ -83,7 +83,7 @@
     let history = '';
     for (let turn = 0; turn < TURNS; turn += 1) {
       const input = `${name} turn ${turn};`;
-      const answer = await this.runTurn({ name, input, previous, history, deadline: deadline() });
+      const answer = await this.runTurn({ name, input, previous, history, deadline });
       if (answer === undefined) return;
       history += input + dataOf(answer);
       previous = answer.id;
@@ -92,10 +92,13 @@
     this.verdicts.count('programs that ended');
   }
 
-  /** Tries a turn until it is answered; nothing when it may not be answered any more. */
+  /**
+   * Tries a turn until it is answered; nothing when it may not be answered any more.
+   * @param turn.deadline Returns until when, which is not known before the last fault.
+   */
   async runTurn({ deadline, ...turn }) {
     const tries = [];
-    while (this.isEnding ? Date.now() < deadline : true) {
+    while (Date.now() < deadline()) {
       const answer = await this.tryTurn({ ...turn, tries });
       if (answer === undefined) return undefined;
       if (answer.status === 200 && answer.isWhole) return answer;
