--- a/packages/keyed-log/src/PartitionWriter.test.ts
+++ b/packages/keyed-log/src/PartitionWriter.test.ts
@@ -23,6 +23,24 @@
     expect(log.appendCount).toBe(2);
   });
 
+  test('records appended together lie one behind the other, and their writer learns where', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const writer = createWriter(log);
+    const pairs = ['a', 'b', 'c'].map((key) => [
+      { key, value },
+      { key: `${key}/marker`, value },
+    ]);
+    const receipts = await Promise.all(pairs.map((pair) => writer.appendTogether(pair, WAIT_MS)));
+    const page = await log.read(PARTITION, 0);
+    const keys = page.isOk ? page.value.records.map(({ key }) => key) : [];
+    receipts.forEach((receipt, index) => {
+      const [first, behind] = pairs[index]!;
+      const offset = receipt.isOk ? receipt.value.firstOffset : -1;
+      expect([keys[offset], keys[offset + 1]]).toEqual([first!.key, behind!.key]);
+    });
+    expect(log.appendCount).toBe(2);
+  });
+
   test('an append whose answer was lost is not made twice', async () => {
     const log = new memoryKeyedLog.MemoryKeyedLog();
     const writer = createWriter(log);
--- a/packages/keyed-log/src/RelayedLog.test.ts
+++ b/packages/keyed-log/src/RelayedLog.test.ts
@@ -30,6 +30,14 @@
     expect(cutOff!.isCutOff).toBe(true);
   });
 
+  test('a read through a peer brings no more than it asks for', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    await log.append(PARTITION, [RECORD, RECORD, RECORD], options(0));
+    const [cutOff] = await createLogs([unreachable(), log]);
+    const page = await cutOff!.read(PARTITION, 1, { waitMs: 0, maximumBytes: 1 });
+    expect(page.isOk && page.value.records.map(({ offset }) => offset)).toEqual([1]);
+  });
+
   test('a conflict that a peer meets is passed on as one', async () => {
     const log = new memoryKeyedLog.MemoryKeyedLog();
     const [cutOff] = await createLogs([unreachable(), log]);
--- a/packages/turns/src/LoggedTurnStore.test.ts
+++ b/packages/turns/src/LoggedTurnStore.test.ts
@@ -5,10 +5,11 @@
 import * as logging from '@limpettack/logging';
 import type * as wire from '@limpettack/wire';
 import * as wireTesting from '@limpettack/wire/testing';
+import * as trueMyth from 'true-myth';
 import * as loggedTurnStore from './LoggedTurnStore.js';
 import type { Turn } from './Types.js';
 
-const { afterEach, describe, expect, test } = jestGlobals;
+const { afterEach, describe, expect, jest, test } = jestGlobals;
 
 const KEEP_MS = 500;
 
@@ -114,10 +115,13 @@
     const log = new keyedLogTesting.MemoryKeyedLog();
     await keepChain(await createStore(log, 'before'), ['t1', 't2', 't3']);
     const after = await createStore(log, 'after');
-    expect(await texts(after, 't2')).toHaveLength(2);
-    log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
+    const failure = { kind: keyedLog.LOG_FAILURES.UNAVAILABLE, message: 'The first read fails.' };
+    jest.spyOn(log, 'read').mockResolvedValueOnce(trueMyth.Result.err(failure));
     expect((await after.history('t3', 'w', {})).isErr).toBe(true);
-    expect(await texts(after, 't2')).toHaveLength(2);
+    await untilRead(log, 3);
+    expect(await texts(after, 't3')).toHaveLength(3);
+    // The first look-up read two turns; this one lists again and reads the third.
+    expect(log.readCount).toBe(5);
   });
 
   test('a chain longer than its records name is found whole', async () => {
@@ -173,6 +177,14 @@
   await Promise.all(spread.map((id) => store.keep(turn(id, undefined, OTHER_SIZE_BYTES), KEEP_MS)));
 }
 
+async function untilRead(log: keyedLogTesting.MemoryKeyedLog, count: number): Promise<void> {
+  while (log.readCount < count) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
 async function texts(
   store: loggedTurnStore.LoggedTurnStore,
   id: string,
