Remove expired turns by the clock that the store is given

Nothing changes for callers. The rounds in which a VM removes its turns from the log ran on a timer of Node beside the store's clock, so no test could say when a turn goes. They now run on the clock, and the list of a VM's turns is a class of its own, as two changes of what it holds follow.

--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -8,6 +8,7 @@
 import * as messages from './messages.js';
 import * as turnLog from './TurnLog.js';
 import type * as turnRecords from './turnRecords.js';
+import * as turnRetention from './TurnRetention.js';
 import type { Turn, TurnHints, TurnStore } from './Types.js';
 
 /** The longest chain that is followed. */
@@ -28,12 +29,6 @@
 /** Memory that a turn takes beside its content, in bytes. */
 const TURN_OVERHEAD_BYTES = 1_024;
 
-/** Between two rounds of removals. */
-const REMOVAL_INTERVAL_MS = 10_000;
-
-/** Removals of one round at most. */
-const REMOVALS_PER_ROUND = 200;
-
 /** Time for a removal to be appended. */
 const REMOVAL_TIMEOUT_MS = 2_000;
 
@@ -44,12 +39,6 @@
   readonly cacheBytes: number;
 }
 
-interface KeptTurn {
-  readonly id: string;
-  readonly size: number;
-  readonly expiresAt: clock.Milliseconds;
-}
-
 /** The turns of a chain, the newest first, or the turn at which it breaks off. */
 interface Chain {
   readonly turns: readonly turnRecords.TurnRecord[];
@@ -67,10 +56,7 @@
   /** Chains that are being put together. Requests that go on from the same turn share the work. */
   private readonly lookUps = new Map<string, Promise<keyedLog.LogResult<Chain>>>();
 
-  /** Turns that this process wrote, in the order of their writing. */
-  private kept: KeptTurn[] = [];
-
-  private readonly removals: NodeJS.Timeout;
+  private readonly retention: turnRetention.TurnRetention;
 
   public constructor(private readonly options: LoggedTurnStoreOptions) {
     this.cache = new lruCache.LRUCache({
@@ -81,8 +67,10 @@
     this.served = options.network.serve(messages.FETCH_TURNS, async ({ turn, held }) =>
       trueMyth.Result.ok({ turns: [...this.chainAtHand(turn, new Set(held))] }),
     );
-    this.removals = setInterval(() => this.removeExpired(), REMOVAL_INTERVAL_MS);
-    this.removals.unref();
+    this.retention = new turnRetention.TurnRetention({
+      clock: options.clock,
+      remove: ({ id, size }) => this.log.remove(id, size, REMOVAL_TIMEOUT_MS),
+    });
   }
 
   /** @inheritdoc */
@@ -114,14 +102,13 @@
     const appended = await this.log.append(record, timeoutMs);
     if (appended.isErr) return trueMyth.Result.err(this.unavailable(id, appended.error.message));
     this.cache.set(id, appended.value);
-    const expiresAt = this.options.clock.now() + turn.retentionMs;
-    this.kept.push({ id, size: content.length, expiresAt });
+    this.retention.keep({ id, size: content.length }, turn.retentionMs);
     return trueMyth.Result.ok(undefined);
   }
 
   /** @inheritdoc */
   public dispose(): void {
-    clearInterval(this.removals);
+    this.retention.dispose();
     this.log.dispose();
     this.served.dispose();
   }
@@ -219,16 +206,6 @@
     }
   }
 
-  /** Removes turns from the log whose time is over; only those that this process wrote. */
-  private removeExpired(): void {
-    const now = this.options.clock.now();
-    const live = this.kept.findIndex(({ expiresAt }) => expiresAt > now);
-    const count = Math.min(live < 0 ? this.kept.length : live, REMOVALS_PER_ROUND);
-    this.kept
-      .splice(0, count)
-      .forEach(({ id, size }) => this.log.remove(id, size, REMOVAL_TIMEOUT_MS));
-  }
-
   private logChain(
     turn: string,
     turns: readonly turnRecords.TurnRecord[],
