Keep a turn for its retention from the end of its answer

Callers would see 404 for a turn that goes on from one which was answered whole less than its retention ago (LOST): in the last moments of the retention, when a round of removals falls into them.

Cause: the retention was counted from the record of the turn in the log. The end of the answer comes after it: it waits for the record of the budget (up to 0.2 s) and travels to the caller.

Ruled out: a retention that begins when the answer was sent; the store of turns would have to be told of it, and the sending VM does not know when the caller has the end either.

The VM now keeps each turn 3 s longer. At 5 MB a second, the rate that the store's 400 MB must hold for 60 s, this is 15 MB. Removals still come in rounds of 10 s, so that a turn stays 63 to 73 s.

--- a/packages/turns/src/LoggedTurnStore.test.ts
+++ b/packages/turns/src/LoggedTurnStore.test.ts
@@ -12,6 +12,18 @@
 
 const KEEP_MS = 500;
 
+/** How long turns are kept, as on the users' sites. */
+const RETENTION_MS = 60_000;
+
+/** From the record of a turn to the end of its answer at the caller. */
+const ANSWER_MS = 2_000;
+
+/** Turns may be kept so much longer than needed: the store of a busy site would fill up. */
+const REMOVED_WITHIN_MS = 15_000;
+
+/** Steps in which a clock is moved on. */
+const STEP_MS = 500;
+
 /** The content of a turn, and how much is kept beside it: as on the largest days of the users. */
 const SIZE_BYTES = 4_000;
 const OTHER_TURNS = 2_000;
@@ -147,11 +159,37 @@
     const result = await second.history('t1', 'w', {});
     expect(result.isOk && Buffer.concat(result.value).equals(content)).toBe(true);
   });
+
+  test('a turn is kept for its retention from the end of its answer, then removed', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    const time = new clock.ManualClock();
+    const first = await createStore(log, 'first', { clock: time });
+    await first.keep(turn('t1'), KEEP_MS);
+    await advance(time, RETENTION_MS + ANSWER_MS - 1);
+    expect(await texts(await createStore(log, 'second'), 't1')).toEqual(['content t1']);
+    await advance(time, REMOVED_WITHIN_MS);
+    expect(await texts(await createStore(log, 'third'), 't1')).toEqual([]);
+  });
 });
 
+/** Moves the clock on in steps and lets what is due in each run to its end. */
+async function advance(time: clock.ManualClock, spanMs: clock.Milliseconds): Promise<void> {
+  for (let left = spanMs; left > 0; left -= STEP_MS) {
+    time.advance(Math.min(left, STEP_MS));
+    await settled();
+  }
+}
+
+/** Lets all run that waits neither for the clock nor for the network. */
+function settled(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
 function turn(id: string, previous?: string, bytes = 0): Turn {
   const content = Buffer.from(`content ${id}`.padEnd(bytes, '.'));
-  return { id, previous, workspace: 'w', content, retentionMs: 60_000 };
+  return { id, previous, workspace: 'w', content, retentionMs: RETENTION_MS };
 }
 
 async function keepChain(
@@ -184,6 +222,7 @@
 async function createStore(
   log: keyedLog.KeyedLog,
   name: string,
+  changes: Partial<loggedTurnStore.LoggedTurnStoreOptions> = {},
 ): Promise<loggedTurnStore.LoggedTurnStore> {
   const time = new clock.SystemClock();
   const logger = new logging.PartLogger('test');
@@ -199,6 +238,7 @@
     partitionCount: 4,
     recordBytes: 4_096,
     cacheBytes: 1_000_000,
+    ...changes,
   });
   stores.push(store);
   return store;
--- a/packages/turns/src/TurnRetention.ts
+++ b/packages/turns/src/TurnRetention.ts
@@ -8,6 +8,13 @@
 /** Removals of one round at most. */
 const REMOVALS_PER_ROUND = 200;
 
+/**
+ * A turn is kept so much longer than its retention. The retention counts from the end of the answer
+ * at the caller, after the record of the turn: the record of its budget and the delivery of the last
+ * events lie between. A request that comes just in time also waits before it reads its history.
+ */
+const MARGIN_MS = 3_000;
+
 /** What the retention needs. */
 export interface TurnRetentionOptions {
   readonly clock: clock.Clock;
@@ -27,7 +34,7 @@
 
   /** Begins to keep a turn that this process has just written. */
   public keep(turn: keptTurns.KeptTurn, retentionMs: clock.Milliseconds): void {
-    this.kept.add(turn, this.options.clock.now() + retentionMs);
+    this.kept.add(turn, this.options.clock.now() + retentionMs + MARGIN_MS);
   }
 
   /** @inheritdoc */
--- a/packages/turns/src/Types.ts
+++ b/packages/turns/src/Types.ts
@@ -11,7 +11,7 @@
   readonly workspace: string;
   /** What the turn adds to the history: its input, then what was generated. */
   readonly content: Uint8Array;
-  /** How long the turn has to be kept. */
+  /** How long the turn has to be kept, counted from the end of its answer. */
   readonly retentionMs: clock.Milliseconds;
 }
 
