Keep the turns of a chain for as long as the turn that goes on from them

Callers would see 404 for the next turn of a conversation that has gone on for longer than the retention, or that was short and then paused for most of it (LOST), once the store has dropped its history of the first turns.

Cause: the VM that wrote a turn removed it when the turn's own retention was over, whatever went on from it. The rule keeps a turn together with its chain.

Evidence, by tests and not by an incident: conversations at 2 to 5 VMs, looked up after each turn by a process without memory, over a log that has dropped its history. Six tests failed on, each with "Received: turn-unknown": 24 turns, one in 15 s, at the fifth turn; 40 turns, one in 8 s, at the ninth; 60 turns, one in 3 s, at the 24th; 8 turns with pauses of 59 s, and 8 that run for 30 s each, at the second; three turns within 16 s, 60 s after the last.

Records now name the VM that wrote the turn, and its time of day. The chain comes from the look-up of the history (`History.turns`) instead of the memory of turns at hand, so a turn that was dropped from memory while its successor ran no longer leaves the record without positions.

Ruled out: a third of the retention as the age under which nothing is ever told. The first turn of a conversation that ended young would go up to 20 s too early (the sixth test). Here nothing is sent while a conversation is young either, but what it needs is told once its turns are a third of the retention old.

Tests that changed: the stores' fixture runs turns as the gateway does, with the chain that the history gave; the result of a history has a field for its contents. No check was taken out.

--- a/packages/clock/src/Types.ts
+++ b/packages/clock/src/Types.ts
@@ -12,7 +12,10 @@
   /** Returns a monotonic reading in milliseconds. It never goes back. */
   now(): Milliseconds;
 
-  /** Returns the time of day in milliseconds since the epoch, for people to read only. */
+  /**
+   * Returns the time of day in milliseconds since the epoch, for people to read, and as a hint where
+   * an age that is wrong by many seconds does no harm: clocks differ and jump.
+   */
   timeOfDay(): Milliseconds;
 
   /** Resolves after the given span, or at once when the signal aborts. It never rejects. */
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -185,10 +185,11 @@
       this.recordUse(call, tokens, timeoutMs);
     const shared = { tokensPerEvent, covered, recordUse };
     if (previous === undefined) return trueMyth.Result.ok({ body: call.body, ...shared });
-    const hints = grant.writer === undefined ? {} : { writer: grant.writer };
+    const hints = { writer: grant.writer, retentionMs: route.retentionMs };
     const history = await this.parts.turns.history(previous, workspace?.name ?? '', hints);
-    return history.map((contents) => ({
+    return history.map(({ contents, turns: earlier }) => ({
       body: Buffer.concat([...contents, call.body]),
+      earlier,
       ...shared,
     }));
   }
--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -202,7 +202,7 @@
 
   test('a turn that could not be kept does not end as complete', async () => {
     const turns = {
-      history: async () => trueMyth.Result.ok([]),
+      history: async () => trueMyth.Result.ok({ contents: [], turns: [] }),
       keep: async () => trueMyth.Result.err(errors.createFault('log-unavailable')),
     };
     const { outcome, reply } = await run([fixtures.streamEvents([1], 'end')], KEPT, {}, { turns });
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -55,6 +55,8 @@
 export interface StreamPlan {
   /** The history and the new input, as the target gets them. */
   readonly body: Uint8Array;
+  /** The turns that the history consists of. */
+  readonly earlier?: turns.History['turns'] | undefined;
   /** Tokens in each event. */
   readonly tokensPerEvent: number;
   /** Until then nothing may be handed to the caller; nothing when that is so from the start. */
@@ -287,6 +289,7 @@
     const turn = {
       id: call.id,
       previous: call.place?.previousTurn,
+      earlier: this.plan.earlier,
       workspace: workspace?.name ?? '',
       content: Buffer.concat([call.body, ...this.output]),
       retentionMs: route.retentionMs,
--- a/packages/gateway/src/testing/gatewayFixtures.ts
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -144,7 +144,7 @@
       isRefused: () => false,
     },
     turns: {
-      history: async () => trueMyth.Result.ok([]),
+      history: async () => trueMyth.Result.ok({ contents: [], turns: [] }),
       keep: async (turn) => {
         kept.push(Buffer.from(turn.content).toString());
         return trueMyth.Result.ok(undefined);
--- a/packages/turns/src/KeptTurns.ts
+++ b/packages/turns/src/KeptTurns.ts
@@ -20,6 +20,14 @@
     this.expiries.set(id, { id, size, expiresAt });
   }
 
+  /** Keeps a turn longer, never shorter; false when it is not kept by this process. */
+  public keepOn(id: string, expiresAt: clock.Milliseconds): boolean {
+    const known = this.expiries.get(id);
+    if (known === undefined) return false;
+    if (expiresAt > known.expiresAt) this.expiries.set(id, { ...known, expiresAt });
+    return true;
+  }
+
   /** Returns turns whose time is over, at most so many, and forgets them. */
   public takeExpired(now: clock.Milliseconds, limit: number): readonly KeptTurn[] {
     const expired = [...this.expiries.values()]
--- a/packages/turns/src/LoggedTurnStore.test.ts
+++ b/packages/turns/src/LoggedTurnStore.test.ts
@@ -6,15 +6,14 @@
 import type * as wire from '@limpettack/wire';
 import * as wireTesting from '@limpettack/wire/testing';
 import * as loggedTurnStore from './LoggedTurnStore.js';
+import * as messages from './messages.js';
+import * as turnFleet from './testing/TurnFleet.js';
 import type { Turn } from './Types.js';
 
 const { afterEach, describe, expect, test } = jestGlobals;
 
 const KEEP_MS = 500;
 
-/** How long turns are kept, as on the users' sites. */
-const RETENTION_MS = 60_000;
-
 /** From the record of a turn to the end of its answer at the caller. */
 const ANSWER_MS = 2_000;
 
@@ -36,9 +35,11 @@
 const IN_TIME_MS = 900;
 const stores: loggedTurnStore.LoggedTurnStore[] = [];
 const networks: wire.FleetNetwork[] = [];
+const fleets: turnFleet.TurnFleet[] = [];
 
 afterEach(async () => {
   stores.splice(0).forEach((store) => store.dispose());
+  fleets.splice(0).forEach((fleet) => fleet.dispose());
   await Promise.all(networks.splice(0).map((network) => network.dispose()));
 });
 
@@ -157,7 +158,7 @@
     await first.keep({ ...turn('t1'), content }, KEEP_MS);
     const second = await createStore(log, 'second');
     const result = await second.history('t1', 'w', {});
-    expect(result.isOk && Buffer.concat(result.value).equals(content)).toBe(true);
+    expect(result.isOk && Buffer.concat(result.value.contents).equals(content)).toBe(true);
   });
 
   test('a turn is kept for its retention from the end of its answer, then removed', async () => {
@@ -165,13 +166,74 @@
     const time = new clock.ManualClock();
     const first = await createStore(log, 'first', { clock: time });
     await first.keep(turn('t1'), KEEP_MS);
-    await advance(time, RETENTION_MS + ANSWER_MS - 1);
+    await advance(time, turnFleet.RETENTION_MS + ANSWER_MS - 1);
     expect(await texts(await createStore(log, 'second'), 't1')).toEqual(['content t1']);
     await advance(time, REMOVED_WITHIN_MS);
     expect(await texts(await createStore(log, 'third'), 't1')).toEqual([]);
   });
+
+  // Turns of a conversation, VMs that write them in turn, time between them, and for which each runs.
+  test.each([
+    [24, 2, 15_000, 0],
+    [40, 3, 8_000, 0],
+    [60, 5, 3_000, 0],
+    [8, 3, 59_000, 0],
+    [8, 3, 35_000, 30_000],
+  ])('%d turns at %d VMs, one in %d ms, are kept together', async (count, vms, spanMs, runMs) => {
+    const fleet = createFleet();
+    const writers = Array.from({ length: vms }, (_, index) => fleet.start(`vm-${index}`));
+    const ids = Array.from({ length: count }, (_, index) => `t${index}`);
+    for (let index = 0; index < count; index += 1) {
+      const writer = writers[index % vms]!;
+      expect(await fleet.runTurn(writer, ids[index]!, ids[index - 1], runMs)).toBe(true);
+      await fleet.advance(spanMs);
+      fleet.dropHistory();
+      expect(await fleet.find(ids[index]!)).toBe(ids.slice(0, index + 1).join(' '));
+    }
+    await fleet.advance(turnFleet.RETENTION_MS - spanMs);
+    fleet.dropHistory();
+    expect(await fleet.find(ids.at(-1)!)).toBe(ids.join(' '));
+    await fleet.advance(REMOVED_WITHIN_MS);
+    expect(await fleet.recordCount()).toBe(0);
+  });
+
+  test('a short conversation costs no message while it is young, and is kept as long', async () => {
+    const fleet = createFleet();
+    const writers = ['a', 'b', 'c'].map((name) => fleet.start(name));
+    await fleet.runTurn(writers[0]!, 't1');
+    await fleet.advance(8_000);
+    await fleet.runTurn(writers[1]!, 't2', 't1');
+    await fleet.advance(8_000);
+    await fleet.runTurn(writers[2]!, 't3', 't2');
+    expect(fleet.peers.sent).toEqual([]);
+    await fleet.advance(turnFleet.RETENTION_MS);
+    fleet.dropHistory();
+    expect(await fleet.find('t3')).toBe('t1 t2 t3');
+    // Later one message from each VM to each that wrote a turn before its own.
+    expect(fleet.peers.sent).toHaveLength(3);
+    await fleet.advance(REMOVED_WITHIN_MS);
+    expect(await fleet.recordCount()).toBe(0);
+  });
+
+  test('a process answers over the network which turns it keeps on', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    await keepChain(await createStore(log, 'first'), ['t1']);
+    await createStore(log, 'second');
+    const [first, second] = networks;
+    const turns = ['t1', 't2'].map((id) => ({ turn: id, spanMs: 1 }));
+    const options = { timeoutMs: KEEP_MS };
+    const { address } = first!.self;
+    const answer = await second!.request(address, messages.KEEP_ON, { turns }, options);
+    expect(answer.isOk && answer.value).toEqual({ count: 1 });
+  });
 });
 
+function createFleet(): turnFleet.TurnFleet {
+  const fleet = new turnFleet.TurnFleet();
+  fleets.push(fleet);
+  return fleet;
+}
+
 /** Moves the clock on in steps and lets what is due in each run to its end. */
 async function advance(time: clock.ManualClock, spanMs: clock.Milliseconds): Promise<void> {
   for (let left = spanMs; left > 0; left -= STEP_MS) {
@@ -189,7 +251,7 @@
 
 function turn(id: string, previous?: string, bytes = 0): Turn {
   const content = Buffer.from(`content ${id}`.padEnd(bytes, '.'));
-  return { id, previous, workspace: 'w', content, retentionMs: RETENTION_MS };
+  return { id, previous, workspace: 'w', content, retentionMs: turnFleet.RETENTION_MS };
 }
 
 async function keepChain(
@@ -198,7 +260,10 @@
   bytes = 0,
 ): Promise<void> {
   for (let index = 0; index < ids.length; index += 1) {
-    await store.keep(turn(ids[index]!, ids[index - 1], bytes), KEEP_MS);
+    const previous = ids[index - 1];
+    const history = previous === undefined ? undefined : await store.history(previous, 'w', {});
+    const earlier = history?.isOk ? history.value.turns : [];
+    await store.keep({ ...turn(ids[index]!, previous, bytes), earlier }, KEEP_MS);
   }
 }
 
@@ -216,7 +281,7 @@
   id: string,
 ): Promise<readonly string[]> {
   const result = await store.history(id, 'w', {});
-  return result.isOk ? result.value.map((content) => Buffer.from(content).toString()) : [];
+  return result.isOk ? result.value.contents.map((content) => Buffer.from(content).toString()) : [];
 }
 
 async function createStore(
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -7,9 +7,9 @@
 import * as trueMyth from 'true-myth';
 import * as messages from './messages.js';
 import * as turnLog from './TurnLog.js';
-import type * as turnRecords from './turnRecords.js';
+import * as turnRecords from './turnRecords.js';
 import * as turnRetention from './TurnRetention.js';
-import type { Turn, TurnHints, TurnStore } from './Types.js';
+import type { History, Turn, TurnHints, TurnStore } from './Types.js';
 
 /** The longest chain that is followed. */
 const LONGEST_CHAIN = 512;
@@ -68,7 +68,7 @@
       trueMyth.Result.ok({ turns: [...this.chainAtHand(turn, new Set(held))] }),
     );
     this.retention = new turnRetention.TurnRetention({
-      clock: options.clock,
+      ...options,
       remove: ({ id, size }) => this.log.remove(id, size, REMOVAL_TIMEOUT_MS),
     });
   }
@@ -78,17 +78,20 @@
     turn: string,
     workspace: string,
     hints: TurnHints,
-  ): Promise<trueMyth.Result<readonly Uint8Array[], errors.Fault>> {
+  ): Promise<trueMyth.Result<History, errors.Fault>> {
     const chain = await this.lookUp(turn, hints);
     if (chain.isErr) return trueMyth.Result.err(this.unavailable(turn, chain.error.message));
-    const { missing, turns } = chain.value;
-    if (turns.some((record) => record.workspace !== workspace)) {
+    const { missing, turns: records } = chain.value;
+    if (records.some((record) => record.workspace !== workspace)) {
       return trueMyth.Result.err(this.unknown(turn, 'it belongs to another workspace'));
     }
     if (missing !== undefined) {
       return trueMyth.Result.err(this.unknown(turn, `${missing} is not kept`));
     }
-    return trueMyth.Result.ok(turns.map(({ content }) => content).reverse());
+    const turns = records.map((record) => turnRecords.withoutContent(record));
+    if (hints.retentionMs !== undefined) this.retention.keepForRun(turns, hints.retentionMs);
+    const contents = records.map(({ content }) => content).reverse();
+    return trueMyth.Result.ok({ contents, turns });
   }
 
   /** @inheritdoc */
@@ -96,13 +99,16 @@
     turn: Turn,
     timeoutMs: clock.Milliseconds,
   ): Promise<trueMyth.Result<void, errors.Fault>> {
-    const { content, id, previous, workspace } = turn;
-    const earlier = this.positionsBefore(previous);
-    const record = { id, previous, workspace, content, earlier };
+    const { content, earlier: chain = [], id, previous, retentionMs, workspace } = turn;
+    const nearest = chain.slice(0, EARLIER_TURNS);
+    const earlier = nearest.map(({ id: turnId, offset }) => ({ id: turnId, offset }));
+    const writer = this.options.network.self.address;
+    const writtenAt = this.options.clock.timeOfDay();
+    const record = { id, previous, workspace, content, earlier, writer, writtenAt };
     const appended = await this.log.append(record, timeoutMs);
     if (appended.isErr) return trueMyth.Result.err(this.unavailable(id, appended.error.message));
     this.cache.set(id, appended.value);
-    this.retention.keep({ id, size: content.length }, turn.retentionMs);
+    this.retention.keep({ id, size: content.length }, chain, retentionMs);
     return trueMyth.Result.ok(undefined);
   }
 
@@ -113,13 +119,6 @@
     this.served.dispose();
   }
 
-  private positionsBefore(previous: string | undefined): readonly turnRecords.TurnPosition[] {
-    const record = previous === undefined ? undefined : this.cache.get(previous);
-    if (record === undefined) return [];
-    const { earlier, id, offset } = record;
-    return [{ id, offset }, ...earlier].slice(0, EARLIER_TURNS);
-  }
-
   private lookUp(turn: string, hints: TurnHints): Promise<keyedLog.LogResult<Chain>> {
     const running = this.lookUps.get(turn);
     if (running !== undefined) return running;
--- a/packages/turns/src/messages.ts
+++ b/packages/turns/src/messages.ts
@@ -16,3 +16,28 @@
   request: REQUEST,
   response: RESPONSE,
 };
+
+const KEEP_ON_REQUEST = zod.object({
+  turns: zod.array(
+    zod.object({
+      turn: zod.string(),
+      /** How long the turn is needed from now on, in milliseconds. */
+      spanMs: zod.number(),
+    }),
+  ),
+});
+
+const KEEP_ON_RESPONSE = zod.object({
+  /** How many of the turns the process still holds. */
+  count: zod.number(),
+});
+
+/** Tells the process that wrote turns to keep them on, since later turns need them. */
+export const KEEP_ON: wire.PeerMethod<
+  zod.infer<typeof KEEP_ON_REQUEST>,
+  zod.infer<typeof KEEP_ON_RESPONSE>
+> = {
+  name: 'turns.keep-on',
+  request: KEEP_ON_REQUEST,
+  response: KEEP_ON_RESPONSE,
+};
--- /dev/null
+++ b/packages/turns/src/testing/TurnFleet.ts
@@ -0,0 +1,116 @@
+import * as clock from '@limpettack/clock';
+import * as keyedLog from '@limpettack/keyed-log';
+import * as keyedLogTesting from '@limpettack/keyed-log/testing';
+import type * as lifetime from '@limpettack/lifetime';
+import * as logging from '@limpettack/logging';
+import * as loggedTurnStore from '../LoggedTurnStore.js';
+import * as memoryPeers from './MemoryPeers.js';
+
+const PARTITIONS = 4;
+
+/** Time for a turn to be kept. */
+const KEEP_MS = 500;
+
+/** Steps in which the clock is moved on. */
+const STEP_MS = 500;
+
+/** How long turns are kept, as on the users' sites. */
+export const RETENTION_MS = 60_000;
+
+/** Processes that keep turns in one log, by a clock that tests move on. */
+export class TurnFleet implements lifetime.Disposable {
+  public readonly log = new keyedLogTesting.MemoryKeyedLog();
+
+  public readonly time = new clock.ManualClock();
+
+  public readonly peers = new memoryPeers.MemoryPeers();
+
+  private readonly stores: loggedTurnStore.LoggedTurnStore[] = [];
+
+  /** Starts a process without memory; its time of day may differ from that of others. */
+  public start(name: string, timeOfDayShiftMs = 0): loggedTurnStore.LoggedTurnStore {
+    const time = Object.create(this.time) as clock.Clock;
+    time.now = () => this.time.now();
+    time.timeOfDay = () => this.time.timeOfDay() + timeOfDayShiftMs;
+    time.startTimer = (spanMs, onEnd) => this.time.startTimer(spanMs, onEnd);
+    const store = new loggedTurnStore.LoggedTurnStore({
+      log: this.log,
+      network: this.peers.connect(name),
+      clock: time,
+      logger: new logging.PartLogger('test'),
+      producer: `${name}.${this.stores.length}`,
+      partitionCount: PARTITIONS,
+      recordBytes: 4_096,
+      cacheBytes: 1_000_000,
+    });
+    this.stores.push(store);
+    return store;
+  }
+
+  /** Runs a turn as the gateway does: reads the history, then keeps what came. */
+  public async runTurn(
+    store: loggedTurnStore.LoggedTurnStore,
+    id: string,
+    previous?: string,
+    runMs: clock.Milliseconds = 0,
+  ): Promise<boolean> {
+    const retentionMs = RETENTION_MS;
+    const history =
+      previous === undefined ? undefined : await store.history(previous, 'w', { retentionMs });
+    if (history?.isErr) return false;
+    const earlier = history?.value.turns;
+    await this.advance(runMs);
+    const content = Buffer.from(id);
+    const turn = { id, previous, earlier, workspace: 'w', content, retentionMs };
+    return (await store.keep(turn, KEEP_MS)).isOk;
+  }
+
+  /** The contents up to a turn that a process without memory finds, or why it finds none. */
+  public async find(turn: string): Promise<string> {
+    const store = this.start('observer');
+    const history = await store.history(turn, 'w', {});
+    store.dispose();
+    if (history.isErr) return history.error.kind;
+    return history.value.contents.map((content) => Buffer.from(content).toString()).join(' ');
+  }
+
+  /** Moves the clock on and lets what is due meanwhile run to its end. */
+  public async advance(spanMs: clock.Milliseconds): Promise<void> {
+    for (let left = spanMs; left > 0; left -= STEP_MS) {
+      this.time.advance(Math.min(left, STEP_MS));
+      await settled();
+    }
+  }
+
+  /** Has the log drop the history of all partitions; the newest record of each key stays. */
+  public dropHistory(): void {
+    this.partitions().forEach((partition) => this.log.compact(partition));
+  }
+
+  /** Records that the log keeps for good. */
+  public async recordCount(): Promise<number> {
+    const pages = await Promise.all(
+      this.partitions().map((partition) => this.log.newest(partition)),
+    );
+    return pages.reduce((sum, page) => sum + (page.isOk ? page.value.records.length : 0), 0);
+  }
+
+  /** @inheritdoc */
+  public dispose(): void {
+    this.stores.forEach((store) => store.dispose());
+  }
+
+  private partitions(): readonly keyedLog.PartitionName[] {
+    return Array.from({ length: PARTITIONS }, (_, partition) => ({
+      topic: 'kept-turns',
+      partition,
+    }));
+  }
+}
+
+/** Lets all run that does not wait for the clock. */
+function settled(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
--- a/packages/turns/src/turnRecords.ts
+++ b/packages/turns/src/turnRecords.ts
@@ -3,13 +3,21 @@
 
 const BYTES = zod.custom<Uint8Array>((value) => value instanceof Uint8Array);
 
+/** Who wrote a turn, and when. Records of earlier releases do not say so. */
+const ORIGIN = zod.object({
+  /** The address of the VM that wrote the turn and removes it. */
+  writer: zod.string().optional(),
+  /** The writer's time of day in milliseconds; a hint, since clocks differ and jump. */
+  writtenAt: zod.number().optional(),
+});
+
 const POSITION = zod.object({
   id: zod.string(),
   /** Of the record with the turn's content, in the partition of the turn's id. */
   offset: zod.number().int().nonnegative(),
 });
 
-const CONTENT = zod.object({
+const CONTENT = ORIGIN.extend({
   id: zod.string(),
   previous: zod.string().optional(),
   workspace: zod.string(),
@@ -25,6 +33,9 @@
 /** Where a turn lies in the log. */
 export type TurnPosition = zod.infer<typeof POSITION>;
 
+/** Where a turn lies, who wrote it, and when. */
+export type EarlierTurn = TurnPosition & zod.infer<typeof ORIGIN>;
+
 /** A turn as the log holds it. */
 export type ContentRecord = zod.infer<typeof CONTENT>;
 
@@ -37,6 +48,11 @@
 /** Marks that a turn is kept. Its content lies right before it. */
 export const MARKER: Uint8Array = Buffer.from([1]);
 
+/** A turn without its content. */
+export function withoutContent({ id, offset, writer, writtenAt }: TurnRecord): EarlierTurn {
+  return { id, offset, writer, writtenAt };
+}
+
 export function encodeContent(record: ContentRecord): Uint8Array {
   return msgpackr.pack(record);
 }
