--- a/packages/turns/src/testing/TurnFleet.ts
+++ b/packages/turns/src/testing/TurnFleet.ts
@@ -40,7 +40,7 @@
       logger: new logging.PartLogger('test'),
       producer: `${name}.${this.stores.length}`,
       partitionCount: PARTITIONS,
-      recordBytes: 4_096,
+      recordBytes: 16_384,
       cacheBytes: 1_000_000,
     });
     this.stores.push(store);
--- a/packages/turns/src/turnRecords.test.ts
+++ b/packages/turns/src/turnRecords.test.ts
@@ -23,7 +23,7 @@
 
   test('a record says who wrote the turn, and when', () => {
     const written = { ...EARLIER_RELEASE, writer: 'vm-1:80', writtenAt: 1_800_000_000_000 };
-    const record = turnRecords.decodeContent(turnRecords.encodeContent(written));
+    const record = turnRecords.decodeContent(turnRecords.encode(written));
     expect(record).toMatchObject({ writer: 'vm-1:80', writtenAt: 1_800_000_000_000 });
   });
 
