Say that nothing was sent to a peer whose address is malformed

Callers would see nothing; background tasks failed without a line that names the peer. A request to an address that is no URL threw instead of giving a failure. Records of turns name the address of their writer, so such an address may come from the log, and the message that keeps turns on is not awaited: its rejection would have been unhandled, once a second while the turn is needed, and the VM never noted as one that could not be told.

Evidence, by a test: of four malformed addresses three threw ("Invalid URL", "The URL contains a fragment identifier"), the empty one did not. After: all four give "not sent". Ruled out: a catch in each caller, since the look-up of a turn at its writer has the same gap.

--- a/packages/wire/src/FleetNetwork.test.ts
+++ b/packages/wire/src/FleetNetwork.test.ts
@@ -163,6 +163,16 @@
     expect(values.at(-1)).toBe(999);
   });
 
+  test.each(['', 'no address', '127.0.0.1:99999', 'vm-1:80/#part'])(
+    'says that nothing was sent to an address that is malformed (%j)',
+    async (address) => {
+      const { network } = await startNetwork('a');
+      const options = { timeoutMs: TIMEOUT_MS };
+      const result = await network.request(address, DOUBLE, { value: 1 }, options);
+      expect(result.isErr && result.error.kind).toBe(peerFailures.PEER_FAILURES.NOT_SENT);
+    },
+  );
+
   test('gives up in time on a peer that accepts connections and stays silent', async () => {
     const { network } = await startNetwork('a');
     const silent = net.createServer();
--- a/packages/wire/src/handshakes.ts
+++ b/packages/wire/src/handshakes.ts
@@ -27,11 +27,8 @@
   self: PeerIdentity,
   secret: string,
 ): Promise<ProvenConnection | undefined> {
-  const socket = new ws.WebSocket(`ws://${address}${PEER_PATH}`, {
-    handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
-    maxPayload: MAXIMUM_MESSAGE_BYTES,
-    perMessageDeflate: false,
-  });
+  const socket = connect(address);
+  if (socket === undefined) return undefined;
   const inbox = new messageInbox.MessageInbox(socket);
   if (!(await opened(socket))) return undefined;
   const openerNonce = handshake.createNonce();
@@ -51,6 +48,20 @@
   return { socket, inbox, peer: challenge.identity };
 }
 
+/** Begins to connect; nothing when the address is malformed. Addresses come from others. */
+function connect(address: string): ws.WebSocket | undefined {
+  try {
+    return new ws.WebSocket(`ws://${address}${PEER_PATH}`, {
+      handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+      maxPayload: MAXIMUM_MESSAGE_BYTES,
+      perMessageDeflate: false,
+    });
+  } catch {
+    // The caller is told that there is no link, as with an address that nobody has.
+    return undefined;
+  }
+}
+
 /** Accepts a connection's handshake; nothing when the opener does not prove itself. */
 export async function acceptHandshake(
   socket: ws.WebSocket,
