Keep a chain on for as long as the turn that goes on from it may run

Callers would see 404 after a turn that ran for longer than two thirds of the retention (LOST): the turns before it were removed while it ran.

Cause: when a turn begins, only those of its chain that are older than a third of the retention were kept on, and only for a retention. A turn before it that was younger went 63 s after its record. The gateway now says how long the turn may run at most, and what would be over by then is kept on from the begin. A third is left for ages that are wrong. Nothing changes for turns that may run for up to a third.

Evidence, by tests and not by an incident: 8 turns at 3 VMs that run for 50 s each, and 6 at 2 VMs that run for 90 s.

A further test shows what short conversations cost: 40 conversations of 5 turns in 8 s at 5 VMs send nothing while they run, and one message from each VM to each other later, 20 in all.

Tests that changed: Gateway.test expects the new hint as well. No check was taken out.

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -206,7 +206,9 @@
     await gateway.handle(next, reply);
     expect(reply.outcome).toBe('ended');
     expect(Buffer.from(transport.sent[0]!.request.body).toString()).toBe('before;body');
-    expect(hints).toEqual([{ writer: undefined, retentionMs: RETENTION_MS }]);
+    expect(hints).toEqual([
+      { writer: undefined, retentionMs: RETENTION_MS, mostRunMs: PATIENCE_MS },
+    ]);
     expect(kept).toHaveLength(1);
     expect(kept[0]).toMatchObject({ earlier: EARLIER, previous: 't1', retentionMs: RETENTION_MS });
   });
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -216,14 +216,18 @@
     covered: Promise<boolean> | undefined,
     readyBy: clock.Milliseconds,
   ): Promise<trueMyth.Result<streamCall.StreamPlan, errors.Fault>> {
-    const { call, pool, route, workspace } = context;
+    const { call, deadline, pool, route, workspace } = context;
     const tokensPerEvent = this.parts.tables.current?.pools.get(pool)?.tokensPerEvent ?? 1;
     const previous = route.keepsTurns ? call.place?.previousTurn : undefined;
     const recordUse = (tokens: number, timeoutMs: number): Promise<boolean> =>
       this.recordUse(call, tokens, timeoutMs);
     const shared = { tokensPerEvent, covered, recordUse };
     if (previous === undefined) return trueMyth.Result.ok({ body: call.body, ...shared });
-    const hints = { writer: grant.writer, retentionMs: route.retentionMs };
+    const hints = {
+      writer: grant.writer,
+      retentionMs: route.retentionMs,
+      mostRunMs: deadline - this.parts.clock.now(),
+    };
     const reading = this.parts.turns.history(previous, workspace?.name ?? '', hints);
     // The look-up goes on when the turn is refused, and the next attempt finds what it has read.
     const history = await this.waitFor(call, waitBounds.WAITS.HISTORY, readyBy, reading);
--- a/packages/turns/src/ForeignTurns.ts
+++ b/packages/turns/src/ForeignTurns.ts
@@ -24,7 +24,7 @@
 /** A turn that its writer has to keep on. */
 export interface NeededTurn {
   readonly id: string;
-  /** When a turn that goes on from it was kept last. */
+  /** When a turn that goes on from it was kept last, or ends at the latest. */
   readonly neededFrom: clock.Milliseconds;
   /** How much longer it has to be kept. */
   readonly spanMs: clock.Milliseconds;
@@ -60,21 +60,25 @@
     return this.writers.size === 0;
   }
 
-  /** Notes that a turn has to be kept for a retention from now on; true if that is to be told now. */
+  /**
+   * Notes that a turn has to be kept for a retention, from now on or from a later time; true if that
+   * is to be told now.
+   */
   public need(
     { ageMs, id, writer }: ForeignTurn,
     retentionMs: clock.Milliseconds,
     now: clock.Milliseconds,
+    neededFrom = now,
   ): boolean {
     const { needs } = this.writerAt(writer);
     const known: Need = needs.get(id) ?? {
       id,
       retentionMs,
       keptFrom: now - ageMs,
-      neededFrom: now,
+      neededFrom,
     };
     known.retentionMs = Math.max(known.retentionMs, retentionMs);
-    known.neededFrom = now;
+    known.neededFrom = Math.max(known.neededFrom, neededFrom);
     needs.set(id, known);
     return isLate(known, now);
   }
--- a/packages/turns/src/KeepOnTeller.ts
+++ b/packages/turns/src/KeepOnTeller.ts
@@ -26,10 +26,14 @@
 
   public constructor(private readonly options: KeepOnTellerOptions) {}
 
-  /** Has turns of other VMs kept for a retention from now on. Returns at once. */
-  public need(turns: readonly foreignTurns.ForeignTurn[], retentionMs: clock.Milliseconds): void {
+  /** Has turns of other VMs kept for a retention, which begins after a delay. Returns at once. */
+  public need(
+    turns: readonly foreignTurns.ForeignTurn[],
+    retentionMs: clock.Milliseconds,
+    delayMs: clock.Milliseconds,
+  ): void {
     const now = this.options.clock.now();
-    const due = turns.filter((turn) => this.foreign.need(turn, retentionMs, now));
+    const due = turns.filter((turn) => this.foreign.need(turn, retentionMs, now, now + delayMs));
     if (due.length > 0) this.look();
     else if (this.next === undefined) this.scheduleLook();
   }
--- a/packages/turns/src/LoggedTurnStore.test.ts
+++ b/packages/turns/src/LoggedTurnStore.test.ts
@@ -179,6 +179,8 @@
     [60, 5, 3_000, 0],
     [8, 3, 59_000, 0],
     [8, 3, 35_000, 30_000],
+    [8, 3, 15_000, 50_000],
+    [6, 2, 5_000, 90_000],
   ])('%d turns at %d VMs, one in %d ms, are kept together', async (count, vms, spanMs, runMs) => {
     const fleet = createFleet();
     const writers = Array.from({ length: vms }, (_, index) => fleet.start(`vm-${index}`));
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -92,7 +92,8 @@
       return trueMyth.Result.err(this.unavailable(turn, 'The chain is too long.'));
     }
     const turns = records.map((record) => turnRecords.withoutContent(record));
-    if (hints.retentionMs !== undefined) this.retention.keepForRun(turns, hints.retentionMs);
+    const { mostRunMs, retentionMs } = hints;
+    if (retentionMs !== undefined) this.retention.keepForRun(turns, retentionMs, mostRunMs);
     const contents = records.map(({ content }) => content).reverse();
     return trueMyth.Result.ok({ contents, turns });
   }
--- a/packages/turns/src/TurnRetention.test.ts
+++ b/packages/turns/src/TurnRetention.test.ts
@@ -91,6 +91,24 @@
     expect(keepOnCount(fleet)).toBeLessThanOrEqual(2 * thirds);
   });
 
+  test('many short conversations share their messages', async () => {
+    const fleet = createFleet();
+    const stores = ['a', 'b', 'c', 'd', 'e'].map((name) => fleet.start(name));
+    for (let step = 0; step < 5; step += 1) {
+      for (let line = 0; line < 40; line += 1) {
+        const previous = step === 0 ? undefined : `${line}/${step - 1}`;
+        const store = stores[(line + step) % stores.length]!;
+        expect(await fleet.runTurn(store, `${line}/${step}`, previous)).toBe(true);
+      }
+      await fleet.advance(2_000);
+    }
+    expect(keepOnCount(fleet)).toBe(0);
+    await fleet.advance(2 * turnFleet.RETENTION_MS);
+    // Each VM tells each other one once: all turns of all conversations go with the first.
+    expect(keepOnCount(fleet)).toBe(stores.length * (stores.length - 1));
+    expect(await fleet.recordCount()).toBe(0);
+  });
+
   test('a conversation at one VM costs no message', async () => {
     const fleet = createFleet();
     await runConversation(fleet, [fleet.start('a')], 20);
--- a/packages/turns/src/TurnRetention.ts
+++ b/packages/turns/src/TurnRetention.ts
@@ -63,16 +63,19 @@
     this.keepOn(chain, retentionMs);
   }
 
-  /** Keeps a chain on for a turn that begins: it may end when turns are over that are old already. */
+  /**
+   * Keeps a chain on for a turn that begins: it may end when turns are over that are old already, or
+   * that are young when it runs for long. A third is left for ages that are wrong, and to tell others.
+   */
   public keepForRun(
     chain: readonly turnRecords.EarlierTurn[],
     retentionMs: clock.Milliseconds,
+    mostRunMs: clock.Milliseconds = 0,
   ): void {
-    const oldest = foreignTurns.KEEP_ON_SHARE * retentionMs;
-    this.keepOn(
-      chain.filter((turn) => this.ageOf(turn) >= oldest),
-      retentionMs,
-    );
+    const thirdMs = foreignTurns.KEEP_ON_SHARE * retentionMs;
+    const leastAgeMs = Math.min(thirdMs, retentionMs - thirdMs - mostRunMs);
+    const endangered = chain.filter((turn) => this.ageOf(turn) >= leastAgeMs);
+    this.keepOn(endangered, retentionMs, Math.max(0, mostRunMs - retentionMs));
   }
 
   /** @inheritdoc */
@@ -82,17 +85,22 @@
     this.served.dispose();
   }
 
-  private keepOn(turns: readonly turnRecords.EarlierTurn[], retentionMs: clock.Milliseconds): void {
+  /** Keeps turns on for a retention, which begins only after a delay. */
+  private keepOn(
+    turns: readonly turnRecords.EarlierTurn[],
+    retentionMs: clock.Milliseconds,
+    delayMs: clock.Milliseconds = 0,
+  ): void {
     const foreign: foreignTurns.ForeignTurn[] = [];
     turns.forEach((turn) => {
       const { id, writer } = turn;
       if (writer === undefined || writer === this.options.network.self.address) {
-        this.keepOnOwn(id, retentionMs);
+        this.keepOnOwn(id, delayMs + retentionMs);
       } else {
         foreign.push({ id, writer, ageMs: this.ageOf(turn) });
       }
     });
-    this.teller.need(foreign, retentionMs);
+    this.teller.need(foreign, retentionMs, delayMs);
   }
 
   private keepOnOwn(id: string, spanMs: clock.Milliseconds): boolean {
--- a/packages/turns/src/Types.ts
+++ b/packages/turns/src/Types.ts
@@ -24,6 +24,8 @@
   readonly writer?: string | undefined;
   /** How long the turn that goes on from it will be kept; the chain is kept on until it ends. */
   readonly retentionMs?: clock.Milliseconds | undefined;
+  /** How long that turn may run at most. */
+  readonly mostRunMs?: clock.Milliseconds | undefined;
 }
 
 /** A chain of turns. */
--- a/packages/turns/src/testing/TurnFleet.ts
+++ b/packages/turns/src/testing/TurnFleet.ts
@@ -55,8 +55,8 @@
     runMs: clock.Milliseconds = 0,
   ): Promise<boolean> {
     const retentionMs = RETENTION_MS;
-    const history =
-      previous === undefined ? undefined : await store.history(previous, 'w', { retentionMs });
+    const hints = { retentionMs, mostRunMs: runMs };
+    const history = previous === undefined ? undefined : await store.history(previous, 'w', hints);
     if (history?.isErr) return false;
     const earlier = history?.value.turns;
     await this.advance(runMs);
