Tell nobody to keep turns on after the process has stopped

Nothing changes for callers. A look-up goes on after its turn was refused, and so may end after the stop of its process; it then started a timer that nobody cancels, and sent messages over a network that is closed.

Evidence, by a test: a look-up that ends after the stop, of a turn that is 30 s old. Before: "Expected 0, Received 1" messages.

--- a/packages/turns/src/KeepOnTeller.ts
+++ b/packages/turns/src/KeepOnTeller.ts
@@ -24,6 +24,8 @@
 
   private next: clock.Timer | undefined;
 
+  private isStopped = false;
+
   public constructor(private readonly options: KeepOnTellerOptions) {}
 
   /** Has turns of other VMs kept for a retention, which begins after a delay. Returns at once. */
@@ -32,6 +34,8 @@
     retentionMs: clock.Milliseconds,
     delayMs: clock.Milliseconds,
   ): void {
+    // Look-ups go on after a stop, and nobody would cancel the timer that they start.
+    if (this.isStopped) return;
     const now = this.options.clock.now();
     const due = turns.filter((turn) => this.foreign.need(turn, retentionMs, now, now + delayMs));
     if (due.length > 0) this.look();
@@ -40,6 +44,7 @@
 
   /** @inheritdoc */
   public dispose(): void {
+    this.isStopped = true;
     this.next?.cancel();
   }
 
--- a/packages/turns/src/TurnRetention.test.ts
+++ b/packages/turns/src/TurnRetention.test.ts
@@ -109,6 +109,18 @@
     expect(await fleet.recordCount()).toBe(0);
   });
 
+  test('a VM that has stopped sends nothing more, also for a look-up that ends after it', async () => {
+    const fleet = createFleet();
+    const [a, b] = [fleet.start('a'), fleet.start('b')];
+    await fleet.runTurn(a, 't1');
+    await fleet.advance(turnFleet.RETENTION_MS / 2);
+    const last = fleet.runTurn(b, 't2', 't1');
+    b.dispose();
+    await last;
+    await fleet.advance(2 * turnFleet.RETENTION_MS);
+    expect(keepOnCount(fleet)).toBe(0);
+  });
+
   test('a conversation at one VM costs no message', async () => {
     const fleet = createFleet();
     await runConversation(fleet, [fleet.start('a')], 20);
