Tell a VM that does not answer less often to keep turns on

Nothing changes for callers. A VM told each VM that it could not reach every second for as long as its turns were needed, a minute and more, each time with a new connection. When many VMs go at once, as an area that fails, every other VM would dial each of them every second. It now waits 1, 2, then 4 s between tries, and 1 s again after an answer.

The price: a VM that can be reached again hears of its turns up to 4 s later, so 39 s instead of 43 s are left for a VM that cannot be reached.

--- a/packages/turns/src/ForeignTurns.test.ts
+++ b/packages/turns/src/ForeignTurns.test.ts
@@ -36,6 +36,18 @@
     expect(turns.takeDue(5 * RETRY_MS)).toEqual([]);
   });
 
+  test('a VM that does not answer is told less and less often, and at once again when it has', () => {
+    const turns = new foreignTurns.ForeignTurns();
+    need(turns, 't1', THIRD_MS, 0);
+    const times = Array.from({ length: 20 }, (_, second) => second * RETRY_MS);
+    const told = times.filter((now) => turns.takeDue(now).length > 0);
+    expect(told).toEqual([0, 1_000, 3_000, 7_000, 11_000, 15_000, 19_000]);
+    const [taken] = turns.takeDue(23_000);
+    turns.noteTaken(taken!);
+    need(turns, 't2', THIRD_MS, 24_000);
+    expect(named(turns.takeDue(24_000))).toEqual(['t2']);
+  });
+
   test('a turn that is needed again after it was told is told a third of its retention later', () => {
     const turns = new foreignTurns.ForeignTurns();
     need(turns, 't1', THIRD_MS, 0);
--- a/packages/turns/src/ForeignTurns.ts
+++ b/packages/turns/src/ForeignTurns.ts
@@ -9,6 +9,12 @@
 /** Between two messages to one VM; what comes meanwhile shares the next one. */
 const ASK_INTERVAL_MS = 1_000;
 
+/**
+ * The time between two messages doubles up to this while a VM does not answer. Many VMs may be gone at
+ * once; one that returns still hears of its turns well within the two thirds that are left to tell it.
+ */
+const LONGEST_ASK_INTERVAL_MS = 4_000;
+
 /** Turns named in one message at most. */
 const TURNS_PER_MESSAGE = 1_000;
 
@@ -48,7 +54,11 @@
 
 interface Writer {
   readonly needs: Map<string, Need>;
+  /** Whether it has not taken what it was told last. */
+  isUnanswered: boolean;
   askedAt: clock.Milliseconds;
+  /** Until it is told again. */
+  restMs: clock.Milliseconds;
 }
 
 /** Which turns of other VMs have to be kept on, and when those VMs are to be told. */
@@ -89,23 +99,30 @@
    */
   public takeDue(now: clock.Milliseconds): readonly DueTurns[] {
     const due: DueTurns[] = [];
-    this.writers.forEach(({ askedAt, needs }, writer) => {
-      const isRested = now - askedAt >= ASK_INTERVAL_MS;
+    this.writers.forEach(({ askedAt, needs, restMs }, writer) => {
+      const isRested = now - askedAt >= restMs;
       if (isRested && [...needs.values()].some((need) => isOpen(need) && isLate(need, now))) {
         due.push({ writer, turns: openTurns(needs, now) });
       }
     });
     due.forEach(({ writer }) => {
-      this.writerAt(writer).askedAt = now;
+      const asked = this.writerAt(writer);
+      if (asked.isUnanswered) asked.restMs = Math.min(2 * asked.restMs, LONGEST_ASK_INTERVAL_MS);
+      asked.isUnanswered = true;
+      asked.askedAt = now;
     });
     return due;
   }
 
   /** Notes that a VM has taken what it was told. */
   public noteTaken({ turns, writer }: DueTurns): void {
-    const needs = this.writers.get(writer)?.needs;
+    const told = this.writers.get(writer);
+    if (told === undefined) return;
+    const { needs } = told;
+    told.isUnanswered = false;
+    told.restMs = ASK_INTERVAL_MS;
     turns.forEach(({ id, neededFrom }) => {
-      const need = needs?.get(id);
+      const need = needs.get(id);
       if (need === undefined) return;
       need.keptFrom = Math.max(need.keptFrom, neededFrom);
       need.toldFrom = neededFrom;
@@ -128,7 +145,12 @@
   private writerAt(address: string): Writer {
     const known = this.writers.get(address);
     if (known !== undefined) return known;
-    const created = { needs: new Map<string, Need>(), askedAt: -Infinity };
+    const created = {
+      needs: new Map<string, Need>(),
+      askedAt: -Infinity,
+      isUnanswered: false,
+      restMs: ASK_INTERVAL_MS,
+    };
     this.writers.set(address, created);
     return created;
   }
