--- a/packages/keyed-log/src/testing/MemoryKeyedLog.ts
+++ b/packages/keyed-log/src/testing/MemoryKeyedLog.ts
@@ -14,11 +14,18 @@
   StoredRecord,
 } from '../Types.js';
 
-/** The size of a read that names none, in bytes. */
-const READ_BYTES = 1_024 * 1_024;
+/** Records of one listing at most, from the platform's pages on its store. */
+const LISTED_RECORDS = 500;
+
+/** Bytes of the keys and values of one listing at most (1 MB), from the same pages. */
+const LISTED_BYTES = 1_048_576;
+
+/** Bytes of one read at most where it asks for no size (1,024 KB), from the same pages. */
+const READ_BYTES = 1_048_576;
 
 interface StoredPartition {
   readonly records: StoredRecord[];
+  readonly newest: Map<string, StoredRecord>;
   readonly receipts: Map<string, AppendReceipt>;
   /** Records before this offset can only be had as the newest of their key. */
   firstOffset: number;
@@ -35,10 +42,8 @@
   /** Appends take effect though the answer is lost while this is set. */
   public losesAnswers = false;
 
-  /** Records of a listing at most, and their size in bytes. */
-  public pageSize = 500;
-
-  public pageBytes = 1_000_000;
+  /** Records of one listing at most. */
+  public pageSize = LISTED_RECORDS;
 
   public appendCount = 0;
 
@@ -69,14 +74,13 @@
     const failure = this.takeFailure();
     if (failure !== undefined) return fail(failure);
     const partition = this.partition(name);
-    const byKey = new Map(partition.records.map((record) => [record.key, record]));
-    const records = [...byKey.values()]
+    const records = [...partition.newest.values()]
       .filter(({ key, value }) => value !== undefined && key > after)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
-    const page = takeBytes(records.slice(0, this.pageSize), this.pageBytes);
+    const listed = takeWithin(records.slice(0, this.pageSize), LISTED_BYTES);
     return trueMyth.Result.ok({
-      records: page,
-      hasMore: records.length > page.length,
+      records: listed,
+      hasMore: records.length > listed.length,
       endOffset: partition.records.length,
     });
   }
@@ -85,7 +89,7 @@
   public async read(
     name: PartitionName,
     from: number,
-    { maximumBytes }: Partial<ReadOptions> = {},
+    { maximumBytes = READ_BYTES }: Partial<ReadOptions> = {},
   ): Promise<LogResult<ReadPage>> {
     this.readCount += 1;
     const failure = this.takeFailure();
@@ -93,7 +97,7 @@
     const partition = this.partition(name);
     if (from < partition.firstOffset) return fail(logFailures.LOG_FAILURES.EXPIRED);
     return trueMyth.Result.ok({
-      records: takeBytes(partition.records.slice(from), maximumBytes ?? READ_BYTES),
+      records: takeWithin(partition.records.slice(from), maximumBytes),
       firstOffset: partition.firstOffset,
       endOffset: partition.records.length,
     });
@@ -112,9 +116,11 @@
   ): AppendReceipt | undefined {
     const firstOffset = partition.records.length;
     if (options.expectedEnd !== undefined && options.expectedEnd !== firstOffset) return undefined;
-    records.forEach((record) =>
-      partition.records.push({ ...record, offset: partition.records.length }),
-    );
+    records.forEach((record) => {
+      const stored = { ...record, offset: partition.records.length };
+      partition.records.push(stored);
+      partition.newest.set(record.key, stored);
+    });
     return { firstOffset, endOffset: partition.records.length };
   }
 
@@ -122,7 +128,12 @@
     const id = `${name.topic}/${name.partition}`;
     const known = this.partitions.get(id);
     if (known !== undefined) return known;
-    const created: StoredPartition = { records: [], receipts: new Map(), firstOffset: 0 };
+    const created: StoredPartition = {
+      records: [],
+      newest: new Map(),
+      receipts: new Map(),
+      firstOffset: 0,
+    };
     this.partitions.set(id, created);
     return created;
   }
@@ -132,14 +143,14 @@
   }
 }
 
-/** The first record, and those behind it that fit. */
-function takeBytes(records: readonly StoredRecord[], bytes: number): readonly StoredRecord[] {
-  let size = 0;
-  const end = records.findIndex(({ value }, index) => {
-    size += value?.length ?? 0;
-    return index > 0 && size > bytes;
+/** The first record, and those after it while all together stay within a size in bytes. */
+function takeWithin(records: readonly StoredRecord[], bytes: number): readonly StoredRecord[] {
+  let total = 0;
+  const beyond = records.findIndex(({ key, value }, index) => {
+    total += Buffer.byteLength(key) + (value?.length ?? 0);
+    return index > 0 && total > bytes;
   });
-  return end < 0 ? records : records.slice(0, end);
+  return beyond < 0 ? records : records.slice(0, beyond);
 }
 
 function fail<Value>(kind: LogFailureKind): LogResult<Value> {
