--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -36,6 +36,11 @@
 /** Turns that go on from kept ones at once. */
 const LOAD = 200;
 
+const RETENTION_MS = 60_000;
+
+/** The chain of a turn. */
+const EARLIER = [{ id: 't1', offset: 7, writer: 'vm-1:80', writtenAt: 1_000 }];
+
 /** How far the clock moves at a time. */
 const STEP_MS = 5;
 
@@ -179,6 +184,35 @@
     },
   );
 
+  test('a turn is kept together with the chain that it goes on from', async () => {
+    const hints: turns.TurnHints[] = [];
+    const kept: turns.Turn[] = [];
+    const store: turns.TurnStore = {
+      history: async (_turn, _workspace, given) => {
+        hints.push(given);
+        return trueMyth.Result.ok({ contents: [Buffer.from('before;')], turns: EARLIER });
+      },
+      keep: async (turn) => {
+        kept.push(turn);
+        return trueMyth.Result.ok(undefined);
+      },
+    };
+    const time = new clock.ManualClock();
+    const transport = new scriptedTransport.ScriptedTransport([fixtures.streamEvents([1], 'end')]);
+    const route = { ...KEPT, retentionMs: RETENTION_MS };
+    const { gateway } = standIns.createGateway(transport, route, { clock: time, turns: store });
+    const reply = new recordedReply.RecordedReply();
+    const next = fixtures.createCall(time, standIns.turnOf('program', 't1'));
+    await gateway.handle(next, reply);
+    expect(reply.outcome).toBe('ended');
+    expect(Buffer.from(transport.sent[0]!.request.body).toString()).toBe('before;body');
+    expect(hints).toEqual([
+      { writer: undefined, retentionMs: RETENTION_MS, mostRunMs: PATIENCE_MS },
+    ]);
+    expect(kept).toHaveLength(1);
+    expect(kept[0]).toMatchObject({ earlier: EARLIER, previous: 't1', retentionMs: RETENTION_MS });
+  });
+
   test('a look-up that fails after its turn was refused is told in the log and does no harm', async () => {
     const time = new clock.ManualClock();
     const { gateway, logger, reply, transport } = createHangingLookUp(time, () =>
@@ -196,7 +230,7 @@
   test('nobody waits for the history of a turn whose caller has gone', async () => {
     const time = new clock.ManualClock();
     const { budgets, gateway, reply, transport } = createHangingLookUp(time, () =>
-      time.sleep(300).then(() => trueMyth.Result.ok([])),
+      time.sleep(300).then(() => trueMyth.Result.ok({ contents: [], turns: [] })),
     );
     const caller = new AbortController();
     let isOver = false;
@@ -272,12 +306,18 @@
 
 /** Keeps a turn and one that goes on from it. */
 async function keepTwo(store: turns.TurnStore, index: number): Promise<void> {
-  const kept = { workspace: 'w', retentionMs: 60_000 };
+  const kept = { workspace: 'w', retentionMs: RETENTION_MS };
   const first = `first-${index}`;
   const second = `second-${index}`;
   await store.keep({ ...kept, id: first, content: Buffer.from(`${first};`) }, 100);
   const content = Buffer.from(`${second};`);
-  await store.keep({ ...kept, id: second, previous: first, content }, 100);
+  const history = await store.history(first, 'w', {});
+  const earlier = history.unwrapOrElse(unexpected).turns;
+  await store.keep({ ...kept, id: second, previous: first, earlier, content }, 100);
+}
+
+function unexpected({ kind }: errors.Fault): never {
+  throw new Error(`There should be a history, not ${kind}.`);
 }
 
 /** Sends a turn like a caller that comes back when it is refused as not run. */
@@ -328,7 +368,7 @@
 
 function createHangingLookUp(
   time: clock.Clock,
-  history: () => Promise<trueMyth.Result<readonly Uint8Array[], errors.Fault>>,
+  history: () => Promise<trueMyth.Result<turns.History, errors.Fault>>,
 ): standIns.TestGateway & {
   readonly reply: recordedReply.RecordedReply;
   readonly transport: scriptedTransport.ScriptedTransport;
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -7,8 +7,9 @@
 import * as trueMyth from 'true-myth';
 import * as messages from './messages.js';
 import * as turnLog from './TurnLog.js';
-import type * as turnRecords from './turnRecords.js';
-import type { Turn, TurnHints, TurnStore } from './Types.js';
+import * as turnRecords from './turnRecords.js';
+import * as turnRetention from './TurnRetention.js';
+import type { History, Turn, TurnHints, TurnStore } from './Types.js';
 
 /** The longest chain that is put together. */
 const LONGEST_CHAIN = 4_096;
@@ -28,12 +29,6 @@
 /** Memory that a turn takes beside its content, in bytes. */
 const TURN_OVERHEAD_BYTES = 1_024;
 
-/** Between two rounds of removals. */
-const REMOVAL_INTERVAL_MS = 10_000;
-
-/** Removals of one round at most. */
-const REMOVALS_PER_ROUND = 200;
-
 /** Time for a removal to be appended. */
 const REMOVAL_TIMEOUT_MS = 2_000;
 
@@ -44,12 +39,6 @@
   readonly cacheBytes: number;
 }
 
-interface KeptTurn {
-  readonly id: string;
-  readonly size: number;
-  readonly expiresAt: clock.Milliseconds;
-}
-
 /** The turns of a chain, the newest first, or the turn at which it breaks off. */
 interface Chain {
   readonly turns: readonly turnRecords.TurnRecord[];
@@ -67,10 +56,7 @@
   /** Chains that are being put together. Requests that go on from the same turn share the work. */
   private readonly lookUps = new Map<string, Promise<keyedLog.LogResult<Chain>>>();
 
-  /** Turns that this process wrote, in the order of their writing. */
-  private kept: KeptTurn[] = [];
-
-  private readonly removals: NodeJS.Timeout;
+  private readonly retention: turnRetention.TurnRetention;
 
   public constructor(private readonly options: LoggedTurnStoreOptions) {
     this.cache = new lruCache.LRUCache({
@@ -81,8 +67,10 @@
     this.served = options.network.serve(messages.FETCH_TURNS, async ({ turn, held }) =>
       trueMyth.Result.ok({ turns: [...this.chainAtHand(turn, new Set(held))] }),
     );
-    this.removals = setInterval(() => this.removeExpired(), REMOVAL_INTERVAL_MS);
-    this.removals.unref();
+    this.retention = new turnRetention.TurnRetention({
+      ...options,
+      remove: ({ id, size }) => this.log.remove(id, size, REMOVAL_TIMEOUT_MS),
+    });
   }
 
   /** @inheritdoc */
@@ -90,20 +78,24 @@
     turn: string,
     workspace: string,
     hints: TurnHints,
-  ): Promise<trueMyth.Result<readonly Uint8Array[], errors.Fault>> {
+  ): Promise<trueMyth.Result<History, errors.Fault>> {
     const chain = await this.lookUp(turn, hints);
     if (chain.isErr) return trueMyth.Result.err(this.unavailable(turn, chain.error.message));
-    const { missing, turns } = chain.value;
-    if (turns.some((record) => record.workspace !== workspace)) {
+    const { missing, turns: records } = chain.value;
+    if (records.some((record) => record.workspace !== workspace)) {
       return trueMyth.Result.err(this.unknown(turn, 'it belongs to another workspace'));
     }
     if (missing !== undefined) {
       return trueMyth.Result.err(this.unknown(turn, `${missing} is not kept`));
     }
-    if (turns.at(-1)?.previous !== undefined) {
+    if (records.at(-1)?.previous !== undefined) {
       return trueMyth.Result.err(this.unavailable(turn, 'The chain is too long.'));
     }
-    return trueMyth.Result.ok(turns.map(({ content }) => content).reverse());
+    const turns = records.map((record) => turnRecords.withoutContent(record));
+    const { mostRunMs, retentionMs } = hints;
+    if (retentionMs !== undefined) this.retention.keepForRun(turns, retentionMs, mostRunMs);
+    const contents = records.map(({ content }) => content).reverse();
+    return trueMyth.Result.ok({ contents, turns });
   }
 
   /** @inheritdoc */
@@ -111,31 +103,26 @@
     turn: Turn,
     timeoutMs: clock.Milliseconds,
   ): Promise<trueMyth.Result<void, errors.Fault>> {
-    const { content, id, previous, workspace } = turn;
-    const earlier = this.positionsBefore(previous);
-    const record = { id, previous, workspace, content, earlier };
+    const { content, earlier: chain = [], id, previous, retentionMs, workspace } = turn;
+    const nearest = chain.slice(0, EARLIER_TURNS);
+    const earlier = nearest.map(({ id: turnId, offset }) => ({ id: turnId, offset }));
+    const writer = this.options.network.self.address;
+    const writtenAt = this.options.clock.timeOfDay();
+    const record = { id, previous, workspace, content, earlier, writer, writtenAt };
     const appended = await this.log.append(record, timeoutMs);
     if (appended.isErr) return trueMyth.Result.err(this.unavailable(id, appended.error.message));
     this.cache.set(id, appended.value);
-    const expiresAt = this.options.clock.now() + turn.retentionMs;
-    this.kept.push({ id, size: content.length, expiresAt });
+    this.retention.keep({ id, size: content.length }, chain, retentionMs);
     return trueMyth.Result.ok(undefined);
   }
 
   /** @inheritdoc */
   public dispose(): void {
-    clearInterval(this.removals);
+    this.retention.dispose();
     this.log.dispose();
     this.served.dispose();
   }
 
-  private positionsBefore(previous: string | undefined): readonly turnRecords.TurnPosition[] {
-    const record = previous === undefined ? undefined : this.cache.get(previous);
-    if (record === undefined) return [];
-    const { earlier, id, offset } = record;
-    return [{ id, offset }, ...earlier].slice(0, EARLIER_TURNS);
-  }
-
   private async lookUp(turn: string, hints: TurnHints): Promise<keyedLog.LogResult<Chain>> {
     const joined = await this.lookUps.get(turn);
     // A look-up that began before this request may have missed a turn that was kept since.
@@ -237,16 +224,6 @@
     }
   }
 
-  /** Removes turns from the log whose time is over; only those that this process wrote. */
-  private removeExpired(): void {
-    const now = this.options.clock.now();
-    const live = this.kept.findIndex(({ expiresAt }) => expiresAt > now);
-    const count = Math.min(live < 0 ? this.kept.length : live, REMOVALS_PER_ROUND);
-    this.kept
-      .splice(0, count)
-      .forEach(({ id, size }) => this.log.remove(id, size, REMOVAL_TIMEOUT_MS));
-  }
-
   private logChain(
     turn: string,
     turns: readonly turnRecords.TurnRecord[],
--- a/packages/turns/src/TurnLog.test.ts
+++ b/packages/turns/src/TurnLog.test.ts
@@ -45,9 +45,7 @@
     const log = new measuringLog.MeasuringLog();
     const store = await createStore(log, 'first');
     const ids = Array.from({ length: 20 }, (_, index) => `${index}`.padStart(LONGEST_ID, 'i'));
-    for (let index = 0; index < ids.length; index += 1) {
-      await store.keep(turn(ids[index]!, ids[index - 1], RECORD_BYTES), KEEP_MS);
-    }
+    await keepChain(store, ids, RECORD_BYTES);
     expect(log.largestRecord).toBeLessThanOrEqual(RECORD_BYTES);
   });
 
@@ -56,9 +54,7 @@
     const before = await createStore(log, 'before');
     await keepMuch(before);
     const chain = Array.from({ length: 14 }, (_, index) => `8000${index.toString(16)}`);
-    for (let index = 0; index < chain.length; index += 1) {
-      await before.keep(turn(chain[index]!, chain[index - 1], 4_000), KEEP_MS);
-    }
+    await keepChain(before, chain, 4_000);
     for (let partition = 0; partition < PARTITIONS; partition += 1) {
       log.compact({ topic: TOPIC, partition });
     }
@@ -68,7 +64,7 @@
     let found = 0;
     while (found === 0 && performance.now() - startedAt < RECOVERY_MS) {
       const result = await after.history(chain.at(-1)!, 'w', {});
-      found = result.isOk ? result.value.length : 0;
+      found = result.isOk ? result.value.contents.length : 0;
       if (found === 0) await pause(COME_BACK_MS);
     }
     expect(found).toBe(chain.length);
@@ -94,15 +90,31 @@
   });
 }
 
-function turn(id: string, previous?: string, bytes = 0): Turn {
+function turn(id: string, bytes = 0): Turn {
   const content = Buffer.from(`content ${id}`.padEnd(bytes, '.'));
-  return { id, previous, workspace: 'w', content, retentionMs: 60_000 };
+  return { id, workspace: 'w', content, retentionMs: 60_000 };
+}
+
+/** Keeps turns that go on from each other, each with the chain that its history gave. */
+async function keepChain(
+  store: loggedTurnStore.LoggedTurnStore,
+  ids: readonly string[],
+  bytes: number,
+): Promise<void> {
+  let previous: string | undefined;
+  for (const id of ids) {
+    const history = previous === undefined ? undefined : await store.history(previous, 'w', {});
+    if (history?.isErr) throw new Error(`There should be a history, not ${history.error.kind}.`);
+    const earlier = history?.value.turns;
+    await store.keep({ ...turn(id, bytes), previous, earlier }, KEEP_MS);
+    previous = id;
+  }
 }
 
 async function keepMuch(store: loggedTurnStore.LoggedTurnStore): Promise<void> {
   const ids = Array.from({ length: 2_000 }, (_, index) => index.toString(16).padStart(5, '0'));
   const spread = ids.map((id) => [...id].reverse().join(''));
-  await Promise.all(spread.map((id) => store.keep(turn(id, undefined, 20_000), 5_000)));
+  await Promise.all(spread.map((id) => store.keep(turn(id, 20_000), 5_000)));
 }
 
 async function createStore(
