--- a/packages/turns/src/LoggedTurnStore.test.ts
+++ b/packages/turns/src/LoggedTurnStore.test.ts
@@ -2,14 +2,11 @@
 import * as clock from '@limpettack/clock';
 import * as keyedLog from '@limpettack/keyed-log';
 import * as keyedLogTesting from '@limpettack/keyed-log/testing';
-import * as logging from '@limpettack/logging';
-import type * as wire from '@limpettack/wire';
-import * as wireTesting from '@limpettack/wire/testing';
 import * as trueMyth from 'true-myth';
 import * as loggedTurnStore from './LoggedTurnStore.js';
 import * as messages from './messages.js';
+import * as turnFixtures from './testing/turnFixtures.js';
 import * as turnFleet from './testing/TurnFleet.js';
-import type { Turn } from './Types.js';
 
 const { afterEach, describe, expect, jest, test } = jestGlobals;
 
@@ -24,66 +21,60 @@
 /** Steps in which a clock is moved on. */
 const STEP_MS = 500;
 
-/** The content of a turn, and how much is kept beside it: as on the largest days of the users. */
+/** The content of a turn of a long chain. */
 const SIZE_BYTES = 4_000;
-const OTHER_TURNS = 2_000;
-const OTHER_SIZE_BYTES = 20_000;
-
-/** The link of the smallest VMs, 21 Mbit/s. */
-const LINK_BYTES_PER_MS = 2_600;
 
 /** The part of a caller's three seconds that the search for a history may take. */
 const IN_TIME_MS = 900;
-const stores: loggedTurnStore.LoggedTurnStore[] = [];
-const networks: wire.FleetNetwork[] = [];
+
+const stores = turnFixtures.createTestStores();
 const fleets: turnFleet.TurnFleet[] = [];
 
 afterEach(async () => {
-  stores.splice(0).forEach((store) => store.dispose());
   fleets.splice(0).forEach((fleet) => fleet.dispose());
-  await Promise.all(networks.splice(0).map((network) => network.dispose()));
+  await stores.dispose();
 });
 
 describe('LoggedTurnStore', () => {
   test('another process finds the chain in the log after all memory was lost', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    const first = await createStore(log, 'first');
-    await keepChain(first, ['t1', 't2', 't3']);
-    const second = await createStore(log, 'second');
+    const first = await stores.create(log, 'first');
+    await turnFixtures.keepChain(first, ['t1', 't2', 't3']);
+    const second = await stores.create(log, 'second');
     expect(await texts(second, 't3')).toEqual(['content t1', 'content t2', 'content t3']);
   });
 
   test('finds turns among many others, page by page', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    const first = await createStore(log, 'first');
+    const first = await stores.create(log, 'first');
     const ids = Array.from({ length: 60 }, (_, index) => `${index.toString(16)}0f`);
-    await Promise.all(ids.map((id) => first.keep(turn(id), KEEP_MS)));
+    await Promise.all(ids.map((id) => first.keep(turnFixtures.createTurn(id), KEEP_MS)));
     log.pageSize = 3;
-    const second = await createStore(log, 'second');
+    const second = await stores.create(log, 'second');
     for (const id of ids) expect(await texts(second, id)).toEqual([`content ${id}`]);
   });
 
   test('fetches the chain from the process that wrote it', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    const first = await createStore(log, 'first');
-    await keepChain(first, ['t1', 't2', 't3']);
-    const second = await createStore(log, 'second');
+    const first = await stores.create(log, 'first');
+    await turnFixtures.keepChain(first, ['t1', 't2', 't3']);
+    const second = await stores.create(log, 'second');
     const reads = log.readCount;
-    const writer = networks[0]!.self.address;
+    const writer = stores.networks[0]!.self.address;
     expect((await second.history('t3', 'w', { writer })).isOk).toBe(true);
     expect(log.readCount).toBe(reads);
   });
 
   test('a turn of another workspace is unknown', async () => {
-    const store = await createStore(new keyedLogTesting.MemoryKeyedLog(), 'first');
-    await keepChain(store, ['t1']);
+    const store = await stores.create(new keyedLogTesting.MemoryKeyedLog(), 'first');
+    await turnFixtures.keepChain(store, ['t1']);
     const result = await store.history('t1', 'another', {});
     expect(result.isErr && result.error.kind).toBe('turn-unknown');
   });
 
   test('says unknown only when the log has been read', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    const store = await createStore(log, 'first');
+    const store = await stores.create(log, 'first');
     log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
     const during = await store.history('t1', 'w', {});
     expect(during.isErr && during.error.kind).toBe('log-unavailable');
@@ -94,20 +85,20 @@
 
   test('does not say that a turn is kept which the log has not acknowledged', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    const store = await createStore(log, 'first');
+    const store = await stores.create(log, 'first');
     log.outage = keyedLog.LOG_FAILURES.LOST;
-    const result = await store.keep(turn('t1'), 50);
+    const result = await store.keep(turnFixtures.createTurn('t1'), 50);
     expect(result.isErr && result.error.kind).toBe('log-unavailable');
   });
 
   test('a chain is found in time behind a slow link, however much the log holds', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    const before = await createStore(log, 'before');
-    await keepMuch(before);
+    const before = await stores.create(log, 'before');
+    await turnFixtures.keepMuch(before);
     const chain = Array.from({ length: 14 }, (_, index) => `8000${index.toString(16)}`);
-    await keepChain(before, chain, SIZE_BYTES);
-    const link = new keyedLogTesting.LinkedLog(log, LINK_BYTES_PER_MS);
-    const after = await createStore(link, 'after');
+    await turnFixtures.keepChain(before, chain, SIZE_BYTES);
+    const link = new keyedLogTesting.LinkedLog(log, turnFixtures.LINK_BYTES_PER_MS);
+    const after = await stores.create(link, 'after');
     const startedAt = performance.now();
     expect(await texts(after, chain.at(-1)!)).toHaveLength(14);
     expect(performance.now() - startedAt).toBeLessThan(IN_TIME_MS);
@@ -115,8 +106,8 @@
 
   test('requests that go on from the same turn share one look-up', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    await keepChain(await createStore(log, 'before'), ['t1', 't2', 't3']);
-    const after = await createStore(log, 'after');
+    await turnFixtures.keepChain(await stores.create(log, 'before'), ['t1', 't2', 't3']);
+    const after = await stores.create(log, 'after');
     const reads = log.readCount;
     const found = await Promise.all(Array.from({ length: 5 }, () => texts(after, 't3')));
     found.forEach((contents) => expect(contents).toHaveLength(3));
@@ -126,8 +117,8 @@
 
   test('what a failed look-up has read is at hand for the next one', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    await keepChain(await createStore(log, 'before'), ['t1', 't2', 't3']);
-    const after = await createStore(log, 'after');
+    await turnFixtures.keepChain(await stores.create(log, 'before'), ['t1', 't2', 't3']);
+    const after = await stores.create(log, 'after');
     const failure = { kind: keyedLog.LOG_FAILURES.UNAVAILABLE, message: 'The first read fails.' };
     jest.spyOn(log, 'read').mockResolvedValueOnce(trueMyth.Result.err(failure));
     expect((await after.history('t3', 'w', {})).isErr).toBe(true);
@@ -140,27 +131,27 @@
   test('a chain longer than its records name is found whole', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
     const ids = Array.from({ length: 50 }, (_, index) => `t${index}`);
-    await keepChain(await createStore(log, 'before'), ids);
-    const after = await createStore(log, 'after');
+    await turnFixtures.keepChain(await stores.create(log, 'before'), ids);
+    const after = await stores.create(log, 'after');
     expect(await texts(after, 't49')).toEqual(ids.map((id) => `content ${id}`));
   });
 
   test('turns are found by their keys when the log has dropped its history', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    await keepChain(await createStore(log, 'before'), ['t1', 't2', 't3']);
+    await turnFixtures.keepChain(await stores.create(log, 'before'), ['t1', 't2', 't3']);
     for (let partition = 0; partition < 4; partition += 1) {
       log.compact({ topic: 'kept-turns', partition });
     }
-    const after = await createStore(log, 'after');
+    const after = await stores.create(log, 'after');
     expect(await texts(after, 't3')).toEqual(['content t1', 'content t2', 'content t3']);
   });
 
   test('a content larger than a record is kept in parts', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    const first = await createStore(log, 'first');
+    const first = await stores.create(log, 'first');
     const content = Buffer.alloc(40_000, 'x');
-    await first.keep({ ...turn('t1'), content }, KEEP_MS);
-    const second = await createStore(log, 'second');
+    await first.keep({ ...turnFixtures.createTurn('t1'), content }, KEEP_MS);
+    const second = await stores.create(log, 'second');
     const result = await second.history('t1', 'w', {});
     expect(result.isOk && Buffer.concat(result.value.contents).equals(content)).toBe(true);
   });
@@ -168,12 +159,12 @@
   test('a turn is kept for its retention from the end of its answer, then removed', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
     const time = new clock.ManualClock();
-    const first = await createStore(log, 'first', { clock: time });
-    await first.keep(turn('t1'), KEEP_MS);
+    const first = await stores.create(log, 'first', { clock: time });
+    await first.keep(turnFixtures.createTurn('t1'), KEEP_MS);
     await advance(time, turnFleet.RETENTION_MS + ANSWER_MS - 1);
-    expect(await texts(await createStore(log, 'second'), 't1')).toEqual(['content t1']);
+    expect(await texts(await stores.create(log, 'second'), 't1')).toEqual(['content t1']);
     await advance(time, REMOVED_WITHIN_MS);
-    expect(await texts(await createStore(log, 'third'), 't1')).toEqual([]);
+    expect(await texts(await stores.create(log, 'third'), 't1')).toEqual([]);
   });
 
   // Turns of a conversation, VMs that write them in turn, time between them, and for which each runs.
@@ -223,9 +214,9 @@
 
   test('a process answers over the network which turns it keeps on', async () => {
     const log = new keyedLogTesting.MemoryKeyedLog();
-    await keepChain(await createStore(log, 'first'), ['t1']);
-    await createStore(log, 'second');
-    const [first, second] = networks;
+    await turnFixtures.keepChain(await stores.create(log, 'first'), ['t1']);
+    await stores.create(log, 'second');
+    const [first, second] = stores.networks;
     const turns = ['t1', 't2'].map((id) => ({ turn: id, spanMs: 1 }));
     const options = { timeoutMs: KEEP_MS };
     const { address } = first!.self;
@@ -255,33 +246,6 @@
   });
 }
 
-function turn(id: string, previous?: string, bytes = 0): Turn {
-  const content = Buffer.from(`content ${id}`.padEnd(bytes, '.'));
-  return { id, previous, workspace: 'w', content, retentionMs: turnFleet.RETENTION_MS };
-}
-
-async function keepChain(
-  store: loggedTurnStore.LoggedTurnStore,
-  ids: readonly string[],
-  bytes = 0,
-): Promise<void> {
-  for (let index = 0; index < ids.length; index += 1) {
-    const previous = ids[index - 1];
-    const history = previous === undefined ? undefined : await store.history(previous, 'w', {});
-    const earlier = history?.isOk ? history.value.turns : [];
-    await store.keep({ ...turn(ids[index]!, previous, bytes), earlier }, KEEP_MS);
-  }
-}
-
-/** Fills the log with turns of other programs, whose ids lie around those of any chain. */
-async function keepMuch(store: loggedTurnStore.LoggedTurnStore): Promise<void> {
-  const ids = Array.from({ length: OTHER_TURNS }, (_, index) =>
-    index.toString(16).padStart(5, '0'),
-  );
-  const spread = ids.map((id) => [...id].reverse().join(''));
-  await Promise.all(spread.map((id) => store.keep(turn(id, undefined, OTHER_SIZE_BYTES), KEEP_MS)));
-}
-
 async function untilRead(log: keyedLogTesting.MemoryKeyedLog, count: number): Promise<void> {
   while (log.readCount < count) {
     await new Promise((resolve) => {
@@ -297,28 +261,3 @@
   const result = await store.history(id, 'w', {});
   return result.isOk ? result.value.contents.map((content) => Buffer.from(content).toString()) : [];
 }
-
-async function createStore(
-  log: keyedLog.KeyedLog,
-  name: string,
-  changes: Partial<loggedTurnStore.LoggedTurnStoreOptions> = {},
-): Promise<loggedTurnStore.LoggedTurnStore> {
-  const time = new clock.SystemClock();
-  const logger = new logging.PartLogger('test');
-  const network = wireTesting.createTestNetwork(name);
-  networks.push(network);
-  await network.listen();
-  const store = new loggedTurnStore.LoggedTurnStore({
-    log,
-    network,
-    clock: time,
-    logger,
-    producer: name,
-    partitionCount: 4,
-    recordBytes: 16_384,
-    cacheBytes: 1_000_000,
-    ...changes,
-  });
-  stores.push(store);
-  return store;
-}
--- /dev/null
+++ b/packages/turns/src/testing/turnFixtures.ts
@@ -0,0 +1,90 @@
+import * as clock from '@limpettack/clock';
+import type * as keyedLog from '@limpettack/keyed-log';
+import type * as lifetime from '@limpettack/lifetime';
+import * as logging from '@limpettack/logging';
+import type * as wire from '@limpettack/wire';
+import * as wireTesting from '@limpettack/wire/testing';
+import * as loggedTurnStore from '../LoggedTurnStore.js';
+import type { Turn } from '../Types.js';
+import * as turnFleet from './TurnFleet.js';
+
+/** Time for a turn to be kept, also beside many others. */
+const KEEP_MS = 5_000;
+
+/** Turns of other programs, as on the largest days of the users. */
+const OTHER_TURNS = 2_000;
+const OTHER_SIZE_BYTES = 20_000;
+
+/** The link of the smallest VMs, 21 Mbit/s. */
+export const LINK_BYTES_PER_MS = 2_600;
+
+/** Stores of turns of processes with a network of their own each. */
+export interface TestStores extends lifetime.Disposable {
+  /** The networks of the processes, in the order of their creation. */
+  readonly networks: readonly wire.FleetNetwork[];
+  create(
+    log: keyedLog.KeyedLog,
+    name: string,
+    changes?: Partial<loggedTurnStore.LoggedTurnStoreOptions>,
+  ): Promise<loggedTurnStore.LoggedTurnStore>;
+}
+
+export function createTestStores(): TestStores {
+  const stores: loggedTurnStore.LoggedTurnStore[] = [];
+  const networks: wire.FleetNetwork[] = [];
+  return {
+    networks,
+    create: async (log, name, changes = {}) => {
+      const network = wireTesting.createTestNetwork(name);
+      networks.push(network);
+      await network.listen();
+      const store = new loggedTurnStore.LoggedTurnStore({
+        log,
+        network,
+        clock: new clock.SystemClock(),
+        logger: new logging.PartLogger('test'),
+        producer: name,
+        partitionCount: 4,
+        recordBytes: 16_384,
+        cacheBytes: 1_000_000,
+        ...changes,
+      });
+      stores.push(store);
+      return store;
+    },
+    dispose: async () => {
+      stores.splice(0).forEach((store) => store.dispose());
+      await Promise.all(networks.splice(0).map((network) => network.dispose()));
+    },
+  };
+}
+
+/** A turn whose content names it, filled up to a size. */
+export function createTurn(id: string, previous?: string, bytes = 0): Turn {
+  const content = Buffer.from(`content ${id}`.padEnd(bytes, '.'));
+  return { id, previous, workspace: 'w', content, retentionMs: turnFleet.RETENTION_MS };
+}
+
+/** Keeps turns that go on from each other, each with the chain that its history gave. */
+export async function keepChain(
+  store: loggedTurnStore.LoggedTurnStore,
+  ids: readonly string[],
+  bytes = 0,
+): Promise<void> {
+  let previous: string | undefined;
+  for (const id of ids) {
+    const history = previous === undefined ? undefined : await store.history(previous, 'w', {});
+    if (history?.isErr) throw new Error(`There should be a history, not ${history.error.kind}.`);
+    const earlier = history?.value.turns;
+    await store.keep({ ...createTurn(id, previous, bytes), earlier }, KEEP_MS);
+    previous = id;
+  }
+}
+
+/** Fills the log with turns of other programs, whose ids lie around those of any chain. */
+export async function keepMuch(store: loggedTurnStore.LoggedTurnStore): Promise<void> {
+  const numbers = Array.from({ length: OTHER_TURNS }, (_, index) => index);
+  const ids = numbers.map((number) => [...number.toString(16).padStart(5, '0')].reverse().join(''));
+  const turns = ids.map((id) => createTurn(id, undefined, OTHER_SIZE_BYTES));
+  await Promise.all(turns.map((turn) => store.keep(turn, KEEP_MS)));
+}
