--- a/benchmarks/platform-soak/createFaults.mjs
+++ b/benchmarks/platform-soak/createFaults.mjs
@@ -65,7 +65,7 @@
       });
     },
     'history dropped': async () => {
-      ['programs', 'turns', 'status', 'op', 'servers'].forEach((topic) => {
+      ['programs', 'kept-turns', 'status', 'op', 'servers'].forEach((topic) => {
         for (let partition = 0; partition < 4; partition += 1) {
           log.compact({ topic: `keyed.${topic}`, partition });
         }
