Keep calls off a path to the log that does not respond

Cause: each second, all calls of a cut off VM tried the direct path again and waited 0.5 to 0.9 s for it. And a read that waits for changes stalls while the store drops its history: each VM took that for a failure of its whole path, while appends succeeded, and called relays whose reads stalled too.

Change: LogPaths decides the paths of a call. One call a second tries a failing path beside the relays, and the first response counts. A failed call shows that its path fails only if no other call on it has succeeded meanwhile. When a path fails or works again, calls in progress change to it. A peer that cannot reach the log says so at once. A call that may have taken effect on one path is reported as lost, also if another path had no effect.

Ruled out: the choice of relays (the last one that worked comes first). The new tests of RelayedLog fail on the code before.

--- a/packages/keyed-log/src/RelayedLog.test.ts
+++ b/packages/keyed-log/src/RelayedLog.test.ts
@@ -6,6 +6,7 @@
 import * as logFailures from './LogFailures.js';
 import * as relayedLog from './RelayedLog.js';
 import * as memoryKeyedLog from './testing/MemoryKeyedLog.js';
+import * as silentLog from './testing/SilentLog.js';
 import type { AppendOptions, KeyedLog, PartitionName } from './Types.js';
 
 const { afterEach, describe, expect, test } = jestGlobals;
@@ -70,6 +71,59 @@
     const calls = logs.reduce((sum, { readCount }) => sum + readCount, 0);
     expect(calls).toBeLessThanOrEqual(4 * 3 + 4 * 5);
   });
+
+  // Replays a VM that the platform cuts off from the log for many seconds while callers keep coming:
+  // each second, the calls that tried the direct path again waited for its timeout.
+  test('calls of a cut off process do not wait for the direct path once it is known to fail', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const direct = new silentLog.SilentLog(log);
+    const [cutOff] = await createLogs([direct, log]);
+    log.failures.push(UNAVAILABLE);
+    await cutOff!.newest(PARTITION);
+    // From now on the direct path never responds, so a call that waited for it would never end.
+    direct.isSilent = true;
+    const startedAt = Date.now();
+    while (Date.now() - startedAt < 2_200) {
+      expect((await cutOff!.newest(PARTITION)).isOk).toBe(true);
+      await pause(20);
+    }
+  });
+
+  test('a call in progress moves to a relay as soon as another call finds the direct path failing', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const direct = new silentLog.SilentLog(log);
+    const [cutOff] = await createLogs([direct, log]);
+    direct.isSilent = true;
+    const hanging = cutOff!.append(PARTITION, [RECORD], options(0));
+    direct.isSilent = false;
+    log.failures.push(UNAVAILABLE);
+    expect((await cutOff!.newest(PARTITION)).isOk).toBe(true);
+    // The direct path never responds, so only a relay can have served the append.
+    expect((await hanging).isOk).toBe(true);
+  });
+
+  test('a call that hangs in an outage is sent again as soon as another call reaches the log', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const direct = new silentLog.SilentLog(log);
+    const [only] = await createLogs([direct]);
+    log.failures.push(UNAVAILABLE);
+    await only!.newest(PARTITION);
+    direct.isSilent = true;
+    const hanging = only!.append(PARTITION, [RECORD], options(0));
+    direct.isSilent = false;
+    while ((await only!.newest(PARTITION)).isErr) await pause(5);
+    // The first attempt of the append never ends.
+    expect((await hanging).isOk).toBe(true);
+    expect(log.appendCount).toBe(1);
+  });
+
+  test('a relayed append without a response is reported as lost, since it may have taken effect', async () => {
+    const silent = new silentLog.SilentLog(new memoryKeyedLog.MemoryKeyedLog());
+    silent.isSilent = true;
+    const [cutOff] = await createLogs([unreachable(), silent]);
+    const result = await cutOff!.append(PARTITION, [RECORD], options(0));
+    expect(result.isErr && result.error.kind).toBe(logFailures.LOG_FAILURES.LOST);
+  });
 });
 
 function pause(durationMs: number): Promise<void> {
--- a/packages/keyed-log/src/RelayedLog.ts
+++ b/packages/keyed-log/src/RelayedLog.ts
@@ -2,10 +2,12 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import type * as membership from '@limpettack/membership';
-import type * as wire from '@limpettack/wire';
+import * as wire from '@limpettack/wire';
 import * as trueMyth from 'true-myth';
 import * as logFailures from './LogFailures.js';
+import * as logPaths from './LogPaths.js';
 import * as messages from './messages.js';
+import * as pathRace from './PathRace.js';
 import type {
   AppendOptions,
   AppendReceipt,
@@ -19,21 +21,8 @@
   ReadPage,
 } from './Types.js';
 
-/** How long calls avoid the direct connection after it failed, unless relays fail too. */
-const DIRECT_PAUSE_MS = 1_000;
-
-/**
- * How long calls fail immediately after neither the direct connection nor a relay reached the log.
- * Otherwise all retries of hundreds of VMs would hit the log in an outage, three times each: once
- * directly and twice through relays.
- */
-const FAIL_FAST_MS = 200;
-
-/** Minimum time between attempts through relays while no relay reaches the log. */
-const RELAY_RETRY_INTERVAL_MS = 1_000;
-
 /** Maximum number of relays tried for one call. */
-const MAXIMUM_RELAYS_PER_CALL = 2;
+const MAXIMUM_RELAYS_PER_CALL = 3;
 
 /** Time limit for the response of a relay, added to the wait time of a read. */
 const RELAY_TIMEOUT_MS = 800;
@@ -43,6 +32,14 @@
   message: 'Neither this process nor peers reach the log.',
 };
 
+/** Failures of a request to a peer that may have called the log. */
+const MAYBE_RELAYED: ReadonlySet<wire.PeerFailureKind> = new Set([
+  wire.PEER_FAILURES.LOST,
+  wire.PEER_FAILURES.TIMED_OUT,
+]);
+
+type Race = Pick<pathRace.PathRace<unknown>, 'sendDirect' | 'sendRelayed'>;
+
 /** Dependencies of a relayed log. */
 export interface RelayedLogOptions {
   readonly direct: KeyedLog;
@@ -59,15 +56,12 @@
  * reject the calls of some VMs and serve those of others.
  */
 export class RelayedLog implements KeyedLog, lifetime.Disposable {
-  private directPausedUntil = 0;
-
-  private lastRelay: string | undefined;
-
-  private isDirectFailing = false;
+  private readonly paths = new logPaths.LogPaths();
 
-  private failFastUntil = 0;
+  /** The calls in progress. */
+  private readonly races = new Set<Race>();
 
-  private relaysPausedUntil = 0;
+  private lastRelay: string | undefined;
 
   private readonly registration: lifetime.Disposable;
 
@@ -77,9 +71,9 @@
     );
   }
 
-  /** Whether the last direct call of the log failed. */
+  /** Whether this process cannot call the log directly. */
   public get isCutOff(): boolean {
-    return this.isDirectFailing;
+    return !this.paths.isDirect;
   }
 
   /** @inheritdoc */
@@ -124,49 +118,72 @@
 
   private async call<Value>(
     request: messages.RelayedLogRequest,
-    direct: () => Promise<LogResult<Value>>,
+    direct: pathRace.Attempt<Value>,
     waitMs: clock.Milliseconds,
+  ): Promise<LogResult<Value>> {
+    const choice = this.paths.choose(this.options.clock.now());
+    if (!choice.isDirect && !choice.isRelayed) return trueMyth.Result.err(LOG_UNREACHABLE);
+    const race: pathRace.PathRace<Value> = new pathRace.PathRace({
+      direct: () => this.callDirect(direct, race),
+      relayed: () => this.callRelays(request, waitMs),
+    });
+    this.races.add(race);
+    if (choice.isRelayed) race.sendRelayed();
+    if (choice.isDirect) race.sendDirect();
+    const result = await race.result;
+    this.races.delete(race);
+    return result;
+  }
+
+  private async callDirect<Value>(
+    direct: pathRace.Attempt<Value>,
+    race: Race,
   ): Promise<LogResult<Value>> {
     const { clock: time } = this.options;
-    if (time.now() < this.failFastUntil) return trueMyth.Result.err(LOG_UNREACHABLE);
-    let failure: LogFailure | undefined;
-    if (time.now() >= this.directPausedUntil) {
-      const result = await direct();
-      if (result.isOk || !isTransient(result.error)) return this.noteDirectOutcome(true, result);
-      failure = result.error;
-      this.noteDirectOutcome(false, result);
-    }
-    const relays = time.now() < this.relaysPausedUntil ? [] : this.chooseRelays();
-    for (const address of relays) {
-      const relayed = await this.requestRelay<Value>(address, request, waitMs);
-      if (relayed !== undefined) return relayed;
-    }
-    this.noteUnreachable(relays.length > 0);
-    return trueMyth.Result.err(failure ?? LOG_UNREACHABLE);
+    const startedAt = time.now();
+    const result = await direct();
+    const wasWorking = this.paths.isDirect;
+    if (result.isErr && pathRace.isTransient(result.error))
+      this.paths.noteDirectFailure(startedAt, time.now());
+    else this.paths.noteDirectSuccess(time.now());
+    if (this.paths.isDirect !== wasWorking) this.switchRaces(race, result);
+    return result;
   }
 
-  /** Makes calls fail fast. The direct connection is tried next, since no relay reaches the log. */
-  private noteUnreachable(wereRelaysTried: boolean): void {
-    const now = this.options.clock.now();
-    this.directPausedUntil = 0;
-    this.lastRelay = undefined;
-    this.failFastUntil = now + FAIL_FAST_MS;
-    if (wereRelaysTried) this.relaysPausedUntil = now + RELAY_RETRY_INTERVAL_MS;
+  /** Moves the other running calls to the path that is known to work now. */
+  private switchRaces<Value>(cause: Race, result: LogResult<Value>): void {
+    const { logger } = this.options;
+    const others = [...this.races].filter((race) => race !== cause);
+    if (this.paths.isDirect) {
+      logger.info('The direct connection to the log works again.', { count: others.length });
+      others.forEach((race) => race.sendDirect());
+      return;
+    }
+    const reason = result.isErr ? result.error.message : '';
+    logger.warn('The direct connection to the log has failed.', { reason, count: others.length });
+    others.forEach((race) => race.sendRelayed());
   }
 
-  private noteDirectOutcome<Value>(succeeded: boolean, result: LogResult<Value>): LogResult<Value> {
-    const { clock: time, logger } = this.options;
-    if (succeeded && this.isDirectFailing)
-      logger.info('The direct connection to the log works again.');
-    if (!succeeded && !this.isDirectFailing) {
-      const reason = result.isErr ? result.error.message : '';
-      logger.warn('The direct connection to the log has failed.', { reason });
+  private async callRelays<Value>(
+    request: messages.RelayedLogRequest,
+    waitMs: clock.Milliseconds,
+  ): Promise<LogResult<Value>> {
+    const { clock: time } = this.options;
+    const startedAt = time.now();
+    if (!this.paths.mayRelay(startedAt)) return trueMyth.Result.err(LOG_UNREACHABLE);
+    let lost: LogResult<Value> | undefined;
+    for (const address of this.chooseRelays()) {
+      const result = await this.requestRelay<Value>(address, request, waitMs);
+      if (result.isOk || !pathRace.isTransient(result.error)) {
+        this.lastRelay = address;
+        this.paths.noteRelaySuccess(time.now());
+        return result;
+      }
+      if (result.error.kind === logFailures.LOG_FAILURES.LOST) lost = result;
     }
-    this.isDirectFailing = !succeeded;
-    this.directPausedUntil = succeeded ? 0 : time.now() + DIRECT_PAUSE_MS;
-    if (succeeded) this.failFastUntil = 0;
-    if (succeeded) this.relaysPausedUntil = 0;
-    return result;
+    this.lastRelay = undefined;
+    this.paths.noteRelayFailure(startedAt, time.now());
+    return lost ?? trueMyth.Result.err(LOG_UNREACHABLE);
   }
 
   /** Returns the last relay that worked, then other peers in random order. */
@@ -186,15 +203,11 @@
     return [...first, ...others].slice(0, MAXIMUM_RELAYS_PER_CALL);
   }
 
-  /**
-   * Makes a call through a peer. Returns undefined if the peer does not respond or cannot reach
-   * the log itself.
-   */
   private async requestRelay<Value>(
     address: string,
     request: messages.RelayedLogRequest,
     waitMs: clock.Milliseconds,
-  ): Promise<LogResult<Value> | undefined> {
+  ): Promise<LogResult<Value>> {
     const options = { timeoutMs: RELAY_TIMEOUT_MS + waitMs };
     const response = await this.options.network.request(
       address,
@@ -202,25 +215,28 @@
       request,
       options,
     );
-    if (response.isErr) return undefined;
-    const { failure, value } = response.value;
-    if (failure === undefined) {
-      this.lastRelay = address;
-      return trueMyth.Result.ok(value as Value);
+    if (response.isErr) {
+      const { kind, message } = response.error;
+      const isLost = MAYBE_RELAYED.has(kind);
+      const { LOST, UNAVAILABLE } = logFailures.LOG_FAILURES;
+      return trueMyth.Result.err({ kind: isLost ? LOST : UNAVAILABLE, message });
     }
-    if (isTransient(failure)) return undefined;
-    this.lastRelay = address;
-    return trueMyth.Result.err(failure);
+    const { failure, value } = response.value;
+    return failure === undefined
+      ? trueMyth.Result.ok(value as Value)
+      : trueMyth.Result.err(failure);
   }
 
   private async serve(
     request: messages.RelayedLogRequest,
   ): Promise<trueMyth.Result<messages.RelayedLogResponse, never>> {
-    const result = await this.callDirect(request);
+    // Responds at once, so that the peer can try another relay.
+    if (!this.paths.isDirect) return trueMyth.Result.ok({ failure: LOG_UNREACHABLE });
+    const result = await this.callForPeer(request);
     return trueMyth.Result.ok(result.isOk ? { value: result.value } : { failure: result.error });
   }
 
-  private callDirect(request: messages.RelayedLogRequest): Promise<LogResult<unknown>> {
+  private callForPeer(request: messages.RelayedLogRequest): Promise<LogResult<unknown>> {
     const { direct } = this.options;
     switch (request.call) {
       case 'append':
@@ -232,8 +248,3 @@
     }
   }
 }
-
-function isTransient(failure: LogFailure): boolean {
-  const { LOST, UNAVAILABLE } = logFailures.LOG_FAILURES;
-  return failure.kind === LOST || failure.kind === UNAVAILABLE;
-}
