Let the end of a retained turn wait for the log as long as its caller does

What callers saw: while the store was away, a turn whose run had ended was cut off after 3 s, and the caller could only run the whole turn again.

Cause: a bound of 3 s on the wait for the log's record, shorter than the time that callers have. It used to be right for a VM that was cut off alone, whose caller found another VM; since a cut off VM stores turns through a peer, only outages of the whole store are left to wait for.

The new test of StreamCall fails without the change.

--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -212,6 +212,28 @@
     expect(Date.now() - startedAt).toBeLessThan(500);
   });
 
+  // Replays an outage of the log that begins as a turn ends and lasts nearly as long as the caller's
+  // time: a stream that was aborted earlier could only be run again.
+  test('the end of a retained turn waits for the log as long as its caller does', async () => {
+    const outageMs = 4_500;
+    const keep = async (
+      _turn: unknown,
+      timeoutMs: number,
+    ): Promise<trueMyth.Result<void, errors.Fault>> => {
+      if (timeoutMs >= outageMs) return trueMyth.Result.ok(undefined);
+      return trueMyth.Result.err(errors.createFault('log-unavailable'));
+    };
+    const turns = { history: async () => trueMyth.Result.ok({ contents: [], turns: [] }), keep };
+    const scripts = [fixtures.streamEvents([1, 2], 'end')];
+    const { outcome } = await run(
+      scripts,
+      { ...RETAINING, timeoutMs: 5_000 },
+      { timeoutMs: 5_000 },
+      { turns },
+    );
+    expect(outcome).toEqual({ tokens: 40, isComplete: true, isKept: true });
+  });
+
   test('a turn that could not be retained does not end as complete', async () => {
     const turns = {
       history: async () => trueMyth.Result.ok({ contents: [], turns: [] }),
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -23,9 +23,6 @@
 /** A resumable stream moves to another target after a longer gap between events. */
 const EVENT_TIMEOUT_MS = 700;
 
-/** Maximum time that the end of a turn's stream waits until the turn is stored in the log. */
-const MAXIMUM_RETAIN_WAIT_MS = 3_000;
-
 /**
  * Maximum time that the end of a turn's stream waits for the record of its token usage after the
  * turn has been stored; enough for several appends. If the home (the VM that owns the program's
@@ -306,12 +303,13 @@
 
   /**
    * Stores the turn, then ends the stream. The end confirms to the caller that the turn is
-   * retained; if it could not be stored, the stream is aborted instead.
+   * retained. While the log is unavailable it waits as long as the caller does: a caller whose
+   * stream is aborted earlier can only run the whole turn again.
    */
   private async retainTurn(): Promise<void> {
     const { clock: time, turns: store } = this.dependencies;
     const { call, deadline, route, workspace } = this.context;
-    const timeoutMs = Math.min(MAXIMUM_RETAIN_WAIT_MS, deadline - time.now());
+    const timeoutMs = deadline - time.now();
     const turn = {
       id: call.id,
       previous: call.programContext?.previousTurn,
