Try a failed target again only with calls that may be repeated

What callers saw: calls that must not be repeated were lost at targets that reset what they are sent while they call themselves healthy, and each lost call ended a program.

Cause: after its pause a failed target was tried again with any call, by each VM, up to five times in the seven seconds of such a fault.

Change: a target that has failed is on probation until four calls have succeeded, 10 s at most. Calls that must not be repeated, and streams that may not be resumed, choose it only if all others are paused.

Ruled out: a longer pause for all calls, since it also delays the return of a target that is well again. The new tests of chooseTarget fail without the change.

--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -151,12 +151,13 @@
 
   private sendNext(): void {
     if (this.isFinished) return;
-    const { affinity, deadline, pool } = this.context;
+    const { affinity, deadline, pool, route } = this.context;
     if (this.dependencies.clock.now() >= deadline) {
       this.onDeadline();
       return;
     }
-    const target = this.dependencies.selector.select(pool, affinity, this.triedTargets);
+    const { selector } = this.dependencies;
+    const target = selector.select(pool, affinity, this.triedTargets, route.isResumable);
     if (target === undefined) this.retryFullTargets();
     else this.sendTo(target);
   }
--- a/packages/gateway/src/TargetScores.ts
+++ b/packages/gateway/src/TargetScores.ts
@@ -19,6 +19,12 @@
  */
 const FAILURE_RESET_SHARE = 0.1;
 
+/**
+ * A target on probation is trusted again after this time without a failure, even if too few calls
+ * that may be repeated have tried it.
+ */
+const PROBATION_MS = 10_000;
+
 /**
  * A target is slow if its response time exceeds the median of the compared targets by this factor.
  */
@@ -35,6 +41,11 @@
   /** Calls of this process that run on the target. */
   readonly inFlight: number;
   readonly isPaused: boolean;
+  /**
+   * Whether the target has failed and has not completed enough calls since then to be trusted. Only
+   * calls that may be repeated try it.
+   */
+  readonly isOnProbation: boolean;
   readonly isSlow: boolean;
 }
 
@@ -45,6 +56,7 @@
   /** Smoothed share of failed calls, because a target may fail only part of its calls. */
   failureShare: number;
   pausedUntil: clock.Milliseconds;
+  failedAt: clock.Milliseconds;
   smoothedMs: clock.Milliseconds | undefined;
   sampledAt: clock.Milliseconds;
 }
@@ -78,7 +90,8 @@
     const pause = Math.min(MAXIMUM_FAILURE_PAUSE_MS, FAILURE_PAUSE_MS * 2 ** score.failures);
     score.failures += 1;
     score.failureShare += SMOOTHING * (1 - score.failureShare);
-    score.pausedUntil = this.time.now() + pause;
+    score.failedAt = this.time.now();
+    score.pausedUntil = score.failedAt + pause;
   }
 
   public recordFull(target: string): void {
@@ -97,6 +110,7 @@
         {
           inFlight: score.inFlight,
           isPaused: score.pausedUntil > now,
+          isOnProbation: score.failures > 0 && now - score.failedAt < PROBATION_MS,
           isSlow: isSlow(score, medianMs, now),
         },
       ]),
@@ -125,6 +139,7 @@
     failures: 0,
     failureShare: 0,
     pausedUntil: 0,
+    failedAt: 0,
     smoothedMs: undefined,
     sampledAt: 0,
   };
--- a/packages/gateway/src/TargetSelector.ts
+++ b/packages/gateway/src/TargetSelector.ts
@@ -17,12 +17,14 @@
     pool: string,
     affinity: string | undefined,
     excluded: ReadonlySet<string>,
+    isRepeatable: boolean,
   ): Target | undefined {
     const candidates = this.registry.usable(pool).filter(({ id }) => !excluded.has(id));
     return chooseTarget.chooseTarget({
       candidates,
       scores: this.scores.compare(candidates.map(({ id }) => id)),
       affinity,
+      isRepeatable,
       ownFailureDomain: this.ownFailureDomain,
       random: this.random,
     });
--- a/packages/gateway/src/UnaryCall.ts
+++ b/packages/gateway/src/UnaryCall.ts
@@ -109,7 +109,8 @@
       if (this.running.size === 0 && this.lastResponse === undefined) this.onDeadline();
       return;
     }
-    const target = this.dependencies.selector.select(pool, affinity, this.triedTargets);
+    const { selector } = this.dependencies;
+    const target = selector.select(pool, affinity, this.triedTargets, this.isRepeatable);
     if (target !== undefined) this.sendTo(target);
     else if (this.running.size === 0) this.retryFullTargets();
   }
--- a/packages/gateway/src/chooseTarget.ts
+++ b/packages/gateway/src/chooseTarget.ts
@@ -20,6 +20,8 @@
   readonly scores: ReadonlyMap<string, targetScores.TargetScore>;
   /** Calls with the same affinity prefer the same target; undefined if there is no preference. */
   readonly affinity: string | undefined;
+  /** Whether the call may be sent to another target if this one fails. */
+  readonly isRepeatable: boolean;
   readonly ownFailureDomain: string;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
@@ -27,7 +29,8 @@
 
 /**
  * Chooses a target. Targets that are neither paused (after a failure, or when full) nor slow come
- * first, then slow ones, then paused ones.
+ * first, then slow ones, then paused ones. A call that must not be repeated is lost if its target
+ * fails, so it goes to a target on probation only if all others are paused.
  *
  * With an affinity, chooses the first target by rendezvous hashing whose load is below a bound that
  * depends on the mean load. Calls with the same prompt prefix thus reach the target that has cached
@@ -39,10 +42,12 @@
  */
 export function chooseTarget(query: TargetQuery): Target | undefined {
   const { affinity, candidates } = query;
-  const healthy = candidates.filter((target) => isHealthy(query, target));
-  const active =
-    healthy.length > 0 ? healthy : candidates.filter((target) => !isPaused(query, target));
-  const eligible = active.length > 0 ? active : candidates;
+  const eligible =
+    [
+      candidates.filter((target) => isHealthy(query, target)),
+      candidates.filter((target) => isTrusted(query, target) && !isPaused(query, target)),
+      candidates.filter((target) => !isPaused(query, target)),
+    ].find((targets) => targets.length > 0) ?? candidates;
   return affinity === undefined
     ? chooseLeastLoaded(query, eligible)
     : chooseByHash(query, eligible);
@@ -69,7 +74,12 @@
 
 function isHealthy(query: TargetQuery, target: Target): boolean {
   const score = query.scores.get(target.id);
-  return score === undefined || (!score.isPaused && !score.isSlow);
+  if (score === undefined) return true;
+  return !score.isPaused && !score.isSlow && isTrusted(query, target);
+}
+
+function isTrusted(query: TargetQuery, target: Target): boolean {
+  return query.isRepeatable || !(query.scores.get(target.id)?.isOnProbation ?? false);
 }
 
 function isPaused(query: TargetQuery, target: Target): boolean {
--- a/packages/gateway/src/decisions.test.ts
+++ b/packages/gateway/src/decisions.test.ts
@@ -101,6 +101,39 @@
     expect(choose(scores, 'session')).toBe(target);
   });
 
+  // Replays a target that resets what it is sent and reports itself as healthy: after each pause, a
+  // call that must not be repeated tried it again and was lost.
+  test('a failed target gets calls that must not be repeated only after several others succeeded', () => {
+    const time = new clock.ManualClock();
+    const scores = new targetScores.TargetScores(time);
+    const failed = choose(scores, 'session', false)!;
+    scores.recordFailure(failed);
+    time.advance(600);
+    expect(choose(scores, 'session', false)).not.toBe(failed);
+    expect(choose(scores, 'session', true)).toBe(failed);
+    for (let success = 0; success < 4; success += 1) scores.recordFirstData(failed, 100);
+    expect(choose(scores, 'session', false)).toBe(failed);
+  });
+
+  test('a failed target that no repeatable call tries is trusted again after a while', () => {
+    const time = new clock.ManualClock();
+    const scores = new targetScores.TargetScores(time);
+    const failed = choose(scores, 'session', false)!;
+    scores.recordFailure(failed);
+    time.advance(10_100);
+    expect(choose(scores, 'session', false)).toBe(failed);
+  });
+
+  test('a call that must not be repeated goes to a target on probation rather than to a paused one', () => {
+    const time = new clock.ManualClock();
+    const scores = new targetScores.TargetScores(time);
+    const onProbation = choose(scores, 'session', false)!;
+    scores.recordFailure(onProbation);
+    time.advance(600);
+    TARGETS.filter(({ id }) => id !== onProbation).forEach(({ id }) => scores.recordFailure(id));
+    expect(choose(scores, 'session', false)).toBe(onProbation);
+  });
+
   test('skips a target that has become slow', () => {
     const scores = new targetScores.TargetScores(new clock.ManualClock());
     const slow = choose(scores, 'session')!;
@@ -123,6 +156,7 @@
         candidates,
         scores: scores.compare(ids),
         affinity: undefined,
+        isRepeatable: true,
         ownFailureDomain: domains[call % 4]!,
         random,
       })!;
@@ -137,7 +171,13 @@
     const scores = new targetScores.TargetScores(new clock.ManualClock());
     const near = fixtures.createTarget('near', { failureDomain: 'b' });
     const candidates = [...TARGETS, near];
-    const own = { candidates, affinity: undefined, ownFailureDomain: 'b', random: () => 0 };
+    const own = {
+      candidates,
+      affinity: undefined,
+      isRepeatable: true,
+      ownFailureDomain: 'b',
+      random: () => 0,
+    };
     const ids = candidates.map(({ id }) => id);
     expect(chooseTarget.chooseTarget({ ...own, scores: scores.compare(ids) })?.id).toBe('near');
     scores.recordSent('near');
@@ -228,11 +268,16 @@
   });
 });
 
-function choose(scores: targetScores.TargetScores, affinity: string): string | undefined {
+function choose(
+  scores: targetScores.TargetScores,
+  affinity: string,
+  isRepeatable = true,
+): string | undefined {
   return chooseTarget.chooseTarget({
     candidates: TARGETS,
     scores: scores.compare(TARGETS.map(({ id }) => id)),
     affinity,
+    isRepeatable,
     ownFailureDomain: 'a',
     random: () => 0,
   })?.id;
