Serve only when a VM knows its peers, and let requests wait for its start

What callers saw: after a restart of all VMs, a caller that came before a VM knew its tables was refused with a second to come back.

After an outage VMs served while they knew 5 or 6 of 11 (in a test, 1 of 3). Such a VM takes all budgets and limits for its own, so owners conflict in the log and each grants a workspace its whole rate.

Change: a VM is ready when it knows tables, targets and peers. Until the first read succeeds, the VM list is read five times a second, by the same paths as other calls of the log. Requests that come earlier wait for the start, within the time that all waits before a target share, and are refused as not run after that.

--- a/packages/gateway/src/CurrentTables.ts
+++ b/packages/gateway/src/CurrentTables.ts
@@ -14,6 +14,9 @@
   /** Fires with each new version. */
   public readonly onChange = this.emitter.event;
 
+  /** Opens with the first version. */
+  public readonly known = new lifetime.Latch();
+
   public constructor(private readonly logger: logging.Logger) {}
 
   public get current(): Tables | undefined {
@@ -31,6 +34,7 @@
       count: tables.routes.length,
       reason: former === undefined ? 'first version' : `after version ${former}`,
     });
+    this.known.open();
     this.emitter.fire(tables);
   }
 
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,6 +1,7 @@
 import type * as unreplicatedLimits from '@limpettack/unreplicated-limits';
 import * as clock from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
+import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import type * as metrics from '@limpettack/metrics';
 import type * as programBudgets from '@limpettack/program-budgets';
@@ -38,6 +39,8 @@
 export interface GatewayDependencies
   extends streamCall.StreamCallDependencies, unaryCall.UnaryCallDependencies {
   readonly tables: currentTables.CurrentTables;
+  /** Opens when this process knows the tables, the targets and its peers. */
+  readonly started: Pick<lifetime.Latch, 'isOpen' | 'opened'>;
   readonly allowances: Pick<unreplicatedLimits.AllowanceClient, 'admit'>;
   readonly budgets: programBudgets.ProgramBudgets;
   readonly logger: logging.Logger;
@@ -61,7 +64,12 @@
   /** Handles a request until its response has ended. */
   public async handle(call: Call, reply: Reply): Promise<void> {
     this.inFlight += 1;
-    const admitted = admitCaller.admitCaller(this.dependencies.tables, call);
+    const isStarted = await this.awaitStart(call);
+    const admitted = isStarted
+      ? admitCaller.admitCaller(this.dependencies.tables, call)
+      : trueMyth.Result.err<admitCaller.AdmittedCall, errors.Fault>(
+          errors.createFault('not-ready'),
+        );
     const route = admitted.isOk ? admitted.value.route.name : NO_ROUTE;
     const observed = new observedReply.ObservedReply(reply, () =>
       this.dependencies.metrics.observeFirstToken(route, this.age(call)),
@@ -81,6 +89,25 @@
     }
   }
 
+  /**
+   * Waits until this process has started, and returns whether it has. After all VMs have started at
+   * once, a refused caller would find no other VM that serves it.
+   */
+  private async awaitStart(call: Call): Promise<boolean> {
+    const { clock: time, logger, started } = this.dependencies;
+    if (started.isOpen) return true;
+    const startedAt = time.now();
+    const deadline = call.receivedAt + (call.timeoutMs ?? 0);
+    const waitMs = waitBounds.preparationDeadline(startedAt, deadline) - startedAt;
+    await waitWhileConnected.waitWhileConnected(time, waitMs, call.signal, started.opened);
+    logger.info('A request has waited for the start of the process.', {
+      request: call.id,
+      kind: started.isOpen ? 'started' : 'starting',
+      spanMs: Math.round(time.now() - startedAt),
+    });
+    return started.isOpen;
+  }
+
   private async serve(context: callContext.CallContext, reply: Reply): Promise<void> {
     const { call, deadline, route } = context;
     if (this.dependencies.crashes.isRefused(context)) {
--- a/packages/gateway/src/TargetRegistry.ts
+++ b/packages/gateway/src/TargetRegistry.ts
@@ -38,21 +38,17 @@
   /** Fires when a target has been removed or its process has been replaced. */
   public readonly onRemoved = this.removedEmitter.event;
 
-  private hasReadList = false;
+  /** Opens when the complete list has been read. */
+  public readonly known = new lifetime.Latch();
 
   public constructor(private readonly options: TargetRegistryOptions) {}
 
-  /** Whether the complete list has been read. */
-  public get isComplete(): boolean {
-    return this.hasReadList;
-  }
-
   /** Replaces all known targets. */
   public reset(targets: readonly Target[]): void {
     const listed = new Set(targets.map(({ id }) => id));
     [...this.entries.keys()].filter((id) => !listed.has(id)).forEach((id) => this.remove(id));
     targets.forEach((target) => this.update(target));
-    this.hasReadList = true;
+    this.known.open();
   }
 
   /** Adds or updates the entry of a target. */
--- a/packages/gateway/src/testing/gatewayStandIns.ts
+++ b/packages/gateway/src/testing/gatewayStandIns.ts
@@ -1,3 +1,4 @@
+import * as lifetime from '@limpettack/lifetime';
 import type * as metrics from '@limpettack/metrics';
 import * as gateway from '../Gateway.js';
 import * as currentTables from '../CurrentTables.js';
@@ -45,9 +46,12 @@
     callerLimits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   });
   const targets = ['one', 'two', 'three'].map((id) => gatewayFixtures.createTarget(id));
+  const started = new lifetime.Latch();
+  started.open();
   const dependencies = {
     ...gatewayFixtures.createDependencies(transport, targets),
     tables,
+    started,
     allowances: { admit: async () => ({ isAdmitted: true }) as const },
     budgets,
     logger,
--- a/packages/lifetime/src/index.ts
+++ b/packages/lifetime/src/index.ts
@@ -2,3 +2,4 @@
 export * from './Types.js';
 export * from './DisposableStore.js';
 export * from './Emitter.js';
+export * from './Latch.js';
--- a/packages/membership/src/ProbingMembership.test.ts
+++ b/packages/membership/src/ProbingMembership.test.ts
@@ -200,6 +200,19 @@
     ]);
   });
 
+  test('reads the list again soon until the first read succeeds', async () => {
+    const fleet = createFleet();
+    fleet.list('a', 'b');
+    fleet.listProcess('b', '1');
+    fleet.faults.listIsDown = true;
+    const membership = await fleet.start('a');
+    expect(membership.known.isOpen).toBe(false);
+    fleet.faults.listIsDown = false;
+    await fleet.run(1);
+    expect(membership.known.isOpen).toBe(true);
+    expect(membership.available().map(({ name }) => name)).toEqual(['a', 'b']);
+  });
+
   test('proves an end only by a successful read of the list or by a later incarnation', async () => {
     const fleet = createFleet();
     const [first] = await startThree(fleet);
--- a/packages/membership/src/ProbingMembership.ts
+++ b/packages/membership/src/ProbingMembership.ts
@@ -32,6 +32,9 @@
 
 const DEFAULT_ABSENCE_MS = 60_000;
 
+/** Interval at which the list is read until the first read succeeds. */
+const FIRST_LIST_RETRY_MS = 200;
+
 /** Dependencies and settings of the membership. */
 export interface ProbingMembershipOptions {
   readonly network: wire.PeerNetwork;
@@ -62,6 +65,9 @@
 
   public readonly onChange: lifetime.Event<Member>;
 
+  /** Opens when the list has been read for the first time. */
+  public readonly known = new lifetime.Latch();
+
   private readonly store = new lifetime.DisposableStore();
 
   private readonly stopping = new AbortController();
@@ -224,11 +230,14 @@
     this.isListUnchanged = contents === this.listContents;
     this.listContents = contents;
     // An empty list lacks even this VM, so it is treated as invalid and ignored.
-    if (result.value.length > 0) this.table.applyList(result.value);
+    if (result.value.length === 0) return;
+    this.table.applyList(result.value);
+    this.known.open();
   }
 
   private get nextListIntervalMs(): clock.Milliseconds {
     const { listIntervalMs, settledListIntervalMs = listIntervalMs } = this.options;
+    if (!this.known.isOpen) return Math.min(FIRST_LIST_RETRY_MS, listIntervalMs);
     return this.isListUnchanged ? settledListIntervalMs : listIntervalMs;
   }
 
