Let VMs share which targets fail

What callers saw: each VM lost calls to a target that resets what it is sent before it avoided the target. In a fleet of 76 VMs, each of which calls a target every few seconds, nearly every call to such a target was lost.

Change: a VM reports a failure to two VMs that collect the reports of the target (rendezvous hashing). When two VMs have reported it within two seconds, all VMs are notified, twice a second at most, and treat it as if it had failed a call of their own. A VM accepts this for a quarter of a pool at most, so that a wide fault does not empty it, and the reports of one VM alone do nothing.

Ruled out: notifying all VMs of each failure (messages grow with the square of the fleet), and spreading reports with probes (a round of probes takes half a second). The tests of TargetWatch fail without it.

--- a/packages/gateway/src/CrashWatch.ts
+++ b/packages/gateway/src/CrashWatch.ts
@@ -9,6 +9,7 @@
 import * as trueMyth from 'true-myth';
 import type * as callContext from './CallContext.js';
 import * as messages from './messages.js';
+import * as notifyPeers from './notifyPeers.js';
 import type { Target } from './Types.js';
 
 /** Number of different targets that must crash while they run a request before it is refused. */
@@ -17,12 +18,6 @@
 /** Number of VMs that count the crashes caused by one request; the second is a backup. */
 const COUNTING_VMS = 2;
 
-/** Timeout of a notification to a peer. */
-const NOTIFICATION_TIMEOUT_MS = 500;
-
-/** Number of peers that are notified of a quarantine in parallel. */
-const BROADCAST_CONCURRENCY = 16;
-
 /** The part of `CrashWatch` that calls use. */
 export type CrashReporter = Pick<CrashWatch, 'isRefused' | 'recordCrash' | 'recordCompletion'>;
 
@@ -88,14 +83,9 @@
       target: target.id,
       reason: `counted at ${countingVms.map(({ name }) => name).join(', ')}`,
     });
-    countingVms
-      .filter(({ name }) => name !== network.self.name)
-      .forEach(({ address }) => {
-        const request = { fingerprint, target: target.id };
-        network.request(address, messages.TARGET_CRASH, request, {
-          timeoutMs: NOTIFICATION_TIMEOUT_MS,
-        });
-      });
+    const peers = countingVms.filter(({ name }) => name !== network.self.name);
+    const report = { fingerprint, target: target.id };
+    notifyPeers.notifyPeers(network, peers, messages.TARGET_CRASH, report);
   }
 
   /** Records that a target completed a request. */
@@ -115,27 +105,14 @@
     if (this.fingerprints.noteCrash(crash)) this.announceQuarantine(fingerprint);
   }
 
-  private async announceQuarantine(fingerprint: string): Promise<void> {
+  private announceQuarantine(fingerprint: string): void {
     const { logger, membership: members, network } = this.options;
     const others = members.available().filter(({ name }) => name !== network.self.name);
     logger.warn('A request is quarantined because it crashed targets.', {
       kind: fingerprint,
       count: others.length,
     });
-    for (let start = 0; start < others.length; start += BROADCAST_CONCURRENCY) {
-      await Promise.all(
-        others
-          .slice(start, start + BROADCAST_CONCURRENCY)
-          .map(({ address }) =>
-            network.request(
-              address,
-              messages.REQUEST_QUARANTINED,
-              { fingerprint },
-              { timeoutMs: NOTIFICATION_TIMEOUT_MS },
-            ),
-          ),
-      );
-    }
+    notifyPeers.notifyPeers(network, others, messages.REQUEST_QUARANTINED, { fingerprint });
   }
 }
 
--- a/packages/gateway/src/TargetRegistry.ts
+++ b/packages/gateway/src/TargetRegistry.ts
@@ -107,6 +107,11 @@
       .map(({ target }) => target);
   }
 
+  /** Returns a known target by its id. */
+  public find(id: string): Target | undefined {
+    return this.entries.get(id)?.target;
+  }
+
   /** Whether a target still accepts new work. */
   public isUsable(target: Target): boolean {
     const entry = this.entries.get(target.id);
--- a/packages/gateway/src/TargetScores.ts
+++ b/packages/gateway/src/TargetScores.ts
@@ -1,4 +1,5 @@
 import type * as clock from '@limpettack/clock';
+import * as lifetime from '@limpettack/lifetime';
 
 /**
  * Time for which other targets are preferred after a failure; doubled with each consecutive
@@ -65,6 +66,11 @@
 export class TargetScores {
   private readonly scores = new Map<string, Score>();
 
+  private readonly failureEmitter = new lifetime.Emitter<string>();
+
+  /** Fires with the id of a target that has failed a call of this process. */
+  public readonly onFailure = this.failureEmitter.event;
+
   public constructor(private readonly time: clock.Clock) {}
 
   public recordSent(target: string): void {
@@ -85,7 +91,18 @@
     score.sampledAt = this.time.now();
   }
 
+  /** Records that a target has failed a call of this process. */
   public recordFailure(target: string): void {
+    this.penalise(target);
+    this.failureEmitter.fire(target);
+  }
+
+  /** Records that other VMs have seen a target fail. */
+  public recordSuspicion(target: string): void {
+    this.penalise(target);
+  }
+
+  private penalise(target: string): void {
     const score = this.scoreOf(target);
     const pause = Math.min(MAXIMUM_FAILURE_PAUSE_MS, FAILURE_PAUSE_MS * 2 ** score.failures);
     score.failures += 1;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,3 +9,4 @@
 export * from './TargetScores.js';
 export * from './TargetSelector.js';
 export * from './TargetSender.js';
+export * from './TargetWatch.js';
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -3,6 +3,8 @@
 
 const CRASH = zod.object({ fingerprint: zod.string(), target: zod.string() });
 
+const TARGET = zod.object({ target: zod.string() });
+
 const EMPTY = zod.object({});
 
 const QUARANTINE = zod.object({ fingerprint: zod.string() });
@@ -23,3 +25,20 @@
   request: CRASH,
   response: EMPTY,
 };
+
+/** Reports a failure of a target to a peer that collects them. */
+export const TARGET_FAILED: wire.PeerMethod<zod.infer<typeof TARGET>, zod.infer<typeof EMPTY>> = {
+  name: 'gateway.target-failed',
+  request: TARGET,
+  response: EMPTY,
+};
+
+/** Notifies a peer that several VMs have seen a target fail. */
+export const TARGET_SUSPECTED: wire.PeerMethod<
+  zod.infer<typeof TARGET>,
+  zod.infer<typeof EMPTY>
+> = {
+  name: 'gateway.target-suspected',
+  request: TARGET,
+  response: EMPTY,
+};
