Read events of streams as bytes, so that histories keep all text

Cause: eventData matched /^data: ?(.*)$/gm on decoded text. In JavaScript "." and "$" stop at U+2028 and U+2029, which are no line ends of an event stream. Each event was also decoded and encoded by itself, which replaces the bytes of a character that is split between two events.

Fix: EventSplitter finds events, ids and data in the bytes. Comments are passed on, but are no events: they no longer add a line to the history or tokens to the charge. Empty lines after the last event no longer make a stream look broken off.

It works because the history now consists of the same bytes that the caller was sent.

Ruled out: the storage of turns (bytes throughout) and ServerSentEventParser of the product's own engines, which splits at line feeds only.

--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -182,6 +182,20 @@
     expect(reply.outcome).toBe('ended');
   });
 
+  // Engines write Unicode line separators like any other text. What followed one in an event was
+  // missing from the history of the turns that continue this one.
+  test('retains the whole text of an event with a line separator', async () => {
+    const text = 'the first line\u2028the second line';
+    const script: scriptedTransport.Script = (handler) => {
+      handler.onHead(fixtures.HEAD);
+      handler.onData(Buffer.from(`id: 1\ndata: ${text}\n\n: still there\n\n`));
+      handler.onEnd();
+    };
+    const { dependencies, outcome } = await run([script], RETAINING);
+    expect(dependencies.retainedContents).toEqual([`body${text}\n`]);
+    expect(outcome.tokens).toBe(20);
+  });
+
   test('the end of a retained turn waits until its usage is recorded', async () => {
     const used: number[] = [];
     let isEndedBefore: boolean | undefined;
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -105,7 +105,7 @@
 
   private eventsSent = 0;
 
-  private readonly output: Buffer[] = [];
+  private readonly output: Uint8Array[] = [];
 
   /** A response that is not a stream, such as an error. */
   private plainResponse: PlainResponse | undefined;
@@ -242,7 +242,7 @@
     if (event.id !== undefined && event.id <= this.lastEventId) return;
     if (!this.reply.hasStarted && this.head !== undefined) this.reply.start(this.head);
     this.lastEventId = event.id ?? this.lastEventId;
-    this.eventsSent += 1;
+    if (event.data !== undefined) this.eventsSent += 1;
     this.reply.write(event.bytes);
   }
 
@@ -250,10 +250,10 @@
    * Collects the output of a retained turn. Skips events that a target sends again after a retry.
    */
   private collectOutput(event: eventSplitter.ServerSentEvent): void {
-    if (!this.context.route.retainsTurns) return;
+    if (!this.context.route.retainsTurns || event.data === undefined) return;
     if (event.id !== undefined && event.id <= this.lastCollectedId) return;
     this.lastCollectedId = event.id ?? this.lastCollectedId;
-    this.output.push(Buffer.from(eventSplitter.eventData(event)), LINE_FEED);
+    this.output.push(event.data, LINE_FEED);
   }
 
   private deferUntil(budgetRecorded: Promise<boolean>): void {
@@ -288,7 +288,7 @@
       this.finish(false, false);
       return;
     }
-    if (this.splitter.current.pendingBytes > 0) {
+    if (this.splitter.current.isWithinEvent) {
       this.retryOrFail('The stream ends within an event.');
       return;
     }
@@ -298,6 +298,8 @@
 
   private complete(isKept: boolean): void {
     if (!this.reply.hasStarted && this.head !== undefined) this.reply.start(this.head);
+    const trailingLines = this.splitter.current.takeTrailingLines();
+    if (trailingLines.length > 0) this.reply.write(trailingLines);
     this.reply.end();
     this.finish(true, isKept);
   }
