Let no reset answers quarantine requests that targets complete

Cause: the fingerprint held only the new input of a turn, so turns of different programs were one request; a completed request cleared the suspicion at its own VM only, not at the VMs that count crashes; a quarantine had no end.

Before the last crash that would quarantine a request, all VMs are told, and the one at which it completes tells those that count. A completed request lifts a quarantine too. Reports of crashes carry the age of the call, so connections that broke at the same moment count once, also when several VMs report them. A stream that ends inside an event is no completed request.

Ruled out: crashed targets (first turns were served) and lost histories (nothing was looked up).

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -110,7 +110,7 @@
 
   private async serve(context: callContext.CallContext, reply: Reply): Promise<void> {
     const { call, deadline, route } = context;
-    if (this.dependencies.crashes.isRefused(context)) {
+    if (!this.dependencies.crashes.admit(context)) {
       reply.refuse(errors.createFault('request-quarantined'));
       return;
     }
--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -73,9 +73,11 @@
       handler.onData(Buffer.from('id: 2\ndata: ha'));
       handler.onEnd();
     };
-    const { reply } = await run([script], STREAM);
+    const { dependencies, reply } = await run([script], STREAM);
     expect(reply.eventIds).toEqual([1]);
     expect(reply.outcome).toBe('broken');
+    // It is no evidence that the request does not crash its targets.
+    expect(dependencies.completedRequests).toEqual([]);
   });
 
   test('a stalled stream resumes at another target', async () => {
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -279,9 +279,9 @@
 
   private finishStream(): void {
     if (this.isFinished) return;
-    this.dependencies.crashes.recordCompletion(this.context);
     const { plainResponse } = this;
     if (plainResponse !== undefined) {
+      this.dependencies.crashes.recordCompletion(this.context);
       const body = Buffer.concat(plainResponse.chunks);
       if (this.reply.hasStarted) this.reply.abort();
       else this.reply.send({ ...plainResponse.head, body });
@@ -292,6 +292,7 @@
       this.retryOrFail('The stream ends within an event.');
       return;
     }
+    this.dependencies.crashes.recordCompletion(this.context);
     if (this.context.route.retainsTurns) this.retainTurn();
     else this.complete(false);
   }
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -1,13 +1,54 @@
 import type * as wire from '@limpettack/wire';
 import * as zod from 'zod';
 
-const CRASH = zod.object({ fingerprint: zod.string(), target: zod.string() });
+const CRASH = zod.object({
+  fingerprint: zod.string(),
+  target: zod.string(),
+  /** Time since the call was sent that was running when the target crashed, in milliseconds. */
+  ageMs: zod.number().nonnegative().default(0),
+});
 
 const TARGET = zod.object({ target: zod.string() });
 
 const EMPTY = zod.object({});
 
-const QUARANTINE = zod.object({ fingerprint: zod.string() });
+const FINGERPRINT = zod.object({ fingerprint: zod.string() });
+
+const QUARANTINE = zod.object({
+  fingerprint: zod.string(),
+  /** Length of the quarantine from the receipt of the message, in milliseconds. */
+  lengthMs: zod.number().nonnegative(),
+});
+
+/** Notifies a peer that targets have crashed while they ran a request, so that it watches for one that completes. */
+export const REQUEST_SUSPECTED: wire.PeerMethod<
+  zod.infer<typeof FINGERPRINT>,
+  zod.infer<typeof EMPTY>
+> = {
+  name: 'gateway.suspected',
+  request: FINGERPRINT,
+  response: EMPTY,
+};
+
+/** Notifies a peer that counts the crashes of a request that a target has completed it. */
+export const REQUEST_COMPLETED: wire.PeerMethod<
+  zod.infer<typeof FINGERPRINT>,
+  zod.infer<typeof EMPTY>
+> = {
+  name: 'gateway.completed',
+  request: FINGERPRINT,
+  response: EMPTY,
+};
+
+/** Notifies a peer that the quarantine of a request is lifted. */
+export const QUARANTINE_LIFTED: wire.PeerMethod<
+  zod.infer<typeof FINGERPRINT>,
+  zod.infer<typeof EMPTY>
+> = {
+  name: 'gateway.quarantine-lifted',
+  request: FINGERPRINT,
+  response: EMPTY,
+};
 
 /** Notifies a peer that a request is quarantined and must be refused. */
 export const REQUEST_QUARANTINED: wire.PeerMethod<
--- a/packages/gateway/src/testing/gatewayFixtures.ts
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -109,6 +109,8 @@
   readonly registry: targetRegistry.TargetRegistry;
   readonly scores: targetScores.TargetScores;
   readonly crashedTargets: string[];
+  /** Ids of the requests that targets have completed. */
+  readonly completedRequests: string[];
   readonly retainedContents: string[];
 }
 
@@ -128,11 +130,13 @@
   registry.reset(targets);
   const scores = new targetScores.TargetScores(time);
   const crashedTargets: string[] = [];
+  const completedRequests: string[] = [];
   const retainedContents: string[] = [];
   return {
     registry,
     scores,
     crashedTargets,
+    completedRequests,
     retainedContents,
     selector: new targetSelector.TargetSelector(registry, scores, 'a', () => 0),
     sender: new targetSender.TargetSender({ transport, scores, clock: time, logger }),
@@ -140,8 +144,10 @@
       recordCrash: (_context, target) => {
         crashedTargets.push(target.id);
       },
-      recordCompletion: () => undefined,
-      isRefused: () => false,
+      recordCompletion: ({ call }) => {
+        completedRequests.push(call.id);
+      },
+      admit: () => true,
     },
     turns: {
       history: async () => trueMyth.Result.ok({ contents: [], turns: [] }),
