Send streams in chunks and whole responses with their length

Cause: such streams were passed on without a length, so the end of the connection was the end of the stream. Aborts were shown by a reset. A reset that follows data closely reaches callers as a regular end, and a killed process sends none.

Fix: the last chunk, or the last byte of the length, completes a response. The VM sends neither for a stream that it aborts, and cannot when it is killed.

Ruled out: that the VM takes the cut for the end; its log says "broken-off".

--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -141,12 +141,6 @@
   readonly status: number;
   /** Alternating names and values, without hop-by-hop headers. */
   readonly headers: readonly string[];
-  /**
-   * Whether only the end of the connection marks the end of the response. An interrupted response
-   * cannot be distinguished from a complete one then, so the caller receives it without a length as
-   * well.
-   */
-  readonly isCloseDelimited: boolean;
 }
 
 /** A target's complete response. */
--- a/packages/gateway/src/testing/gatewayFixtures.ts
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -21,7 +21,6 @@
 export const HEAD: ResponseHead = {
   status: 200,
   headers: ['signature', 'of the target'],
-  isCloseDelimited: false,
 };
 
 export function createTarget(id: string, changes: Partial<Target> = {}): Target {
