Resume a stream at a further target after an error response

Callers saw: a resumable stream that had begun was aborted when the next target answered with an error, though the route allowed a further attempt.

Cause: finishStream treated the error as the end of the call. It can't be passed on, since part of the stream has been sent.

Fix: the call goes on like after a lost response; the attempts of the route bound it.

Evidence: "a stream resumes at a further target after an error of the one before" failed before.

--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -66,6 +66,28 @@
     expect(outcome).toEqual({ tokens: 20, isComplete: false, isKept: false });
   });
 
+  // Other relays wrote the error into the stream, or ended the stream as if it were complete.
+  test('an error of the target that resumes a stream does not reach the caller', async () => {
+    const scripts = [fixtures.streamEvents([1], 'break'), fixtures.sendResponse('error', 500)];
+    const { outcome, reply } = await run(scripts, RESUMABLE);
+    expect(reply.chunks).toEqual([fixtures.eventBytes(1).toString()]);
+    expect(reply.response).toBeUndefined();
+    expect(reply.outcome).toBe('broken');
+    expect(outcome.isComplete).toBe(false);
+  });
+
+  test('a stream resumes at a further target after an error of the one before', async () => {
+    const scripts = [
+      fixtures.streamEvents([1], 'break'),
+      fixtures.sendResponse('error', 500),
+      fixtures.streamEvents([2], 'end'),
+    ];
+    const { reply, transport } = await run(scripts, { ...RESUMABLE, maximumAttempts: 3 });
+    expect(reply.eventIds).toEqual([1, 2]);
+    expect(reply.outcome).toBe('ended');
+    expect(transport.sent).toHaveLength(3);
+  });
+
   test('a stream that ends within an event is not complete', async () => {
     const script: scriptedTransport.Script = (handler) => {
       handler.onHead(fixtures.HEAD);
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -282,9 +282,12 @@
     const { plainResponse } = this;
     if (plainResponse !== undefined) {
       this.dependencies.crashes.recordCompletion(this.context);
-      const body = Buffer.concat(plainResponse.chunks);
-      if (this.reply.hasStarted) this.reply.abort();
-      else this.reply.send({ ...plainResponse.head, body });
+      // The caller has part of a stream, so an error response can no longer be passed on.
+      if (this.reply.hasStarted) {
+        this.retryOrFail(`The target that was to resume answered ${plainResponse.head.status}.`);
+        return;
+      }
+      this.reply.send({ ...plainResponse.head, body: Buffer.concat(plainResponse.chunks) });
       this.finish(false, false);
       return;
     }
