End an outage of the log before its records are delivered

Cause: KeyedFollower delivered the records of the first read after an outage while unreachableSince was still set. TargetRegistry keeps targets that disappear in an outage until its end, which was never noted for these.

Fix: a successful read ends the outage first, then its records are delivered.

--- a/packages/keyed-log/src/KeyedFollower.test.ts
+++ b/packages/keyed-log/src/KeyedFollower.test.ts
@@ -43,27 +43,62 @@
     expect(seen.follower.unreachableSince).toBeUndefined();
     expect(seen.follower.reachableAgainAt).toBeDefined();
   });
+
+  // The first records after an outage were delivered as if it went on. A target whose removal was
+  // among them stayed in use for as long as the process lived.
+  test.each([
+    ['the next records', false],
+    ['a new list', true],
+  ])('%s after an outage are delivered after the outage has ended', async (_name, isCompacted) => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    await append(log, [record('a', '1')]);
+    const seen = follow(log);
+    await until(() => seen.resets === 1);
+    log.outage = logFailures.LOG_FAILURES.UNAVAILABLE;
+    await until(() => seen.follower.unreachableSince !== undefined);
+    seen.wereUnreachable.length = 0;
+    log.outage = undefined;
+    await append(log, [{ key: 'a' }]);
+    if (isCompacted) log.compact(PARTITION);
+    await until(() => seen.values.a === undefined);
+    expect(seen.wereUnreachable).toEqual([false]);
+    expect(seen.follower.reachableAgainAt).toBeDefined();
+  });
 });
 
 function follow(log: memoryKeyedLog.MemoryKeyedLog): {
   readonly values: Record<string, string>;
+  /** For each delivery, whether the log was said to be unreachable. */
+  readonly wereUnreachable: boolean[];
   resets: number;
   follower: keyedFollower.KeyedFollower;
 } {
-  const seen = { values: {} as Record<string, string>, resets: 0 };
+  const seen = {
+    values: {} as Record<string, string>,
+    wereUnreachable: [] as boolean[],
+    resets: 0,
+  };
   const take = ({ key, value }: KeyedRecord): void => {
     if (value === undefined) delete seen.values[key];
     else seen.values[key] = Buffer.from(value).toString();
   };
+  const holder: { follower?: keyedFollower.KeyedFollower } = {};
+  const noteDelivery = (): void => {
+    seen.wereUnreachable.push(holder.follower?.unreachableSince !== undefined);
+  };
   const follower = new keyedFollower.KeyedFollower({
     source: new logSource.LogSource(log, PARTITION),
     handler: {
       onReset: (records) => {
+        noteDelivery();
         seen.resets += 1;
         Object.keys(seen.values).forEach((key) => delete seen.values[key]);
         records.forEach(take);
       },
-      onRecord: take,
+      onRecord: (change) => {
+        noteDelivery();
+        take(change);
+      },
       onCaughtUp: () => undefined,
     },
     clock: new clock.SystemClock(),
@@ -72,6 +107,7 @@
     minimumIntervalMs: 10,
     retryMs: 10,
   });
+  holder.follower = follower;
   followers.push(follower);
   follower.start();
   return Object.assign(seen, { follower });
--- a/packages/keyed-log/src/KeyedFollower.ts
+++ b/packages/keyed-log/src/KeyedFollower.ts
@@ -60,7 +60,7 @@
       const startedAt = time.now();
       const succeeded = this.position === undefined ? await this.reset() : await this.readChanges();
       if (signal.aborted) return;
-      this.noteOutcome(succeeded);
+      if (!succeeded) this.noteFailure();
       const pause = succeeded ? minimumIntervalMs - (time.now() - startedAt) : retryMs;
       if (pause > 0) await time.sleep(pause, signal);
     }
@@ -70,6 +70,7 @@
     const { handler, source } = this.options;
     const state = await source.list();
     if (state.isErr || this.stopping.signal.aborted) return false;
+    this.noteSuccess();
     this.position = state.value.endOffset;
     handler.onReset(state.value.records);
     handler.onCaughtUp();
@@ -81,26 +82,35 @@
     const changes = await source.readChanges(this.position ?? 0, waitMs);
     if (this.stopping.signal.aborted) return false;
     if (changes.isErr) {
-      if (changes.error.kind === logFailures.LOG_FAILURES.EXPIRED) this.position = undefined;
-      return changes.error.kind === logFailures.LOG_FAILURES.EXPIRED;
+      if (changes.error.kind !== logFailures.LOG_FAILURES.EXPIRED) return false;
+      this.noteSuccess();
+      this.position = undefined;
+      return true;
     }
+    this.noteSuccess();
     changes.value.records.forEach((record) => handler.onRecord(record));
     this.position = changes.value.nextOffset;
     handler.onCaughtUp();
     return true;
   }
 
-  private noteOutcome(succeeded: boolean): void {
+  /**
+   * Called before the records of a read are delivered, because how long an entry may be missing
+   * depends on when the log became reachable again.
+   */
+  private noteSuccess(): void {
+    if (this.failingSince === undefined) return;
     const { clock: time, logger, source } = this.options;
-    const { topic } = source.partition;
-    if (succeeded && this.failingSince !== undefined) {
-      const spanMs = Math.round(time.now() - this.failingSince);
-      logger.info('The log can be read again.', { kind: topic, spanMs });
-      this.recoveredAt = time.now();
-      this.failingSince = undefined;
-    } else if (!succeeded && this.failingSince === undefined) {
-      this.failingSince = time.now();
-      logger.warn('The log cannot be read.', { kind: topic });
-    }
+    const spanMs = Math.round(time.now() - this.failingSince);
+    logger.info('The log can be read again.', { kind: source.partition.topic, spanMs });
+    this.recoveredAt = time.now();
+    this.failingSince = undefined;
+  }
+
+  private noteFailure(): void {
+    if (this.failingSince !== undefined) return;
+    const { clock: time, logger, source } = this.options;
+    this.failingSince = time.now();
+    logger.warn('The log cannot be read.', { kind: source.partition.topic });
   }
 }
