Drop targets that leave while only this VM is cut off from the log

Callers saw: after a cut, requests reached targets that had been removed up to 3.1 s before (DRAIN, bound 2 s).

Fix: the grace period applies if more than half of a pool has disappeared. In an outage of the log no target renews its entry, so all disappear.

Ruled out: a shorter grace period. Entries may be back only two seconds after the log, and a VM notices the end of its cut later than that of an outage.

--- a/packages/gateway/src/TargetRegistry.ts
+++ b/packages/gateway/src/TargetRegistry.ts
@@ -6,6 +6,13 @@
 /** Grace period after an outage of the log for targets that disappeared from the list during it. */
 const RETURN_GRACE_MS = 2_200;
 
+/**
+ * Share of a pool that must have disappeared for the grace period to apply. In an outage of the log
+ * no target can renew its entry. If most entries are still there, only this VM was cut off, and the
+ * others were removed because their targets left.
+ */
+const OUTAGE_SHARE = 0.5;
+
 /** Dependencies of the registry. */
 export interface TargetRegistryOptions {
   readonly clock: clock.Clock;
@@ -21,8 +28,8 @@
 interface Entry {
   readonly target: Target;
   /**
-   * Set if the entry disappeared from the list during an outage of the log. The target stays usable
-   * until this time, because it may still run.
+   * Set if the entry disappeared from the list during an outage of the log. The target may stay
+   * usable until this time, because it may still run.
    */
   missingUntil: clock.Milliseconds | undefined;
   /** Whether the process itself has announced its shutdown, whatever the list states. */
@@ -82,7 +89,7 @@
 
   /**
    * Removes a target. During an outage of the log, a target that is not draining instead stays
-   * usable until the end of the grace period.
+   * usable until the end of the grace period, if most of its pool disappears with it.
    */
   public remove(id: string): void {
     const entry = this.entries.get(id);
@@ -101,9 +108,11 @@
 
   /** The targets of a pool that accept new work. */
   public usable(pool: string): readonly Target[] {
+    const entries = this.entriesOf(pool);
     const now = this.options.clock.now();
-    return [...this.entries.values()]
-      .filter((entry) => entry.target.pool === pool && acceptsWork(entry, now))
+    const mayUseMissing = isOutage(entries, now);
+    return entries
+      .filter((entry) => acceptsWork(entry, now, mayUseMissing))
       .map(({ target }) => target);
   }
 
@@ -116,14 +125,26 @@
   public isUsable(target: Target): boolean {
     const entry = this.entries.get(target.id);
     if (entry === undefined || !isSameProcess(entry.target, target)) return false;
-    return acceptsWork(entry, this.options.clock.now());
+    const now = this.options.clock.now();
+    return acceptsWork(entry, now, isOutage(this.entriesOf(target.pool), now));
+  }
+
+  private entriesOf(pool: string): readonly Entry[] {
+    return [...this.entries.values()].filter(({ target }) => target.pool === pool);
   }
 }
 
-function acceptsWork(entry: Entry, now: clock.Milliseconds): boolean {
+/** Whether so many entries of a pool have just disappeared that their targets may still run. */
+function isOutage(entries: readonly Entry[], now: clock.Milliseconds): boolean {
+  const listed = entries.filter(({ missingUntil }) => missingUntil === undefined).length;
+  const missing = entries.filter(({ missingUntil = 0 }) => missingUntil > now).length;
+  return missing > OUTAGE_SHARE * (listed + missing);
+}
+
+function acceptsWork(entry: Entry, now: clock.Milliseconds, mayUseMissing: boolean): boolean {
   const { isLeaving, missingUntil, target } = entry;
   if (isLeaving || target.isDraining) return false;
-  return missingUntil === undefined || missingUntil > now;
+  return missingUntil === undefined || (mayUseMissing && missingUntil > now);
 }
 
 function isSameProcess(left: Target, right: Target): boolean {
--- a/packages/gateway/src/decisions.test.ts
+++ b/packages/gateway/src/decisions.test.ts
@@ -211,6 +211,25 @@
     expect(registry.usable('pool')).toHaveLength(0);
   });
 
+  // A VM that was cut off from the log can't tell targets that left meanwhile from those that could
+  // not renew their entries. It went on sending requests to targets that had been removed.
+  test('targets that disappear while most of their pool stays listed get no new work', () => {
+    const time = new clock.ManualClock();
+    const registry = createRegistry(time, () => time.now() + 300);
+    const targets = Array.from({ length: 8 }, (_, index) => fixtures.createTarget(`t${index}`));
+    registry.reset(targets);
+    const usableAfter = targets.map(({ id }) => {
+      registry.remove(id);
+      return registry.usable('pool').length;
+    });
+    // From the fifth on, it is an outage of the log, in which all targets may still run.
+    expect(usableAfter).toEqual([7, 6, 5, 4, 8, 8, 8, 8]);
+    registry.update(targets[0]!);
+    expect(registry.usable('pool')).toHaveLength(8);
+    time.advance(3_000);
+    expect(registry.usable('pool')).toEqual([targets[0]]);
+  });
+
   test('a target that announced its shutdown in a response gets no new work until its process is replaced', () => {
     const registry = createRegistry(new clock.ManualClock(), () => 0);
     registry.reset([fixtures.createTarget('one')]);
