--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -20,7 +20,10 @@
   lengthMs: zod.number().nonnegative(),
 });
 
-/** Notifies a peer that targets have crashed while they ran a request, so that it watches for one that completes. */
+/**
+ * Notifies a peer that targets have crashed while they ran a request, so that the peer reports if
+ * one completes it.
+ */
 export const REQUEST_SUSPECTED: wire.PeerMethod<
   zod.infer<typeof FINGERPRINT>,
   zod.infer<typeof EMPTY>
