A port that is taken at a start no longer ends the process

Callers saw a VM that stayed away: its process ended with exit 1 (EADDRINUSE) when another process still held one of its four ports at its start.

Cause: each server made one attempt to listen, and the start awaited all four in a row, the metrics included. Nothing told an error that passes by itself from one that doesn't. The listener that rejected the start also stayed on the server, so it hid the first later error of the server, and the second one had no listener: an uncaught exception.

The listening of all servers, also of the product's own interface, now belongs to one class, `wire.ServerListener`. It retries every 100 ms while the port is in use or the address is not configured on the machine yet (EADDRINUSE, EADDRNOTAVAIL), logs the first failure, one line every 10 s and the success, and ends with its server. All other errors (EACCES, an invalid port) still end the start with exit 1 and a line. Later errors of a server are logged.

Ruled out: SO_REUSEPORT, with which two processes would share the callers of one port.

--- a/packages/entry/src/EntryServer.ts
+++ b/packages/entry/src/EntryServer.ts
@@ -7,6 +7,7 @@
 import type * as logging from '@limpettack/logging';
 import type * as metrics from '@limpettack/metrics';
 import * as programs from '@limpettack/programs';
+import * as wire from '@limpettack/wire';
 import * as ulid from 'ulid';
 import * as callerFields from './callerFields.js';
 import type * as chatHandler from './ChatHandler.js';
@@ -52,6 +53,8 @@
 
   private readonly server: http.Server;
 
+  private readonly listener: wire.ServerListener;
+
   /** Abort controllers of the open exchanges, by the digest of the caller's key. */
   private readonly exchangesByKey = new Map<string, Set<AbortController>>();
 
@@ -75,6 +78,8 @@
     this.server.on('clientError', (error, socket) =>
       respondToClientError(error, socket as net.Socket),
     );
+    const { clock, logger } = options;
+    this.listener = new wire.ServerListener({ server: this.server, clock, logger });
     this.store.add(options.configuration.onKeyWithdrawn((digest) => this.abortExchangesOf(digest)));
   }
 
@@ -83,18 +88,15 @@
     return this.requestsInProgress;
   }
 
-  /** Listens for callers. Resolves with the port. */
+  /** Listens for callers as soon as the address is free. Resolves with the port. */
   public listen(): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.options.port, this.options.host, () => {
-        resolve((this.server.address() as net.AddressInfo).port);
-      });
-    });
+    const { host, port } = this.options;
+    return this.listener.listen({ host, port });
   }
 
   /** Stops accepting connections and resolves when all requests in progress have ended. */
   public async drain(): Promise<void> {
+    this.listener.dispose();
     this.server.close();
     this.server.closeIdleConnections();
     while (this.requestsInProgress > 0) {
@@ -105,6 +107,7 @@
 
   /** @inheritdoc */
   public async dispose(): Promise<void> {
+    this.listener.dispose();
     await this.store.dispose();
     this.server.close();
     this.server.closeAllConnections();
--- a/packages/node/src/OperatorsServer.ts
+++ b/packages/node/src/OperatorsServer.ts
@@ -1,11 +1,13 @@
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import type * as clock from '@limpettack/clock';
 import * as entry from '@limpettack/entry';
 import * as errors from '@limpettack/errors';
 import type * as lifetime from '@limpettack/lifetime';
+import type * as logging from '@limpettack/logging';
 import type * as metrics from '@limpettack/metrics';
 import * as programs from '@limpettack/programs';
+import * as wire from '@limpettack/wire';
 import * as zod from 'zod';
 import type * as fleetView from './FleetView.js';
 
@@ -32,6 +34,8 @@
   readonly isReady: () => boolean;
   readonly fleet: fleetView.FleetView;
   readonly homes: entry.Homes;
+  readonly clock: clock.Clock;
+  readonly logger: logging.Logger;
 }
 
 /** The HTTP server of the operators' port: health, metrics, fleet, programs and calls in doubt. */
@@ -40,20 +44,22 @@
     this.serve(request, response);
   });
 
-  public constructor(private readonly options: OperatorsServerOptions) {}
+  private readonly listener: wire.ServerListener;
 
-  /** Starts to listen. Resolves with the port in use. */
+  public constructor(private readonly options: OperatorsServerOptions) {
+    const { server } = this;
+    this.listener = new wire.ServerListener({ ...options, server });
+  }
+
+  /** Listens as soon as the address is free. Resolves with the port in use. */
   public listen(): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.options.port, this.options.host, () => {
-        resolve((this.server.address() as net.AddressInfo).port);
-      });
-    });
+    const { host, port } = this.options;
+    return this.listener.listen({ host, port });
   }
 
   /** @inheritdoc */
   public dispose(): void {
+    this.listener.dispose();
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/packages/node/src/createServers.ts
+++ b/packages/node/src/createServers.ts
@@ -28,6 +28,7 @@
   const server = store.add(createEntry(context, homes, admission, isReady, isDraining));
   const operators = store.add(
     new operatorsServer.OperatorsServer({
+      ...vmContext.clockAndLogger(clock, 'operators'),
       ...settings.operators,
       token: context.secrets.operators,
       metrics,
--- a/packages/wire/src/FleetNetwork.ts
+++ b/packages/wire/src/FleetNetwork.ts
@@ -11,6 +11,7 @@
 import * as itemQueue from './ItemQueue.js';
 import * as peerFailures from './PeerFailures.js';
 import * as peerLink from './PeerLink.js';
+import * as serverListener from './ServerListener.js';
 import type {
   PeerFailureKind,
   PeerIdentity,
@@ -59,6 +60,8 @@
     response.writeHead(404).end();
   });
 
+  private readonly listener: serverListener.ServerListener;
+
   private readonly socketServer = new ws.WebSocketServer({
     noServer: true,
     maxPayload: performHandshake.MAXIMUM_MESSAGE_BYTES,
@@ -79,7 +82,9 @@
   private disposed = false;
 
   public constructor(private readonly options: FleetNetworkOptions) {
-    this.registry = new handlerRegistry.HandlerRegistry(options.logger);
+    const { clock, logger } = options;
+    this.registry = new handlerRegistry.HandlerRegistry(logger);
+    this.listener = new serverListener.ServerListener({ server: this.server, clock, logger });
     this.server.on('upgrade', (request, socket, head) => {
       this.accept(request, socket as net.Socket, head);
     });
@@ -97,15 +102,14 @@
     return this.allLinks.size;
   }
 
-  /** Starts to listen for peers. Resolves with the port; rejects if it cannot listen. */
-  public listen(): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.options.port, this.options.host, () => {
-        this.port = (this.server.address() as net.AddressInfo).port;
-        resolve(this.port);
-      });
-    });
+  /**
+   * Listens for peers as soon as the address is free. Resolves with the port; rejects if it cannot
+   * listen or is disposed of before.
+   */
+  public async listen(): Promise<number> {
+    const { host, port } = this.options;
+    this.port = await this.listener.listen({ host, port });
+    return this.port;
   }
 
   /** @inheritdoc */
@@ -166,6 +170,7 @@
   public async dispose(): Promise<void> {
     if (this.disposed) return;
     this.disposed = true;
+    this.listener.dispose();
     this.allLinks.forEach((link) => link.dispose());
     this.socketServer.close();
     await new Promise<void>((resolve) => {
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -2,5 +2,6 @@
 export * from './Types.js';
 export * from './PeerFailures.js';
 export * from './FleetNetwork.js';
+export * from './ServerListener.js';
 export { FAULT } from './frames.js';
 export { STREAM_WINDOW_ITEMS } from './PeerLink.js';
