Send to another target when a request cannot be sent

Callers saw: their connection ended without a response when the transport threw for the chosen target, although other targets were free. In a hedge, retry or resume timer the same error was an uncaught exception, and more than 20 of these within 60 s end the process.

Cause: the transport may throw (an address that it cannot use), and the HTTP client reports some failures (an invalid header) before the send returns. In the latter case UnaryCall uses the exchange before it is assigned, and StreamCall keeps the exchange of the failed send.

Change: the sender turns an error of the transport into the failure 'not sent', and reports failures only after the exchange has been returned. A failure after an abort is ignored.

--- a/packages/gateway/src/TargetSender.ts
+++ b/packages/gateway/src/TargetSender.ts
@@ -14,6 +14,9 @@
 
 const SERVER_ERROR = 500;
 
+/** The exchange of a request that could not be sent. */
+const NOTHING_SENT: Exchange = { abort: () => undefined };
+
 /** Dependencies of the sender. */
 export interface TargetSenderOptions {
   readonly transport: TargetTransport;
@@ -36,7 +39,7 @@
   public constructor(private readonly options: TargetSenderOptions) {}
 
   public send(target: Target, request: TargetRequest, handler: ResponseHandler): SentCall {
-    const { clock: time, scores, transport } = this.options;
+    const { clock: time, scores } = this.options;
     const sentAt = time.now();
     let hasEnded = false;
     let hasData = false;
@@ -46,7 +49,7 @@
       hasEnded = true;
     };
     scores.recordSent(target.id);
-    const exchange = transport.send(target, request, {
+    const targetHandler: ResponseHandler = {
       onHead: (head: ResponseHead) => {
         // Error responses are recorded as failures too, because an otherwise healthy target may
         // fail part of its requests.
@@ -64,11 +67,13 @@
         handler.onEnd();
       },
       onFailure: (failure: SendFailure) => {
+        if (hasEnded) return;
         finish();
         this.recordFailure(target, request, failure);
         handler.onFailure(failure);
       },
-    });
+    };
+    const exchange = this.trySend(target, request, targetHandler);
     const abort = (): void => {
       finish();
       exchange.abort();
@@ -80,6 +85,27 @@
     return { abort, abandon };
   }
 
+  /**
+   * Sends a request. If the transport throws or fails at once, for example because it cannot use
+   * the target's address, the failure is reported after the exchange has been returned.
+   */
+  private trySend(target: Target, request: TargetRequest, handler: ResponseHandler): Exchange {
+    let isReturned = false;
+    const onFailure = (failure: SendFailure): void => {
+      if (isReturned) handler.onFailure(failure);
+      else queueMicrotask(() => handler.onFailure(failure));
+    };
+    try {
+      return this.options.transport.send(target, request, { ...handler, onFailure });
+    } catch (error) {
+      const kind = sendFailures.SEND_FAILURES.NOT_SENT;
+      onFailure({ kind, reason: String(error), isDisconnect: false });
+      return NOTHING_SENT;
+    } finally {
+      isReturned = true;
+    }
+  }
+
   private recordFailure(target: Target, request: TargetRequest, failure: SendFailure): void {
     const { logger, scores } = this.options;
     if (failure.kind === sendFailures.SEND_FAILURES.NOT_RUN) scores.recordFull(target.id);
