Skip records that a follower's handler cannot take

What happened: a record for which the handler or the digest of a partition threw ended the follower's task. The process then learned nothing more of targets or tables, and a new process never became ready.

Cause: the task of KeyedFollower let any error end it. PartitionMirror computed the digest of each record within the read, so the read failed as well.

Change: the follower logs the record and goes on. If a listing cannot be delivered, its records are delivered one by one, and the listing without those that throw follows. A read that throws counts as failed and is repeated after the usual pause. A record without a digest is passed on as a change.

Addresses of VMs that cannot be dialled were handled already (performHandshake).

--- a/packages/keyed-log/src/KeyedFollower.test.ts
+++ b/packages/keyed-log/src/KeyedFollower.test.ts
@@ -10,6 +10,10 @@
 const { afterEach, describe, expect, test } = jestGlobals;
 
 const PARTITION: PartitionName = { topic: 'test', partition: 0 };
+
+/** A value for which the handler of the tests throws. */
+const POISON = 'poison';
+
 const followers: keyedFollower.KeyedFollower[] = [];
 
 afterEach(async () => {
@@ -64,21 +68,76 @@
     expect(seen.wereUnreachable).toEqual([false]);
     expect(seen.follower.reachableAgainAt).toBeDefined();
   });
+
+  // One record for which the handler threw ended the follower. The process no longer learned which
+  // targets came and went, and a new process never became ready.
+  describe('a record that the handler cannot take is skipped', () => {
+    test('among changes', async () => {
+      const log = new memoryKeyedLog.MemoryKeyedLog();
+      const seen = follow(log);
+      await until(() => seen.resets === 1);
+      await append(log, [record('a', '1'), record('odd', POISON), record('b', '1')]);
+      await until(() => seen.values.b === '1');
+      await append(log, [record('a', '2')]);
+      await until(() => seen.values.a === '2');
+      expect(seen.values).toEqual({ a: '2', b: '1' });
+      expect(seen.poisonCount).toBe(1);
+      expect(seen.errors.map(({ offset }) => offset)).toEqual([1]);
+    });
+
+    test('in a listing', async () => {
+      const log = new memoryKeyedLog.MemoryKeyedLog();
+      await append(log, [record('a', '1'), record('odd', POISON), record('b', '1')]);
+      const seen = follow(log);
+      await until(() => seen.values.b === '1' && seen.resets === 2);
+      await append(log, [record('a', '2')]);
+      await until(() => seen.values.a === '2');
+      expect(seen.values).toEqual({ a: '2', b: '1' });
+      expect(seen.resets).toBe(2);
+      expect(seen.poisonCount).toBe(2);
+    });
+  });
+
+  test('a source that throws is read again after a pause', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const seen = follow(log);
+    let failures = 0;
+    await until(() => seen.resets === 1);
+    log.read = async () => {
+      failures += 1;
+      log.read = memoryKeyedLog.MemoryKeyedLog.prototype.read.bind(log);
+      throw new RangeError('stack');
+    };
+    await until(() => failures === 1);
+    await append(log, [record('a', '1')]);
+    await until(() => seen.values.a === '1');
+    expect(seen.errors).toHaveLength(1);
+  });
 });
 
 function follow(log: memoryKeyedLog.MemoryKeyedLog): {
   readonly values: Record<string, string>;
   /** For each delivery, whether the log was said to be unreachable. */
   readonly wereUnreachable: boolean[];
+  /** Fields of the logged errors. */
+  readonly errors: logging.LogFields[];
   resets: number;
+  /** How often the handler was given a record that it cannot take. */
+  poisonCount: number;
   follower: keyedFollower.KeyedFollower;
 } {
   const seen = {
     values: {} as Record<string, string>,
     wereUnreachable: [] as boolean[],
+    errors: [] as logging.LogFields[],
     resets: 0,
+    poisonCount: 0,
   };
   const take = ({ key, value }: KeyedRecord): void => {
+    if (value?.toString() === POISON) {
+      seen.poisonCount += 1;
+      throw new RangeError('Maximum call stack size exceeded');
+    }
     if (value === undefined) delete seen.values[key];
     else seen.values[key] = Buffer.from(value).toString();
   };
@@ -102,7 +161,9 @@
       onCaughtUp: () => undefined,
     },
     clock: new clock.SystemClock(),
-    logger: new logging.PartLogger('test'),
+    logger: Object.assign(new logging.PartLogger('test'), {
+      error: (_message: string, fields: logging.LogFields = {}) => seen.errors.push(fields),
+    }),
     waitMs: 10,
     minimumIntervalMs: 10,
     retryMs: 10,
--- a/packages/keyed-log/src/KeyedFollower.ts
+++ b/packages/keyed-log/src/KeyedFollower.ts
@@ -2,7 +2,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as logFailures from './LogFailures.js';
-import type { FollowerHandler, PartitionSource } from './Types.js';
+import type { FollowerHandler, PartitionSource, StoredRecord } from './Types.js';
 
 /** Dependencies and settings of a follower. */
 export interface KeyedFollowerOptions {
@@ -58,7 +58,7 @@
     const { signal } = this.stopping;
     while (!signal.aborted) {
       const startedAt = time.now();
-      const succeeded = this.position === undefined ? await this.reset() : await this.readChanges();
+      const succeeded = await this.read();
       if (signal.aborted) return;
       if (!succeeded) this.noteFailure();
       const pause = succeeded ? minimumIntervalMs - (time.now() - startedAt) : retryMs;
@@ -66,19 +66,63 @@
     }
   }
 
+  private async read(): Promise<boolean> {
+    try {
+      return this.position === undefined ? await this.reset() : await this.readChanges();
+    } catch (error) {
+      this.logError('A read of the log failed unexpectedly.', error);
+      return false;
+    }
+  }
+
   private async reset(): Promise<boolean> {
-    const { handler, source } = this.options;
+    const { source } = this.options;
     const state = await source.list();
     if (state.isErr || this.stopping.signal.aborted) return false;
     this.noteSuccess();
     this.position = state.value.endOffset;
-    handler.onReset(state.value.records);
-    handler.onCaughtUp();
+    this.deliverState(state.value.records);
+    this.deliver(() => this.options.handler.onCaughtUp());
     return true;
   }
 
+  /**
+   * Delivers a listing. If the handler throws, finds the records that it cannot take by delivering
+   * them one by one, and delivers the listing without them.
+   */
+  private deliverState(records: readonly StoredRecord[]): void {
+    const { handler } = this.options;
+    if (this.deliver(() => handler.onReset(records))) return;
+    const usable = records.filter((record) => this.deliverRecord(record));
+    this.deliver(() => handler.onReset(usable));
+  }
+
+  private deliverRecord(record: StoredRecord): boolean {
+    return this.deliver(() => this.options.handler.onRecord(record), record);
+  }
+
+  /** Runs a step of the handler. If it throws, logs the error and returns false. */
+  private deliver(step: () => void, record?: StoredRecord): boolean {
+    try {
+      step();
+      return true;
+    } catch (error) {
+      this.logError('Records of the log could not be handled.', error, record);
+      return false;
+    }
+  }
+
+  private logError(message: string, error: unknown, record?: StoredRecord): void {
+    const { logger, source } = this.options;
+    logger.error(message, {
+      kind: source.partition.topic,
+      reason: String(error),
+      ...(record === undefined ? {} : { offset: record.offset }),
+    });
+  }
+
   private async readChanges(): Promise<boolean> {
-    const { handler, source, waitMs } = this.options;
+    const { source, waitMs } = this.options;
     const changes = await source.readChanges(this.position ?? 0, waitMs);
     if (this.stopping.signal.aborted) return false;
     if (changes.isErr) {
@@ -88,9 +132,9 @@
       return true;
     }
     this.noteSuccess();
-    changes.value.records.forEach((record) => handler.onRecord(record));
+    changes.value.records.forEach((record) => this.deliverRecord(record));
     this.position = changes.value.nextOffset;
-    handler.onCaughtUp();
+    this.deliver(() => this.options.handler.onCaughtUp());
     return true;
   }
 
--- a/packages/keyed-log/src/PartitionMirror.ts
+++ b/packages/keyed-log/src/PartitionMirror.ts
@@ -107,7 +107,7 @@
   /** Stores a record. Returns false if it is outdated or equivalent to the stored one. */
   private store(record: StoredRecord): boolean {
     const current = this.records.get(record.key);
-    const digest = record.value === undefined ? '' : this.options.digestOf(record);
+    const digest = record.value === undefined ? '' : this.digestOf(record);
     if (current !== undefined) {
       if (current.record.offset > record.offset) return false;
       const isRemoval = record.value === undefined;
@@ -118,6 +118,15 @@
     return true;
   }
 
+  /** A record whose digest cannot be computed is equivalent to no other record. */
+  private digestOf(record: StoredRecord): string {
+    try {
+      return this.options.digestOf(record);
+    } catch {
+      return `offset ${record.offset}`;
+    }
+  }
+
   private discardOldRemovals(): void {
     const removals = [...this.records.values()].filter(({ record }) => record.value === undefined);
     const surplus = removals.length - MAXIMUM_REMOVALS;
