Receive a stream no faster than its caller reads it

Callers saw a VM end by itself. Ten callers that don't read their streams of 32 MB took 443 MB, and 40 took 1,101 MB, where 220 MB are the limit.

Cause: events were written to the caller's response whether or not it was read, and nothing held the target back.

The target is not treated as late meanwhile. A stream that stays unread ends at its deadline as before, and a healthy slow one isn't cut. What the target has sent stays with the target and in the kernel's bounded buffers.

The new test of StreamCall failed without it: no pause was recorded, and the stream was resumed at another target as if the first had stalled.

Ruled out: cutting a stream by the amount that is unread, which would also end healthy slow ones.

--- a/packages/gateway/src/ObservedReply.ts
+++ b/packages/gateway/src/ObservedReply.ts
@@ -59,6 +59,11 @@
     this.reply.write(chunk);
   }
 
+  /** @inheritdoc */
+  public awaitReader(): Promise<void> | undefined {
+    return this.reply.awaitReader();
+  }
+
   /** @inheritdoc */
   public end(): void {
     this.recordedOutcome = { outcome: 'finished', kind: 'answered', reason: 'stream complete' };
--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -102,6 +102,46 @@
     expect(dependencies.completedRequests).toEqual([]);
   });
 
+  // Streams that their callers did not read were received in full: 40 of them took 1.1 GB.
+  test('receives no more while the caller does not read, and the target is not late', async () => {
+    let read = (): void => undefined;
+    const script: scriptedTransport.Script = async (handler) => {
+      handler.onHead(fixtures.HEAD);
+      handler.onData(fixtures.eventBytes(1));
+      await new Promise((resolve) => {
+        setTimeout(resolve, 900);
+      });
+      read();
+      setImmediate(() => {
+        handler.onData(fixtures.eventBytes(2));
+        handler.onEnd();
+      });
+    };
+    const scripts = [script, fixtures.streamEvents([2], 'end')];
+    const route = { ...RESUMABLE, timeoutMs: 4_000 };
+    const { reply, transport } = await run(scripts, route, { timeoutMs: 4_000 }, {}, (recorded) => {
+      const { resolve, promise } = createSignal();
+      Object.assign(recorded, { reading: promise });
+      read = () => {
+        Object.assign(recorded, { reading: undefined });
+        resolve();
+      };
+    });
+    expect(transport.flow).toEqual(['pause', 'resume']);
+    expect(transport.sent).toHaveLength(1);
+    expect(reply.eventIds).toEqual([1, 2]);
+    expect(reply.outcome).toBe('ended');
+  });
+
+  test('a stream that its caller does not read ends at its deadline', async () => {
+    const scripts = [fixtures.streamEvents([1], 'hang')];
+    const { reply, transport } = await run(scripts, STREAM, { timeoutMs: 100 }, {}, (recorded) =>
+      Object.assign(recorded, { reading: new Promise(() => {}) }),
+    );
+    expect(reply.outcome).toBe('broken');
+    expect(transport.aborted).toBe(1);
+  });
+
   test('a stalled stream resumes at another target', async () => {
     const scripts = [fixtures.streamEvents([1], 'hang'), fixtures.streamEvents([2], 'end')];
     const { dependencies, reply, transport } = await run(
@@ -330,3 +370,11 @@
     expect(outcome.tokens).toBe(20);
   });
 });
+
+function createSignal(): { readonly promise: Promise<void>; readonly resolve: () => void } {
+  let resolve = (): void => undefined;
+  const promise = new Promise<void>((onResolved) => {
+    resolve = onResolved;
+  });
+  return { promise, resolve };
+}
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -95,6 +95,9 @@
 
   private exchange: targetSender.SentCall | undefined;
 
+  /** The exchange from which nothing is received until the caller reads. */
+  private pausedExchange: targetSender.SentCall | undefined;
+
   private attempts = 0;
 
   private isFinished = false;
@@ -226,6 +229,26 @@
     // indefinitely.
     if (events.length > 0 && this.target !== undefined)
       this.startStallTimer(this.target, EVENT_TIMEOUT_MS);
+    this.pauseUntilRead();
+  }
+
+  /**
+   * Stops receiving from the target while the caller does not read. The target is not late
+   * meanwhile. The deadline of the request bounds the wait.
+   */
+  private async pauseUntilRead(): Promise<void> {
+    const { exchange, target } = this;
+    const reading = this.reply.awaitReader();
+    if (reading === undefined || exchange === undefined) return;
+    if (exchange === this.pausedExchange) return;
+    this.pausedExchange = exchange;
+    this.stallTimer?.cancel();
+    exchange.pause();
+    await reading;
+    this.pausedExchange = undefined;
+    exchange.resume();
+    if (this.isFinished || exchange !== this.exchange || target === undefined) return;
+    this.startStallTimer(target, EVENT_TIMEOUT_MS);
   }
 
   /**
--- a/packages/gateway/src/TargetSender.ts
+++ b/packages/gateway/src/TargetSender.ts
@@ -82,7 +82,9 @@
       if (!hasEnded) scores.recordFailure(target.id);
       abort();
     };
-    return { abort, abandon };
+    const pause = (): void => exchange.pause();
+    const resume = (): void => exchange.resume();
+    return { abort, abandon, pause, resume };
   }
 
   /**
--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -160,6 +160,11 @@
   start(head: ResponseHead): void;
   /** Sends a chunk of a stream. */
   write(chunk: Uint8Array): void;
+  /**
+   * Resolves when the caller has read so much that more of a stream should be sent, or has
+   * disconnected. Undefined if more can be sent at once.
+   */
+  awaitReader(): Promise<void> | undefined;
   /** Ends a complete stream. */
   end(): void;
   /** Aborts a stream, so that the caller recognises it as incomplete. */
@@ -202,6 +207,9 @@
 export interface Exchange {
   /** Cancels the request at the target. The handler is not called any more. */
   abort(): void;
+  /** Stops receiving the response until `resume` is called. */
+  pause(): void;
+  resume(): void;
 }
 
 /** Sends requests to targets. */
--- a/packages/gateway/src/testing/RecordedReply.ts
+++ b/packages/gateway/src/testing/RecordedReply.ts
@@ -29,6 +29,13 @@
     this.chunks.push(Buffer.from(chunk).toString());
   }
 
+  /** Set by a test whose caller does not read. */
+  public reading: Promise<void> | undefined;
+
+  public awaitReader(): Promise<void> | undefined {
+    return this.reading;
+  }
+
   public end(): void {
     this.outcome = 'ended';
   }
--- a/packages/gateway/src/testing/ScriptedTransport.ts
+++ b/packages/gateway/src/testing/ScriptedTransport.ts
@@ -1,4 +1,10 @@
-import type { ResponseHandler, Target, TargetRequest, TargetTransport } from '../Types.js';
+import type {
+  Exchange,
+  ResponseHandler,
+  Target,
+  TargetRequest,
+  TargetTransport,
+} from '../Types.js';
 
 /** The response to one request to a target. */
 export type Script = (handler: ResponseHandler) => void;
@@ -9,10 +15,13 @@
 
   public aborted = 0;
 
+  /** How often responses were paused and resumed, in order. */
+  public readonly flow: ('pause' | 'resume')[] = [];
+
   public constructor(private readonly scripts: Script[]) {}
 
   /** @inheritdoc */
-  public send(target: Target, request: TargetRequest, handler: ResponseHandler): { abort(): void } {
+  public send(target: Target, request: TargetRequest, handler: ResponseHandler): Exchange {
     this.sent.push({ target: target.id, request });
     const script = this.scripts.shift();
     let isAborted = false;
@@ -35,6 +44,8 @@
         isAborted = true;
         this.aborted += 1;
       },
+      pause: () => this.flow.push('pause'),
+      resume: () => this.flow.push('resume'),
     };
   }
 }
