Send no pause to an exchange that was not sent

The exchange of a request that could not be sent lacked the operations that the flow control of streams added at the same time. No test is changed beyond its fixture.

--- a/packages/gateway/src/TargetSender.test.ts
+++ b/packages/gateway/src/TargetSender.test.ts
@@ -16,6 +16,12 @@
 
 type Send = (handler: ResponseHandler) => Exchange;
 
+const EXCHANGE: Exchange = {
+  abort: () => undefined,
+  pause: () => undefined,
+  resume: () => undefined,
+};
+
 const TARGETS = ['one', 'two', 'three'].map((id) => fixtures.createTarget(id));
 
 const ONCE = { kind: routeKinds.ROUTE_KINDS.ONCE };
@@ -29,10 +35,11 @@
 
 const failAtOnce: Send = (handler) => {
   handler.onFailure({ kind: NOT_SENT, reason: 'invalid header', isDisconnect: false });
-  return { abort: () => undefined };
+  return EXCHANGE;
 };
 
 const failOnAbort: TargetTransport['send'] = (_target, _request, handler) => ({
+  ...EXCHANGE,
   abort: () => handler.onFailure({ kind: LOST, reason: 'aborted', isDisconnect: false }),
 });
 
@@ -40,7 +47,7 @@
 function respond(ids: readonly number[], end: 'end' | 'break'): Send {
   return (handler) => {
     setImmediate(() => fixtures.streamEvents(ids, end)(handler));
-    return { abort: () => undefined };
+    return EXCHANGE;
   };
 }
 
@@ -66,7 +73,7 @@
     });
 
     test('a late repeatable call is sent to a third target', async () => {
-      const silent: Send = () => ({ abort: () => undefined });
+      const silent: Send = () => EXCHANGE;
       const reply = await runUnary([silent, failing, respond([1], 'end')], REPEATABLE);
       expect(reply.response?.body.toString()).toContain('text 1');
     });
--- a/packages/gateway/src/TargetSender.ts
+++ b/packages/gateway/src/TargetSender.ts
@@ -15,7 +15,11 @@
 const SERVER_ERROR = 500;
 
 /** The exchange of a request that could not be sent. */
-const NOTHING_SENT: Exchange = { abort: () => undefined };
+const NOTHING_SENT: Exchange = {
+  abort: () => undefined,
+  pause: () => undefined,
+  resume: () => undefined,
+};
 
 /** Dependencies of the sender. */
 export interface TargetSenderOptions {
