Pass a response on as it arrives when memory for responses runs out

Callers saw a VM end by itself. 20 callers that ask for responses of 15 MB and don't read them took 540 MB, where 220 MB are the limit; a few seconds suffice.

Cause: each response up to 16 MB was collected in full and kept until its caller had read it, without a common bound over all calls.

A response that finds no room is passed on as it arrives, no faster than its caller reads. It can't be requested again then: if the target breaks off, the caller's response is aborted and never looks complete. An error of a target isn't passed on so while a repeatable call may still get a response from another one.

Ruled out: waiting for room, since responses that each hold a part could wait for each other until their deadlines.

--- a/packages/gateway/src/ObservedReply.ts
+++ b/packages/gateway/src/ObservedReply.ts
@@ -41,6 +41,11 @@
     this.reply.refuse(fault);
   }
 
+  /** @inheritdoc */
+  public reserve(bytes: number): boolean {
+    return this.reply.reserve(bytes);
+  }
+
   /** @inheritdoc */
   public send(response: CompleteResponse): void {
     const outcome = response.status < SERVER_ERROR ? 'finished' : 'failed';
--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -154,6 +154,11 @@
   readonly hasStarted: boolean;
   /** Responds with a fault of this system. */
   refuse(fault: errors.Fault): void;
+  /**
+   * Reserves memory for a response that is collected before it is sent, until the caller has
+   * received it. Returns false if there is no room, so that it must be passed on as it arrives.
+   */
+  reserve(bytes: number): boolean;
   /** Sends a target's complete response. */
   send(response: CompleteResponse): void;
   /** Sends the head of a stream. */
--- a/packages/gateway/src/UnaryCall.test.ts
+++ b/packages/gateway/src/UnaryCall.test.ts
@@ -17,6 +17,7 @@
   scripts: scriptedTransport.Script[],
   route: Partial<Route> = {},
   call: Partial<Call> = {},
+  roomBytes = Infinity,
 ): Promise<{
   reply: recordedReply.RecordedReply;
   sent: number;
@@ -26,6 +27,7 @@
   const transport = new scriptedTransport.ScriptedTransport(scripts);
   const dependencies = fixtures.createDependencies(transport, TARGETS);
   const reply = new recordedReply.RecordedReply();
+  reply.roomBytes = roomBytes;
   const context = fixtures.createContext(dependencies, route, call);
   await new unaryCall.UnaryCall(dependencies, context, reply).run();
   const targets = transport.sent.map(({ target }) => target);
@@ -148,4 +150,53 @@
     const { reply } = await run([fixtures.sendResponse('bad', 500)], { maximumAttempts: 1 });
     expect(reply.response?.status).toBe(500);
   });
+
+  // All responses were collected without a common bound: 20 callers that did not read responses of
+  // 15 MB ended the process.
+  describe('without memory to collect the response', () => {
+    function sendParts(end: 'end' | 'break'): scriptedTransport.Script {
+      return (handler) => {
+        handler.onHead(fixtures.HEAD);
+        ['one ', 'two ', 'three'].forEach((part) => handler.onData(Buffer.from(part)));
+        if (end === 'end') handler.onEnd();
+        else handler.onFailure({ kind: LOST, reason: 'scripted', isDisconnect: true });
+      };
+    }
+
+    test('passes the response on as it arrives', async () => {
+      const { reply, sent } = await run([sendParts('end')], {}, {}, 6);
+      expect(reply.chunks.join('')).toBe('one two three');
+      expect(reply.response).toBeUndefined();
+      expect(reply.outcome).toBe('ended');
+      expect(sent).toBe(1);
+    });
+
+    test.each([['repeatable', {}] as const, ['other', ONCE] as const])(
+      'the interrupted response of a %s call is not taken for a complete one',
+      async (_name, route) => {
+        const { reply, sent } = await run([sendParts('break'), sendParts('end')], route, {}, 6);
+        expect(reply.chunks.join('')).toBe('one two three');
+        expect(reply.outcome).toBe('broken');
+        expect(reply.fault).toBeUndefined();
+        expect(sent).toBe(1);
+      },
+    );
+
+    test('a response that takes longer than the call is aborted', async () => {
+      const script: scriptedTransport.Script = (handler) => {
+        handler.onHead(fixtures.HEAD);
+        handler.onData(Buffer.from('one '));
+      };
+      const { reply } = await run([script], {}, { timeoutMs: 100 }, 2);
+      expect(reply.chunks).toEqual(['one ']);
+      expect(reply.outcome).toBe('broken');
+    });
+
+    test('an error of one target is not passed on while another one can respond', async () => {
+      const scripts = [fixtures.sendResponse('an error', 500), fixtures.sendResponse('good')];
+      const { reply, sent } = await run(scripts, {}, {}, 6);
+      expect(sent).toBe(2);
+      expect(reply.response?.body.toString()).toBe('good');
+    });
+  });
 });
--- a/packages/gateway/src/UnaryCall.ts
+++ b/packages/gateway/src/UnaryCall.ts
@@ -48,7 +48,8 @@
 }
 
 /**
- * A call without streaming: its response is passed on when it is complete. A call that must not be
+ * A call without streaming: its response is passed on when it is complete, or as it arrives if
+ * there is no memory to collect it, in which case it can't be requested again. A call that must not be
  * repeated is sent again only if it certainly has not run. A repeatable call is also sent to
  * another target if its response is lost or late.
  */
@@ -65,6 +66,9 @@
 
   private lastResponse: CompleteResponse | undefined;
 
+  /** The exchange whose response is passed on as it arrives. */
+  private relayed: targetSender.SentCall | undefined;
+
   private deadlineTimer: clock.Timer | undefined;
 
   private hedgeTimer: clock.Timer | undefined;
@@ -101,7 +105,7 @@
   }
 
   private sendNext(): void {
-    if (this.isFinished) return;
+    if (this.isFinished || this.relayed !== undefined) return;
     const { affinity, deadline, pool } = this.context;
     if (this.dependencies.clock.now() >= deadline) {
       // Requests in flight are ended by the deadline timer. If an error response has just been
@@ -129,9 +133,8 @@
         head = received;
       },
       onData: (chunk) => {
-        chunks.push(chunk);
         size += chunk.length;
-        if (size <= MAXIMUM_RESPONSE_BYTES) return;
+        if (size <= MAXIMUM_RESPONSE_BYTES && this.take(exchange, head, chunks, chunk)) return;
         exchange.abandon();
         this.running.delete(exchange);
         this.onFailure(target, TOO_LARGE, now);
@@ -139,7 +142,8 @@
       onEnd: () => {
         this.abandonEarlier(exchange);
         this.running.delete(exchange);
-        if (head !== undefined) this.onResponse({ ...head, body: Buffer.concat(chunks) });
+        if (this.relayed === exchange) this.endRelay();
+        else if (head !== undefined) this.onResponse({ ...head, body: Buffer.concat(chunks) });
       },
       onFailure: (failure) => {
         this.running.delete(exchange);
@@ -150,6 +154,44 @@
     this.startHedgeTimer();
   }
 
+  /**
+   * Collects a chunk, or passes it on if there is no memory left. Returns false if neither can be
+   * done: an error is not passed on while other targets may still respond.
+   */
+  private take(
+    exchange: targetSender.SentCall,
+    head: ResponseHead | undefined,
+    chunks: Uint8Array[],
+    chunk: Uint8Array,
+  ): boolean {
+    if (this.relayed === undefined) {
+      chunks.push(chunk);
+      if (this.reply.reserve(chunk.length)) return true;
+      if (head === undefined || (this.isRepeatable && head.status >= SERVER_ERROR)) return false;
+      this.startRelay(exchange, head);
+      chunks.splice(0).forEach((collected) => this.reply.write(collected));
+    } else {
+      this.reply.write(chunk);
+    }
+    pauseUntilRead(exchange, this.reply);
+    return true;
+  }
+
+  private startRelay(exchange: targetSender.SentCall, head: ResponseHead): void {
+    this.relayed = exchange;
+    this.hedgeTimer?.cancel();
+    this.running.delete(exchange);
+    this.running.forEach((other) => other.abort());
+    this.running.clear();
+    this.running.add(exchange);
+    this.reply.start(head);
+  }
+
+  private endRelay(): void {
+    this.dependencies.crashes.recordCompletion(this.context);
+    this.finish(() => this.reply.end());
+  }
+
   /**
    * Abandons the requests that were sent before this one. Their targets have not responded although
    * they had more time.
@@ -194,12 +236,12 @@
     } else {
       this.attempts -= 1;
     }
-    if (this.mayRetry) {
+    if (this.mayRetry && this.relayed === undefined) {
       this.sendNext();
       return;
     }
     if (this.running.size > 0) return;
-    if (this.lastResponse !== undefined) {
+    if (this.lastResponse !== undefined && this.relayed === undefined) {
       const response = this.lastResponse;
       this.finish(() => this.reply.send(response));
     } else {
@@ -250,7 +292,10 @@
   }
 
   private fail(kind: errors.ErrorKind, message: string): void {
-    this.finish(() => this.reply.refuse(errors.createFault(kind, message)));
+    this.finish(() => {
+      if (this.relayed === undefined) this.reply.refuse(errors.createFault(kind, message));
+      else this.reply.abort();
+    });
   }
 
   private finish(sendReply: () => void): void {
@@ -264,3 +309,12 @@
     this.resolve();
   }
 }
+
+/** Stops receiving a response that is passed on while its caller does not read. */
+async function pauseUntilRead(exchange: targetSender.SentCall, reply: Reply): Promise<void> {
+  const reading = reply.awaitReader();
+  if (reading === undefined) return;
+  exchange.pause();
+  await reading;
+  exchange.resume();
+}
--- a/packages/gateway/src/testing/RecordedReply.ts
+++ b/packages/gateway/src/testing/RecordedReply.ts
@@ -17,6 +17,15 @@
     this.fault = fault;
   }
 
+  /** The memory that is left for a response that is collected. */
+  public roomBytes = Infinity;
+
+  public reserve(bytes: number): boolean {
+    if (bytes > this.roomBytes) return false;
+    this.roomBytes -= bytes;
+    return true;
+  }
+
   public send(response: CompleteResponse): void {
     this.response = response;
   }
