Answer every request before a stopping process ends

Callers saw: at the end of the grace of a planned stop, requests that had been passed on were cut off without a response, among them requests that must not be repeated.

Cause: (1) only the head of a request was compared with the time at which the process stops accepting. A request whose body arrived later, or that waited for its limit, budget, history or a free target, was sent to a target although the process ended before the response. (2) The process exited with requests still running, which closes their connections.

Change: ProcessEnd decides. Once the process accepts no more requests, one that no target has is sent only if its deadline lies before the end of the process; else it is refused as not run (503, Retry-After 0.05 s), so that its caller goes to another VM. At the end, requests without a target are refused as not run, those at a target get 504, which promises nothing, and streams that have begun are broken off.

Ruled out: requests on open connections sent 3.1 to 6 s after SIGTERM were refused already (503, Retry-After, Connection: close), and new connections were rejected; requests sent up to 2.99 s with work of 1.5 s were served.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -9,6 +9,7 @@
 import * as admitCaller from './admitCaller.js';
 import * as callContext from './CallContext.js';
 import * as observedReply from './ObservedReply.js';
+import * as processEnd from './ProcessEnd.js';
 import * as routeKinds from './RouteKinds.js';
 import * as streamCall from './StreamCall.js';
 import type * as currentTables from './CurrentTables.js';
@@ -64,6 +65,12 @@
   /** Handles a request until its response has ended. */
   public async handle(call: Call, reply: Reply): Promise<void> {
     this.inFlight += 1;
+    let context: callContext.CallContext | undefined;
+    // Ends the response of a request that still waits. `UnaryCall` and `StreamCall` end the others.
+    const ending = this.dependencies.processEnd.onEnd(() => {
+      if (context === undefined || context.targets.length === 0)
+        reply.refuse(processEnd.shuttingDownFault());
+    });
     const isStarted = await this.awaitStart(call);
     const admitted = isStarted
       ? admitCaller.admitCaller(this.dependencies.tables, call)
@@ -81,10 +88,11 @@
         return;
       }
       const { workspace } = admitted.value;
-      const context = new callContext.CallContext(call, admitted.value.route, workspace);
+      context = new callContext.CallContext(call, admitted.value.route, workspace);
       await this.serve(context, observed);
       this.recordEnd(call, route, observed.result, context);
     } finally {
+      ending.dispose();
       this.inFlight -= 1;
     }
   }
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -1,10 +1,12 @@
 import * as clock from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
+import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import type * as turns from '@limpettack/turns';
 import type * as callContext from './CallContext.js';
 import type * as crashWatch from './CrashWatch.js';
 import * as eventSplitter from './EventSplitter.js';
+import * as processEnd from './ProcessEnd.js';
 import * as sendFailures from './SendFailures.js';
 import type * as targetSelector from './TargetSelector.js';
 import type * as targetSender from './TargetSender.js';
@@ -46,6 +48,7 @@
   readonly selector: targetSelector.TargetSelector;
   readonly sender: targetSender.TargetSender;
   readonly crashes: crashWatch.CrashReporter;
+  readonly processEnd: Pick<processEnd.ProcessEnd, 'maySend' | 'onEnd'>;
   readonly turns: turns.TurnStore;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
@@ -120,6 +123,8 @@
 
   private stallTimer: clock.Timer | undefined;
 
+  private endSubscription: lifetime.Disposable | undefined;
+
   private resolve: (outcome: StreamOutcome) => void = () => undefined;
 
   public constructor(
@@ -142,6 +147,7 @@
         this.onDeadline(),
       );
       call.signal.addEventListener('abort', () => this.onCallerGone(), { once: true });
+      this.endSubscription = this.dependencies.processEnd.onEnd(() => this.onProcessEnd());
       if (call.signal.aborted) this.onCallerGone();
       else this.sendNext();
     });
@@ -159,7 +165,11 @@
       this.onDeadline();
       return;
     }
-    const { selector } = this.dependencies;
+    const { processEnd: end, selector } = this.dependencies;
+    if (this.attempts === 0 && !end.maySend(deadline)) {
+      this.onProcessEnd();
+      return;
+    }
     const target = selector.select(pool, affinity, this.triedTargets, route.isResumable);
     if (target === undefined) this.retryFullTargets();
     else this.sendTo(target);
@@ -429,6 +439,17 @@
     this.fail('deadline-exceeded', 'The time of the request is over.');
   }
 
+  private onProcessEnd(): void {
+    if (this.isFinished) return;
+    if (this.attempts === 0) {
+      this.reply.refuse(processEnd.shuttingDownFault());
+      this.finish(false, false);
+      return;
+    }
+    this.exchange?.abort();
+    this.fail('deadline-exceeded', 'The process ends.');
+  }
+
   private onCallerGone(): void {
     if (this.isFinished) return;
     this.exchange?.abort();
@@ -447,6 +468,7 @@
     this.isFinished = true;
     this.deadlineTimer?.cancel();
     this.stallTimer?.cancel();
+    this.endSubscription?.dispose();
     this.resolve({ tokens: this.tokensSent, isComplete, isKept });
   }
 
--- a/packages/gateway/src/UnaryCall.ts
+++ b/packages/gateway/src/UnaryCall.ts
@@ -1,5 +1,7 @@
 import type * as clock from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
+import type * as lifetime from '@limpettack/lifetime';
+import * as processEnd from './ProcessEnd.js';
 import * as routeKinds from './RouteKinds.js';
 import * as sendFailures from './SendFailures.js';
 import * as waitBounds from './waitBounds.js';
@@ -44,6 +46,7 @@
   readonly selector: targetSelector.TargetSelector;
   readonly sender: targetSender.TargetSender;
   readonly crashes: crashWatch.CrashReporter;
+  readonly processEnd: Pick<processEnd.ProcessEnd, 'maySend' | 'onEnd'>;
   readonly clock: clock.Clock;
 }
 
@@ -73,6 +76,8 @@
 
   private hedgeTimer: clock.Timer | undefined;
 
+  private endSubscription: lifetime.Disposable | undefined;
+
   private resolve: () => void = () => undefined;
 
   public constructor(
@@ -91,6 +96,7 @@
         this.onDeadline(),
       );
       call.signal.addEventListener('abort', () => this.onCallerGone(), { once: true });
+      this.endSubscription = this.dependencies.processEnd.onEnd(() => this.onProcessEnd());
       this.sendNext();
     });
   }
@@ -113,7 +119,11 @@
       if (this.running.size === 0 && this.lastResponse === undefined) this.onDeadline();
       return;
     }
-    const { selector } = this.dependencies;
+    const { processEnd: end, selector } = this.dependencies;
+    if (this.attempts === 0 && !end.maySend(deadline)) {
+      this.onProcessEnd();
+      return;
+    }
     const target = selector.select(pool, affinity, this.triedTargets, this.isRepeatable);
     if (target !== undefined) this.sendTo(target);
     else if (this.running.size === 0) this.retryFullTargets();
@@ -283,6 +293,11 @@
     else this.fail('deadline-exceeded', 'The time of the request is over.');
   }
 
+  private onProcessEnd(): void {
+    if (this.attempts === 0) this.finish(() => this.reply.refuse(processEnd.shuttingDownFault()));
+    else this.fail('deadline-exceeded', 'The process ends.');
+  }
+
   /**
    * A call that must not be repeated continues while it is in flight, because its effect is still
    * wanted.
@@ -303,6 +318,7 @@
     this.isFinished = true;
     this.deadlineTimer?.cancel();
     this.hedgeTimer?.cancel();
+    this.endSubscription?.dispose();
     this.running.forEach((exchange) => exchange.abort());
     this.running.clear();
     sendReply();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 export * from './CrashWatch.js';
 export * from './Gateway.js';
 export * from './CurrentTables.js';
+export * from './ProcessEnd.js';
 export * from './TargetRegistry.js';
 export * from './TargetScores.js';
 export * from './TargetSelector.js';
--- a/packages/gateway/src/testing/gatewayFixtures.ts
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -2,6 +2,7 @@
 import * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
 import * as callContext from '../CallContext.js';
+import * as processEnd from '../ProcessEnd.js';
 import * as routeKinds from '../RouteKinds.js';
 import * as targetRegistry from '../TargetRegistry.js';
 import * as targetScores from '../TargetScores.js';
@@ -107,6 +108,7 @@
 export interface TestDependencies extends streamCall.StreamCallDependencies {
   readonly registry: targetRegistry.TargetRegistry;
   readonly scores: targetScores.TargetScores;
+  readonly processEnd: processEnd.ProcessEnd;
   readonly crashedTargets: string[];
   /** Ids of the requests that targets have completed. */
   readonly completedRequests: string[];
@@ -134,6 +136,7 @@
   return {
     registry,
     scores,
+    processEnd: new processEnd.ProcessEnd(),
     crashedTargets,
     completedRequests,
     retainedContents,
