Soak: reloads at any moment, and ports that are taken at a start

The soak of the platform's processes sends SIGHUP as soon as a process handles signals, also during its start, and starts processes whose port for callers is taken for 0.1 to 2 s.

--- a/benchmarks/platform-soak/ProcessFleet.mjs
+++ b/benchmarks/platform-soak/ProcessFleet.mjs
@@ -1,5 +1,7 @@
 import * as childProcess from 'node:child_process';
+import * as events from 'node:events';
 import * as fs from 'node:fs/promises';
+import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as timers from 'node:timers/promises';
@@ -101,6 +103,19 @@
     this.spawn(vm);
   }
 
+  /** Kills a process and starts a new one while its port for callers is taken. */
+  async restartWithTakenPort(vm, takenMs) {
+    vm.child.isExitExpected = true;
+    vm.child.kill('SIGKILL');
+    await vm.child.ended;
+    const holder = net.createServer((socket) => socket.destroy());
+    holder.listen(vm.callersPort, '127.0.0.1');
+    await events.once(holder, 'listening');
+    this.spawn(vm);
+    await timers.setTimeout(takenMs);
+    holder.close();
+  }
+
   async dispose() {
     this.vms.forEach(({ child }) => {
       child.isExitExpected = true;
@@ -135,6 +150,20 @@
   return exit === 0 ? undefined : `${exit}, SIGTERM sent ${uptimeMs} ms after its start`;
 }
 
+/** Sends SIGHUP as soon as the program handles signals, which may be during its start. */
+export async function reload({ child }) {
+  const hasEnded = () => child.exitCode !== null || child.signalCode !== null;
+  while (!hasEnded() && !(await handlesHangup(child.pid))) await timers.setTimeout(1);
+  child.kill('SIGHUP');
+}
+
+/** Signal 1 is the lowest bit of the mask of handled signals. */
+async function handlesHangup(pid) {
+  const status = await fs.readFile(`/proc/${pid}/status`, 'utf8').catch(() => '');
+  const [, mask = '0'] = /^SigCgt:\s*(\S+)/m.exec(status) ?? [];
+  return Number.parseInt(mask.slice(-1), 16) % 2 === 1;
+}
+
 function waitUntilReady(vm) {
   return waitForResponse(vm, ({ statusCode }) => statusCode === 200);
 }
--- a/benchmarks/platform-soak/createFaults.mjs
+++ b/benchmarks/platform-soak/createFaults.mjs
@@ -26,6 +26,8 @@
   return {
     kill: () => withVm((vm) => fleet.kill(vm, chooseDuration(50, 800))),
     freeze: () => withVm((vm) => processFleet.freeze(vm, chooseDuration(200, 2_000))),
+    reload: () => processFleet.reload(random.pick(fleet.vms)),
+    'port taken': () => withVm((vm) => fleet.restartWithTakenPort(vm, chooseDuration(100, 2_000))),
     stop: () =>
       withVm(async (vm) => {
         const failure = await processFleet.stop(vm);
