Keep the limits that targets name, over all VMs together

A target that named its limit in its responses (requests a second from all VMs together) got up to 66 requests in four seconds where 36 are allowed: the field was passed on to callers and otherwise ignored.

Each request to a target with a limit now takes a turn from the one VM that owns the limit (rendezvous hashing). Without a turn the next target of the pool is chosen at once; when all are exhausted, a call gets the next turn in order, or is refused with the time of it. Observations of the limit travel with the requests for turns, so VMs learn from the owner when it has ended. While the owner is unreachable, a VM uses its share. Targets without a limit cost no message and no asynchronous step.

--- /dev/null
+++ b/packages/gateway/src/LimitedTarget.ts
@@ -0,0 +1,110 @@
+import type * as clock from '@limpettack/clock';
+import type * as messages from './messages.js';
+import * as limitObservation from './LimitObservation.js';
+import * as requestPacer from './RequestPacer.js';
+import type { Target } from './Types.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** A VM whose owner is unreachable asks it again after this time. */
+const ASK_AGAIN_MS = 500;
+
+/** Minimum time for which a target without a turn is not asked for one again. */
+const MINIMUM_PAUSE_MS = 5;
+
+/** What this VM knows about a target with a limit. */
+export class LimitedTarget {
+  /** Time until which the owner grants no turn. */
+  public exhaustedUntil: clock.Milliseconds = 0;
+
+  private observation: limitObservation.LimitObservation;
+
+  /** This VM's own share of the limit; set while the owner is unreachable. */
+  private ownShare: requestPacer.RequestPacer | undefined;
+
+  private askAgainAt: clock.Milliseconds = 0;
+
+  private isAsking = false;
+
+  public constructor(
+    public readonly target: Target,
+    private rate: number,
+    now: clock.Milliseconds,
+  ) {
+    this.observation = { ratePerSecond: rate, observedAt: now };
+  }
+
+  public get ratePerSecond(): number {
+    return this.rate;
+  }
+
+  /** Records that a response to this VM has named the limit. */
+  public observe(ratePerSecond: number, now: clock.Milliseconds): void {
+    this.rate = ratePerSecond;
+    this.observation = { ratePerSecond, observedAt: now };
+  }
+
+  /**
+   * Whether the owner is to be asked for a turn. While it is unreachable, one request at a time asks
+   * it, now and then.
+   */
+  public startAsking(now: clock.Milliseconds): boolean {
+    if (this.ownShare === undefined) return true;
+    if (this.isAsking || now < this.askAgainAt) return false;
+    this.isAsking = true;
+    return true;
+  }
+
+  /** The request to the owner. */
+  public toRequest(
+    now: clock.Milliseconds,
+    maximumWaitMs: clock.Milliseconds,
+  ): messages.TargetTurnRequest {
+    const { id, incarnation } = this.target;
+    const ageMs = Math.max(0, now - this.observation.observedAt);
+    return { target: id, incarnation, ratePerSecond: this.rate, ageMs, maximumWaitMs };
+  }
+
+  /** Applies the owner's response. Returns whether the target has ended its limit. */
+  public applyResponse(response: messages.TargetTurnResponse, now: clock.Milliseconds): boolean {
+    this.isAsking = false;
+    this.ownShare = undefined;
+    if (!response.isGranted) this.exhaust(now, response.waitMs);
+    const { ratePerSecond } = response;
+    // An observation of this VM that returns to it is not taken for a later one.
+    if (ratePerSecond === this.rate) return false;
+    const observedAt = now - response.ageMs;
+    if (observedAt <= this.observation.observedAt) return false;
+    if (ratePerSecond === null) return true;
+    this.rate = ratePerSecond;
+    this.observation = { ratePerSecond, observedAt };
+    return false;
+  }
+
+  /** Records that the owner did not respond. Returns whether it had responded before. */
+  public recordUnreachableOwner(now: clock.Milliseconds, memberCount: number): boolean {
+    const wasReachable = this.ownShare === undefined;
+    this.isAsking = false;
+    this.askAgainAt = now + ASK_AGAIN_MS;
+    const share = this.rate / Math.max(1, memberCount);
+    this.ownShare ??= new requestPacer.RequestPacer(
+      share,
+      now + MILLISECONDS_PER_SECOND / Math.max(share, Number.MIN_VALUE),
+    );
+    return wasReachable;
+  }
+
+  /** Takes a turn from this VM's own share while the owner is unreachable. */
+  public takeOwnTurn(
+    now: clock.Milliseconds,
+    maximumWaitMs: clock.Milliseconds,
+  ): requestPacer.Turn {
+    const turn = this.ownShare?.take(now, maximumWaitMs) ?? { isGranted: false, waitMs: 0 };
+    if (!turn.isGranted) this.exhaust(now, Math.min(turn.waitMs, this.askAgainAt - now));
+    return turn;
+  }
+
+  private exhaust(now: clock.Milliseconds, waitMs: clock.Milliseconds): void {
+    this.exhaustedUntil = now + Math.max(MINIMUM_PAUSE_MS, waitMs);
+  }
+}
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -8,8 +8,8 @@
 import * as eventSplitter from './EventSplitter.js';
 import * as processEnd from './ProcessEnd.js';
 import * as sendFailures from './SendFailures.js';
-import type * as targetSelector from './TargetSelector.js';
 import type * as targetSender from './TargetSender.js';
+import * as targetTurns from './TargetTurns.js';
 import * as waitBounds from './waitBounds.js';
 import type { ResponseHead, Reply, SendFailure, Target } from './Types.js';
 
@@ -44,8 +44,7 @@
 const LINE_FEED = Buffer.from('\n');
 
 /** Dependencies of stream calls. */
-export interface StreamCallDependencies {
-  readonly selector: targetSelector.TargetSelector;
+export interface StreamCallDependencies extends targetTurns.TargetTurnsOptions {
   readonly sender: targetSender.TargetSender;
   readonly crashes: crashWatch.CrashReporter;
   readonly processEnd: Pick<processEnd.ProcessEnd, 'maySend' | 'onEnd'>;
@@ -94,7 +93,7 @@
 export class StreamCall {
   private readonly splitter = { current: new eventSplitter.EventSplitter() };
 
-  private readonly triedTargets = new Set<string>();
+  private readonly turns: targetTurns.TargetTurns;
 
   private exchange: targetSender.SentCall | undefined;
 
@@ -134,6 +133,14 @@
     private readonly reply: Reply,
   ) {
     this.lastEventId = context.call.lastEventId ?? -1;
+    this.turns = new targetTurns.TargetTurns(dependencies, context, context.route.isResumable, {
+      isWaiting: () => !this.isFinished,
+      onTarget: (target) => {
+        if (this.mayBeSent()) this.sendTo(target);
+      },
+      onNone: () => this.retryFullTargets(),
+      onNoTurn: (waitMs) => this.failWithoutTarget(waitMs),
+    });
     if (plan.budgetRecorded !== undefined) this.deferUntil(plan.budgetRecorded);
   }
 
@@ -159,25 +166,27 @@
   }
 
   private sendNext(): void {
-    if (this.isFinished) return;
-    const { affinity, deadline, pool, route } = this.context;
-    if (this.dependencies.clock.now() >= deadline) {
+    if (this.isFinished || !this.mayBeSent()) return;
+    this.stallTimer?.cancel();
+    this.turns.choose();
+  }
+
+  /** Ends the call if it is too late to send it, also after a wait for a turn. */
+  private mayBeSent(): boolean {
+    const { clock: time, processEnd: end } = this.dependencies;
+    const { deadline } = this.context;
+    if (time.now() >= deadline) {
       this.onDeadline();
-      return;
-    }
-    const { processEnd: end, selector } = this.dependencies;
-    if (this.attempts === 0 && !end.maySend(deadline)) {
-      this.onProcessEnd();
-      return;
+      return false;
     }
-    const target = selector.select(pool, affinity, this.triedTargets, route.isResumable);
-    if (target === undefined) this.retryFullTargets();
-    else this.sendTo(target);
+    if (this.attempts > 0 || end.maySend(deadline)) return true;
+    this.onProcessEnd();
+    return false;
   }
 
   private sendTo(target: Target): void {
     const now = this.dependencies.clock.now();
-    this.triedTargets.add(target.id);
+    this.turns.tried.add(target.id);
     this.context.targets.push(target.id);
     this.attempts += 1;
     this.splitter.current = new eventSplitter.EventSplitter();
@@ -412,18 +421,23 @@
     const { clock: time } = this.dependencies;
     const { call, deadline } = this.context;
     const latest = call.receivedAt + RETRY_SHARE * (deadline - call.receivedAt);
+    if (this.turns.waitForTurn(latest)) return;
     if (time.now() + FULL_RETRY_DELAY_MS <= latest) {
       time.startTimer(FULL_RETRY_DELAY_MS, () => {
-        this.triedTargets.clear();
+        this.turns.tried.clear();
         this.sendNext();
       });
       return;
     }
+    this.failWithoutTarget();
+  }
+
+  private failWithoutTarget(retryAfterMs = RETRY_AFTER_MS): void {
     if (this.attempts > 0) {
       this.fail('target-failed', 'No further target is left.');
       return;
     }
-    const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs: RETRY_AFTER_MS };
+    const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs };
     this.reply.refuse(errors.createFault('target-unavailable', undefined, overrides));
     this.finish(false, false);
   }
--- a/packages/gateway/src/TargetSelector.ts
+++ b/packages/gateway/src/TargetSelector.ts
@@ -1,32 +1,64 @@
+import type * as clock from '@limpettack/clock';
 import * as chooseTarget from './chooseTarget.js';
+import type * as targetLimits from './TargetLimits.js';
 import type * as targetRegistry from './TargetRegistry.js';
 import type * as targetScores from './TargetScores.js';
 import type { Target } from './Types.js';
 
+/** Dependencies of the selector. */
+export interface TargetSelectorOptions {
+  readonly registry: Pick<targetRegistry.TargetRegistry, 'isUsable' | 'usable'>;
+  readonly scores: targetScores.TargetScores;
+  readonly limits: targetLimits.TargetLimiter;
+  readonly clock: clock.Clock;
+  readonly ownFailureDomain: string;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+}
+
 /** Selects a target for a call from those that accept new work. */
 export class TargetSelector {
-  public constructor(
-    private readonly registry: targetRegistry.TargetRegistry,
-    private readonly scores: targetScores.TargetScores,
-    private readonly ownFailureDomain: string,
-    private readonly random: () => number,
-  ) {}
+  public constructor(private readonly options: TargetSelectorOptions) {}
 
-  /** Returns undefined if the pool has no usable target except the excluded ones. */
+  /**
+   * Returns undefined if the pool has no usable target except the excluded ones and those that have
+   * no turn now.
+   */
   public select(
     pool: string,
     affinity: string | undefined,
     excluded: ReadonlySet<string>,
     isRepeatable: boolean,
   ): Target | undefined {
-    const candidates = this.registry.usable(pool).filter(({ id }) => !excluded.has(id));
+    const { clock: time, limits, ownFailureDomain, random, registry, scores } = this.options;
+    const now = time.now();
+    const candidates = registry
+      .usable(pool)
+      .filter((target) => !excluded.has(target.id) && limits.exhaustedUntil(target) <= now);
     return chooseTarget.chooseTarget({
       candidates,
-      scores: this.scores.compare(candidates.map(({ id }) => id)),
+      scores: scores.compare(candidates.map(({ id }) => id)),
       affinity,
       isRepeatable,
-      ownFailureDomain: this.ownFailureDomain,
-      random: this.random,
+      ownFailureDomain,
+      random,
     });
   }
+
+  /** The usable targets that have no turn now, the one with the earliest turn first. */
+  public exhausted(pool: string): readonly Target[] {
+    const { clock: time, limits, registry } = this.options;
+    const now = time.now();
+    return registry
+      .usable(pool)
+      .map((target) => ({ target, until: limits.exhaustedUntil(target) }))
+      .filter(({ until }) => until > now)
+      .sort((left, right) => left.until - right.until)
+      .map(({ target }) => target);
+  }
+
+  /** Whether a target still accepts new work. */
+  public isUsable(target: Target): boolean {
+    return this.options.registry.isUsable(target);
+  }
 }
--- a/packages/gateway/src/UnaryCall.ts
+++ b/packages/gateway/src/UnaryCall.ts
@@ -7,8 +7,8 @@
 import * as waitBounds from './waitBounds.js';
 import type * as callContext from './CallContext.js';
 import type * as crashWatch from './CrashWatch.js';
-import type * as targetSelector from './TargetSelector.js';
 import type * as targetSender from './TargetSender.js';
+import * as targetTurns from './TargetTurns.js';
 import type { ResponseHead, Reply, SendFailure, Target, CompleteResponse } from './Types.js';
 
 /** Delay before full targets are tried again. */
@@ -42,8 +42,7 @@
 const SERVER_ERROR = 500;
 
 /** Dependencies of unary calls. */
-export interface UnaryCallDependencies {
-  readonly selector: targetSelector.TargetSelector;
+export interface UnaryCallDependencies extends targetTurns.TargetTurnsOptions {
   readonly sender: targetSender.TargetSender;
   readonly crashes: crashWatch.CrashReporter;
   readonly processEnd: Pick<processEnd.ProcessEnd, 'maySend' | 'onEnd'>;
@@ -59,8 +58,7 @@
 export class UnaryCall {
   private readonly running = new Set<targetSender.SentCall>();
 
-  /** Ids of the targets tried since the last delay for full targets. */
-  private readonly triedTargets = new Set<string>();
+  private readonly turns: targetTurns.TargetTurns;
 
   /** Number of targets that may have run the call. */
   private attempts = 0;
@@ -84,7 +82,16 @@
     private readonly dependencies: UnaryCallDependencies,
     private readonly context: callContext.CallContext,
     private readonly reply: Reply,
-  ) {}
+  ) {
+    this.turns = new targetTurns.TargetTurns(dependencies, context, this.isRepeatable, {
+      isWaiting: () => !this.isFinished && this.relayed === undefined,
+      onTarget: (target) => {
+        if (this.mayBeSent()) this.sendTo(target);
+      },
+      onNone: () => this.onNoTarget(),
+      onNoTurn: (waitMs) => this.failWithoutTarget(waitMs),
+    });
+  }
 
   /** Runs the call. Resolves when it has ended and its reply, if any, has been sent. */
   public run(): Promise<void> {
@@ -111,22 +118,29 @@
   }
 
   private sendNext(): void {
-    if (this.isFinished || this.relayed !== undefined) return;
-    const { affinity, deadline, pool } = this.context;
-    if (this.dependencies.clock.now() >= deadline) {
+    if (!this.isFinished && this.relayed === undefined && this.mayBeSent()) this.turns.choose();
+  }
+
+  /** Ends the call if it is too late to send it, also after a wait for a turn. */
+  private mayBeSent(): boolean {
+    const { clock: time, processEnd: end } = this.dependencies;
+    const { deadline } = this.context;
+    if (time.now() >= deadline) {
       // Requests in flight are ended by the deadline timer. If an error response has just been
       // received, `onResponse` passes it on.
       if (this.running.size === 0 && this.lastResponse === undefined) this.onDeadline();
-      return;
+      return false;
     }
-    const { processEnd: end, selector } = this.dependencies;
-    if (this.attempts === 0 && !end.maySend(deadline)) {
-      this.onProcessEnd();
-      return;
-    }
-    const target = selector.select(pool, affinity, this.triedTargets, this.isRepeatable);
-    if (target !== undefined) this.sendTo(target);
-    else if (this.running.size === 0) this.retryFullTargets();
+    if (this.attempts > 0 || end.maySend(deadline)) return true;
+    this.onProcessEnd();
+    return false;
+  }
+
+  private onNoTarget(): void {
+    if (this.running.size > 0) return;
+    const { lastResponse } = this;
+    if (lastResponse === undefined) this.retryFullTargets();
+    else this.finish(() => this.reply.send(lastResponse));
   }
 
   private sendTo(target: Target): void {
@@ -135,7 +149,7 @@
     const chunks: Uint8Array[] = [];
     let head: ResponseHead | undefined;
     let size = 0;
-    this.triedTargets.add(target.id);
+    this.turns.tried.add(target.id);
     this.context.targets.push(target.id);
     this.attempts += 1;
     const exchange = sender.send(target, this.context.toRequest(now), {
@@ -236,7 +250,8 @@
     }
     this.lastResponse = response;
     if (this.mayRetry) this.sendNext();
-    if (this.running.size === 0) this.finish(() => this.reply.send(response));
+    if (this.running.size === 0 && !this.turns.isPending)
+      this.finish(() => this.reply.send(response));
   }
 
   private onFailure(target: Target, failure: SendFailure, sentAt: clock.Milliseconds): void {
@@ -267,29 +282,34 @@
     const { clock: time } = this.dependencies;
     const { call, deadline } = this.context;
     const latest = call.receivedAt + RETRY_SHARE * (deadline - call.receivedAt);
+    if (this.turns.waitForTurn(latest)) return;
     if (time.now() + FULL_RETRY_DELAY_MS > latest) {
       this.failWithoutTarget();
       return;
     }
     time.startTimer(FULL_RETRY_DELAY_MS, () => {
-      this.triedTargets.clear();
+      this.turns.tried.clear();
       this.sendNext();
     });
   }
 
-  private failWithoutTarget(): void {
+  private failWithoutTarget(retryAfterMs = RETRY_AFTER_MS): void {
     if (this.attempts > 0) {
       this.fail('target-failed', 'No further target is left.');
       return;
     }
-    const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs: RETRY_AFTER_MS };
+    const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs };
     this.finish(() =>
       this.reply.refuse(errors.createFault('target-unavailable', undefined, overrides)),
     );
   }
 
   private onDeadline(): void {
-    if (this.attempts === 0) this.finish(() => this.reply.refuse(waitBounds.deadlinePassedFault()));
+    const { lastResponse } = this;
+    if (lastResponse !== undefined && this.running.size === 0)
+      this.finish(() => this.reply.send(lastResponse));
+    else if (this.attempts === 0)
+      this.finish(() => this.reply.refuse(waitBounds.deadlinePassedFault()));
     else this.fail('deadline-exceeded', 'The time of the request is over.');
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,4 +10,6 @@
 export * from './TargetScores.js';
 export * from './TargetSelector.js';
 export * from './TargetSender.js';
+export * from './OwnedTargetLimits.js';
+export * from './TargetLimits.js';
 export * from './TargetWatch.js';
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -20,6 +20,42 @@
   lengthMs: zod.number().nonnegative(),
 });
 
+const TURN_REQUEST = zod.object({
+  target: zod.string(),
+  incarnation: zod.string(),
+  /** The limit that the target named in a response to the sender. */
+  ratePerSecond: zod.number().nonnegative(),
+  /** Time since that response, in milliseconds. */
+  ageMs: zod.number().nonnegative(),
+  maximumWaitMs: zod.number().nonnegative(),
+});
+
+const TURN_RESPONSE = zod.object({
+  isGranted: zod.boolean(),
+  /** Time until the granted turn, or, if none is granted, until the next free one. */
+  waitMs: zod.number().nonnegative(),
+  /** The limit according to the latest response to any VM; null if it named none. */
+  ratePerSecond: zod.number().nonnegative().nullable(),
+  /** Time since that response, in milliseconds. */
+  ageMs: zod.number().nonnegative(),
+});
+
+const ENDED_LIMIT = zod.object({
+  target: zod.string(),
+  incarnation: zod.string(),
+  /** Time since the response that named no limit, in milliseconds. */
+  ageMs: zod.number().nonnegative(),
+});
+
+/** A request for a turn to send a request to a target with a limit. */
+export type TargetTurnRequest = zod.infer<typeof TURN_REQUEST>;
+
+/** The response of the owner of a target's limit. */
+export type TargetTurnResponse = zod.infer<typeof TURN_RESPONSE>;
+
+/** A limit that a target names no longer. */
+export type EndedTargetLimit = zod.infer<typeof ENDED_LIMIT>;
+
 /**
  * Notifies a peer that targets have crashed while they ran a request, so that the peer reports if
  * one completes it.
@@ -86,3 +122,17 @@
   request: TARGET,
   response: EMPTY,
 };
+
+/** Requests a turn from the owner of a target's limit. */
+export const TAKE_TARGET_TURN: wire.PeerMethod<TargetTurnRequest, TargetTurnResponse> = {
+  name: 'gateway.target-turn',
+  request: TURN_REQUEST,
+  response: TURN_RESPONSE,
+};
+
+/** Notifies the owner of a target's limit that the target names it no longer. */
+export const TARGET_LIMIT_ENDED: wire.PeerMethod<EndedTargetLimit, zod.infer<typeof EMPTY>> = {
+  name: 'gateway.target-limit-ended',
+  request: ENDED_LIMIT,
+  response: EMPTY,
+};
--- a/packages/gateway/src/testing/gatewayFixtures.ts
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -9,6 +9,7 @@
 import * as targetSelector from '../TargetSelector.js';
 import * as targetSender from '../TargetSender.js';
 import type * as streamCall from '../StreamCall.js';
+import type * as targetLimits from '../TargetLimits.js';
 import type { Script } from './ScriptedTransport.js';
 import type {
   ResponseHead,
@@ -24,6 +25,13 @@
   headers: ['signature', 'of the target'],
 };
 
+/** No target has a limit. */
+const NO_LIMITS: targetLimits.TargetLimiter = {
+  exhaustedUntil: () => Number.NEGATIVE_INFINITY,
+  isLimited: () => false,
+  takeTurn: async () => ({ isGranted: true, waitMs: 0 }),
+};
+
 export function createTarget(id: string, changes: Partial<Target> = {}): Target {
   return {
     id,
@@ -140,7 +148,15 @@
     crashedTargets,
     completedRequests,
     retainedContents,
-    selector: new targetSelector.TargetSelector(registry, scores, 'a', () => 0),
+    selector: new targetSelector.TargetSelector({
+      registry,
+      scores,
+      limits: NO_LIMITS,
+      clock: time,
+      ownFailureDomain: 'a',
+      random: () => 0,
+    }),
+    limits: NO_LIMITS,
     sender: new targetSender.TargetSender({ transport, scores, clock: time, logger }),
     crashes: {
       recordCrash: (_context, target) => {
