A home refuses programs whose ids the log cannot hold

Callers would see: during an update from a release that does not shorten long ids, a turn with a `Program-Id` of more than 255 bytes that enters at a VM of the former release ends all writes of one partition of budgets at its home.

Cause: only the entry shortened long ids. The home took any id from a peer and wrote a record under it, and encoding the record throws.

The home now refuses the reservation as not run (503), as callers may be served at a VM that shortens the id, and does the same for its cover and settlement. No account and no record is created. The limit of a key is part of the contract of the log (`keyedLog.MAXIMUM_KEY_BYTES`), and the log in memory has it too.

Evidence: the new test of HomePartition failed before ("RangeError: The key is too long." in HomePartition.writeBatch, an unhandled rejection).

Ruled out: shortening the id at the home. The two ids belong to different partitions, so one program would have two accounts during the update.

--- a/packages/keyed-log/src/Types.ts
+++ b/packages/keyed-log/src/Types.ts
@@ -20,7 +20,7 @@
   readonly partition: number;
 }
 
-/** A key with its value. A record without a value removes the key. */
+/** A key of at most `MAXIMUM_KEY_BYTES`, with its value. A record without a value removes the key. */
 export interface KeyedRecord {
   readonly key: string;
   readonly value?: Uint8Array | undefined;
--- a/packages/keyed-log/src/index.ts
+++ b/packages/keyed-log/src/index.ts
@@ -1,6 +1,7 @@
 /** Clients of the platform's keyed log: direct, or relayed and shared through peers. */
 export * from './Types.js';
 export * from './LogFailures.js';
+export * from './keyLimit.js';
 export * from './KeyedFollower.js';
 export * from './PartitionWriter.js';
 export * from './MeasuredLog.js';
--- a/packages/keyed-log/src/testing/MemoryKeyedLog.ts
+++ b/packages/keyed-log/src/testing/MemoryKeyedLog.ts
@@ -1,4 +1,5 @@
 import * as trueMyth from 'true-myth';
+import * as keyLimit from '../keyLimit.js';
 import * as logFailures from '../LogFailures.js';
 import type {
   AppendOptions,
@@ -58,6 +59,10 @@
     options: AppendOptions,
   ): Promise<LogResult<AppendReceipt>> {
     this.appendCount += 1;
+    // The encoding of records throws as well.
+    if (records.some(({ key }) => Buffer.byteLength(key) > keyLimit.MAXIMUM_KEY_BYTES)) {
+      throw new RangeError('The key is too long.');
+    }
     const failure = this.takeFailure();
     if (failure !== undefined) return fail(failure);
     const partition = this.partition(name);
--- a/packages/program-budgets/src/HomePartition.test.ts
+++ b/packages/program-budgets/src/HomePartition.test.ts
@@ -304,6 +304,24 @@
     }
     expect(granted).toBeLessThanOrEqual(BUDGET + TURN_TOKENS);
   });
+
+  // A record whose key the log cannot hold ended all writes of its partition.
+  test('refuses a program whose id is too long for the log and writes those of others', async () => {
+    const log = homeFixtures.createLog();
+    const home = homeFixtures.createPartition({ log, producer: 'home' });
+    const long = { ...reservation('long'), program: '\xe9'.repeat(128) };
+    const results = await Promise.all([home.reserve(long), home.reserve(reservation('a'))]);
+    expect(results.map((result) => result.isErr && result.error.kind)).toEqual([
+      'home-unavailable',
+      false,
+    ]);
+    expect(await home.cover(long)).toBe(false);
+    const { call, program } = long;
+    expect(await home.settle({ call, program, tokens: 0, isKept: true }, 'here')).toBe(true);
+    expect(await home.cover(reservation('a'))).toBe(true);
+    await home.release();
+    expect(await programsIn(log)).toEqual(['p']);
+  });
 });
 
 async function runRetainedTurn(home: homePartition.HomePartition, call: string): Promise<void> {
--- a/packages/program-budgets/src/HomePartition.ts
+++ b/packages/program-budgets/src/HomePartition.ts
@@ -106,10 +106,12 @@
 
   /**
    * Reserves tokens and, if needed, requests a higher watermark that covers them and
-   * `TURNS_AHEAD` more turns. Faults: `budget-exhausted`, `log-unavailable`, `not-owner`.
+   * `TURNS_AHEAD` more turns. Faults: `budget-exhausted`, `log-unavailable`, `not-owner`, and
+   * `home-unavailable` for a program whose id is too long for the log.
    */
   public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
     const { clock: time } = this.options;
+    if (!isStorable(reservation.program)) return trueMyth.Result.err(createUnstorableFault());
     if (!(await this.awaitLoaded())) return trueMyth.Result.err(createUnavailableFault());
     if (this.isClosed) return trueMyth.Result.err(errors.createFault('not-owner'));
     const { budgetTokens, call, mostTokens, previousTurn, program } = reservation;
@@ -127,7 +129,7 @@
   /** Waits up to `WRITE_TIMEOUT_MS` until the watermark in the log covers a reserved turn. */
   public async cover(reservation: Reservation): Promise<boolean> {
     const { call, program } = reservation;
-    if (!(await this.awaitLoaded())) return false;
+    if (!isStorable(program) || !(await this.awaitLoaded())) return false;
     const account = this.accountOf(program);
     // The partition may have moved to this process since the tokens were reserved.
     if (!account.hasReserved(call) && (await this.reserve(reservation)).isErr) return false;
@@ -142,6 +144,8 @@
    */
   public async settle(settlement: Settlement, writer: string): Promise<boolean | undefined> {
     const { call, isKept, program, tokens } = settlement;
+    // No reservation of such a program was granted, so there is nothing to release.
+    if (!isStorable(program)) return true;
     if (!(await this.awaitLoaded()) || this.isClosed) return undefined;
     const account = this.accountOf(program);
     account.settle(call, tokens, this.options.clock.now());
@@ -414,6 +418,16 @@
   return kind === keyedLog.LOG_FAILURES.CONFLICT || kind === keyedLog.LOG_FAILURES.FENCED;
 }
 
+function isStorable(program: string): boolean {
+  return Buffer.byteLength(program) <= keyedLog.MAXIMUM_KEY_BYTES;
+}
+
+/** Entries shorten long ids; one of another release may not, so callers should try another VM. */
+function createUnstorableFault(): errors.Fault {
+  const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs: RETRY_AFTER_MS };
+  return errors.createFault('home-unavailable', 'The id of the program is too long.', overrides);
+}
+
 function createUnavailableFault(): errors.Fault {
   return errors.createFault('log-unavailable', undefined, { retryAfterMs: RETRY_AFTER_MS });
 }
