One exception no longer ends the writes of a partition of budgets

Callers would see: 504 for all new programs of one partition, until its home ends.

Cause: `HomePartition.write` did not expect exceptions. One from the log or from encoding left `isWriting` true for good, so no later write was started.

An append that throws is now logged and treated as one whose response was lost, as it may have taken effect: it is repeated unchanged after the pause. Any other exception is logged, and the writes go on after the same pause.

Evidence: the new test failed before, in HomePartition.writeBatch, with the RangeError that its log throws once.

--- a/packages/program-budgets/src/HomePartition.test.ts
+++ b/packages/program-budgets/src/HomePartition.test.ts
@@ -322,6 +322,23 @@
     await home.release();
     expect(await programsIn(log)).toEqual(['p']);
   });
+
+  // One exception in a write ended all further writes of the partition.
+  test('continues to write after an append that threw, which it repeats unchanged', async () => {
+    const log = homeFixtures.createLog();
+    const { append } = log;
+    log.append = async (...call) => {
+      log.append = append;
+      await log.append(...call);
+      throw new RangeError('The response is malformed.');
+    };
+    const home = homeFixtures.createPartition({ log, producer: 'home' });
+    await home.reserve(reservation('a'));
+    await home.reserve({ ...reservation('b'), program: 'q' });
+    expect(await home.cover(reservation('a'))).toBe(true);
+    expect(await home.cover({ ...reservation('b'), program: 'q' })).toBe(true);
+    expect(await programsIn(log)).toEqual(['p', 'q']);
+  });
 });
 
 async function runRetainedTurn(home: homePartition.HomePartition, call: string): Promise<void> {
--- a/packages/program-budgets/src/HomePartition.ts
+++ b/packages/program-budgets/src/HomePartition.ts
@@ -257,18 +257,50 @@
 
   private async write(): Promise<void> {
     this.isWriting = true;
-    while (this.requested.size > 0 && this.endOffset !== undefined) await this.writeBatch();
+    while (this.requested.size > 0 && this.endOffset !== undefined) await this.tryWriteBatch();
     this.isWriting = false;
   }
 
+  /** Writes a batch. An unexpected exception does not end the writes: they go on after a pause. */
+  private async tryWriteBatch(): Promise<void> {
+    try {
+      await this.writeBatch();
+    } catch (error) {
+      this.logException(error);
+      if (this.isClosed) this.requested.clear();
+      else await this.options.clock.sleep(RETRY_INTERVAL_MS);
+    }
+  }
+
+  /** Appends records. An append that throws may have taken effect. */
+  private async append(
+    records: readonly keyedLog.KeyedRecord[],
+  ): Promise<keyedLog.LogResult<keyedLog.AppendReceipt>> {
+    try {
+      return await this.options.log.append(this.partitionName, records, {
+        identity: { producer: this.producer, sequence: this.sequence },
+        expectedEnd: this.endOffset,
+      });
+    } catch (error) {
+      this.logException(error);
+      const kind = keyedLog.LOG_FAILURES.LOST;
+      return trueMyth.Result.err({ kind, message: String(error) });
+    }
+  }
+
+  private logException(error: unknown): void {
+    const { logger, partition } = this.options;
+    logger.error('A write of programs failed unexpectedly.', {
+      shard: partition,
+      reason: String(error),
+    });
+  }
+
   private async writeBatch(): Promise<void> {
     const repeated = this.uncertainBatch;
     const batch = repeated ?? this.createBatch();
     const records = [...batch].map(([key, { value }]) => ({ key, value }));
-    const result = await this.options.log.append(this.partitionName, records, {
-      identity: { producer: this.producer, sequence: this.sequence },
-      expectedEnd: this.endOffset,
-    });
+    const result = await this.append(records);
     this.uncertainBatch = undefined;
     if (result.isOk) {
       this.sequence += 1;
