Do not time a target whose response is paused

A chunk that arrived although its response should be paused restarted the timer for silent targets, so the stream could be resumed at another target although only its caller was slow. Found by reading in a review; no run showed it.

--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -246,7 +246,7 @@
     }
     // Only complete events restart the timer, because a failing target may send single bytes
     // indefinitely.
-    if (events.length > 0 && this.target !== undefined)
+    if (events.length > 0 && this.target !== undefined && this.pausedExchange === undefined)
       this.startStallTimer(this.target, EVENT_TIMEOUT_MS);
     this.pauseUntilRead();
   }
