One exception no longer ends the appends of a partition

Callers would see: turns of one partition are no longer stored and their streams do not end, until the process ends.

Cause: `PartitionWriter.run` did not expect exceptions. One left `isRunning` true for good, so later appends were queued and neither written nor failed at their time limit.

An append that throws is now logged and treated as one whose response was lost. It is repeated with the same identity until the time limits of its records are over.

Evidence: with the former code neither new test gave a result: each run was ended after 25 s. With this change all tests of PartitionWriter pass.

--- a/packages/keyed-log/src/PartitionWriter.test.ts
+++ b/packages/keyed-log/src/PartitionWriter.test.ts
@@ -62,6 +62,32 @@
     expect((await writer.append({ key: 'b', value }, WAIT_MS)).isOk).toBe(true);
   });
 
+  // One exception ended all further appends of the partition, whose callers then waited without end.
+  test('continues after an append that threw, which it repeats', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const writer = createWriter(log);
+    const { append } = log;
+    log.append = async (...call) => {
+      log.append = append;
+      await log.append(...call);
+      throw new RangeError('The response is malformed.');
+    };
+    const receipts = await Promise.all([
+      writer.append({ key: 'a', value }, WAIT_MS),
+      writer.append({ key: 'b', value }, WAIT_MS),
+    ]);
+    expect(receipts.map((receipt) => receipt.isOk && receipt.value.endOffset)).toEqual([1, 2]);
+  });
+
+  test('a record that cannot be appended fails at its time limit and later ones are written', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const writer = createWriter(log);
+    const failing = writer.append({ key: 'k'.repeat(256), value }, 30);
+    const following = writer.append({ key: 'b', value }, WAIT_MS);
+    expect((await failing).isErr).toBe(true);
+    expect((await following).isOk).toBe(true);
+  });
+
   test('every acknowledged record is stored, whatever responses are lost or calls are refused', async () => {
     const failure = fastCheck.constantFrom<LogFailureKind>(LOST, UNAVAILABLE);
     await fastCheck.assert(
--- a/packages/keyed-log/src/PartitionWriter.ts
+++ b/packages/keyed-log/src/PartitionWriter.ts
@@ -104,11 +104,11 @@
   }
 
   private async appendBatch(batch: readonly QueuedRecords[]): Promise<void> {
-    const { clock: time, log, partition, retryMs } = this.options;
+    const { clock: time, retryMs } = this.options;
     const records = batch.flatMap((entry) => entry.records);
     let unsettled = batch;
     while (!this.stopping.signal.aborted) {
-      const result = await log.append(partition, records, { identity: this.identity() });
+      const result = await this.tryAppend(records);
       if (result.isOk) {
         this.sequence += 1;
         settleAppended(batch, unsettled, result.value);
@@ -135,6 +135,18 @@
     unsettled.forEach(({ settle }) => settle(trueMyth.Result.err(WRITER_DISPOSED)));
   }
 
+  /** Makes one attempt. An append that throws may have taken effect, and does not end the writes. */
+  private async tryAppend(records: readonly KeyedRecord[]): Promise<LogResult<AppendReceipt>> {
+    const { log, logger, partition } = this.options;
+    try {
+      return await log.append(partition, records, { identity: this.identity() });
+    } catch (error) {
+      const message = String(error);
+      logger.error('An append failed unexpectedly.', { kind: partition.topic, reason: message });
+      return trueMyth.Result.err({ kind: logFailures.LOG_FAILURES.LOST, message });
+    }
+  }
+
   private identity(): { readonly producer: string; readonly sequence: number } {
     return {
       producer: `${this.options.producer}.${this.producerGeneration}`,
