--- a/packages/test-kit/src/RunningProcess.ts
+++ b/packages/test-kit/src/RunningProcess.ts
@@ -85,10 +85,11 @@
   /** Waits for the listening line. Throws if the process ends first or the timeout expires. */
   public async untilListening(timeoutMs: clock.Milliseconds): Promise<void> {
     const what = `${this.name} to listen`;
-    await waitFor.waitFor(() => !this.isRunning || this.listeningLine !== undefined, {
-      what,
-      timeoutMs,
-    });
+    await waitFor
+      .waitFor(() => !this.isRunning || this.listeningLine !== undefined, { what, timeoutMs })
+      .catch((error: unknown) => {
+        throw new Error(`${String(error)}; its output:\n${this.captured}`);
+      });
     if (this.listeningLine !== undefined) return;
     throw new Error(`${this.name} ended before it listened:\n${this.captured}`);
   }
