A call is not sent to another target after its caller has left

A call that must not be repeated goes on while it is at a target, as its effect is still wanted. When that target then refused it, the call was sent to the next one although its caller had left long before, and its wait for a turn at a target with a limit ended at once.

Found by reading in a review. The test 'a call that must not be repeated is not sent again after its caller has left' failed before (expected 1 request, received 2).

--- a/packages/gateway/src/UnaryCall.test.ts
+++ b/packages/gateway/src/UnaryCall.test.ts
@@ -122,6 +122,18 @@
     expect(reply.response?.body.toString()).toBe('done');
   });
 
+  // A call whose caller had left was sent to the next target when its first one refused it.
+  test('a call that must not be repeated is not sent again after its caller has left', async () => {
+    const disconnection = new AbortController();
+    const refuse: scriptedTransport.Script = (handler) => {
+      disconnection.abort();
+      fixtures.fail(NOT_RUN)(handler);
+    };
+    const scripts = [refuse, fixtures.sendResponse('late')];
+    const { sent } = await run(scripts, ONCE, { signal: disconnection.signal });
+    expect(sent).toBe(1);
+  });
+
   test('a target that closes the connection is recorded as crashed by the request', async () => {
     const { dependencies } = await run([fixtures.fail(LOST, true), fixtures.sendResponse('ok')]);
     expect(dependencies.crashedTargets).toHaveLength(1);
--- a/packages/gateway/src/UnaryCall.ts
+++ b/packages/gateway/src/UnaryCall.ts
@@ -121,10 +121,14 @@
     if (!this.isFinished && this.relayed === undefined && this.mayBeSent()) this.turns.choose();
   }
 
-  /** Ends the call if it is too late to send it, also after a wait for a turn. */
+  /** Ends the call if it must not be sent any more, also after a wait for a turn. */
   private mayBeSent(): boolean {
     const { clock: time, processEnd: end } = this.dependencies;
-    const { deadline } = this.context;
+    const { call, deadline } = this.context;
+    if (call.signal.aborted && this.running.size === 0) {
+      this.finish(() => undefined);
+      return false;
+    }
     if (time.now() >= deadline) {
       // Requests in flight are ended by the deadline timer. If an error response has just been
       // received, `onResponse` passes it on.
