A late call is sent to no more targets than its route allows

The timer that sends a repeatable call to a second target was not cancelled when the first had failed and the call was already at the last one that is allowed. It then sent the call to one more.

Found by reading in a review. The test 'a late repeatable call whose first target has failed is sent to no third one' failed before (expected 2 requests, received 3).

--- a/packages/gateway/src/UnaryCall.test.ts
+++ b/packages/gateway/src/UnaryCall.test.ts
@@ -134,6 +134,17 @@
     expect(sent).toBe(1);
   });
 
+  // The timer of the first target sent a call to a third one, although only two were allowed.
+  test('a late repeatable call whose first target has failed is sent to no third one', async () => {
+    const failLate: scriptedTransport.Script = (handler) => {
+      setTimeout(() => fixtures.fail(LOST)(handler), 400);
+    };
+    const scripts = [fixtures.fail(LOST), failLate, fixtures.sendResponse('third')];
+    const { reply, sent } = await run(scripts);
+    expect(sent).toBe(2);
+    expect(reply.fault?.kind).toBe('target-failed');
+  });
+
   test('a target that closes the connection is recorded as crashed by the request', async () => {
     const { dependencies } = await run([fixtures.fail(LOST, true), fixtures.sendResponse('ok')]);
     expect(dependencies.crashedTargets).toHaveLength(1);
--- a/packages/gateway/src/UnaryCall.ts
+++ b/packages/gateway/src/UnaryCall.ts
@@ -238,8 +238,8 @@
   private startHedgeTimer(): void {
     const { clock: time } = this.dependencies;
     const { latencyObjectiveMs } = this.context.route;
-    if (!this.isRepeatable || this.attempts >= this.context.route.maximumAttempts) return;
     this.hedgeTimer?.cancel();
+    if (!this.isRepeatable || this.attempts >= this.context.route.maximumAttempts) return;
     const delay = Math.max(MINIMUM_HEDGE_DELAY_MS, HEDGE_OBJECTIVE_FACTOR * latencyObjectiveMs);
     this.hedgeTimer = time.startTimer(delay, () => this.sendNext());
   }
