--- a/packages/gateway/src/UnaryCall.ts
+++ b/packages/gateway/src/UnaryCall.ts
@@ -124,8 +124,8 @@
   /** Ends the call if it must not be sent any more, also after a wait for a turn. */
   private mayBeSent(): boolean {
     const { clock: time, processEnd: end } = this.dependencies;
-    const { call, deadline } = this.context;
-    if (call.signal.aborted && this.running.size === 0) {
+    const { call, deadline, targets } = this.context;
+    if (call.signal.aborted && targets.length > 0 && this.running.size === 0) {
       this.finish(() => undefined);
       return false;
     }
