Turns of a limit do not outlive the VM that granted them

Turns were granted up to 3 s ahead, although a new owner of a limit starts after 1 s and a VM without an owner asks it again after 0.5 s; those granted ahead were then used beside the new ones. Calls now wait for a turn for 0.8 s at most, and a VM's own share grants none for after its next request to the owner. The margin that is used is 1.4 times the rate in place of 1.45, so that requests may arrive later than they were granted.

LimitedTarget.test.ts failed before (a turn was granted).

--- a/packages/gateway/src/LimitedTarget.ts
+++ b/packages/gateway/src/LimitedTarget.ts
@@ -104,9 +104,10 @@
     now: clock.Milliseconds,
     maximumWaitMs: clock.Milliseconds,
   ): requestPacer.Turn {
-    const turn = this.ownShare?.take(now, maximumWaitMs);
-    if (turn?.isGranted) return turn;
+    // A later turn could be used beside those of the owner, which may respond again by then.
     const untilAskedMs = Math.max(0, this.askAgainAt - now);
+    const turn = this.ownShare?.take(now, Math.min(maximumWaitMs, untilAskedMs));
+    if (turn?.isGranted) return turn;
     const waitMs = Math.min(turn?.waitMs ?? 0, untilAskedMs);
     this.exhaust(now, waitMs);
     return { isGranted: false, waitMs };
--- a/packages/gateway/src/OwnedTargetLimits.ts
+++ b/packages/gateway/src/OwnedTargetLimits.ts
@@ -14,10 +14,11 @@
 
 /**
  * Targets accept half as much again as the limit that they name, and five requests more in four
- * seconds. Most of this is used, because the other targets of the pool have to take the rest. It
- * also lets a request through now and then at a limit of zero, whose response shows its end.
+ * seconds. Most of this is used, because the other targets of the pool have to take the rest; what
+ * is left covers requests that arrive later than they were granted. It also lets a request through
+ * now and then at a limit of zero, whose response shows its end.
  */
-const MARGIN_FACTOR = 1.45;
+const MARGIN_FACTOR = 1.4;
 const MARGIN_PER_SECOND = 0.9;
 
 /** A VM that becomes the owner of a limit grants its first turn after this time. */
--- a/packages/gateway/src/TargetTurns.ts
+++ b/packages/gateway/src/TargetTurns.ts
@@ -7,8 +7,11 @@
 /** Number of exhausted targets that a call asks for a later turn. */
 const MAXIMUM_LATER_TURNS = 3;
 
-/** Maximum time that a call waits for a turn: a turn is lost if its call ends before. */
-const MAXIMUM_TURN_WAIT_MS = 3_000;
+/**
+ * Maximum time that a call waits for a turn; shorter than a new owner of the limit waits, so that the
+ * turns of the former one are used up by then.
+ */
+const MAXIMUM_TURN_WAIT_MS = 800;
 
 /** Dependencies of `TargetTurns`. */
 export interface TargetTurnsOptions {
