Remove the turns of processes that have ended

Cause: only the process that wrote a turn knew when it expires, in its memory. Class: state in the store whose removal depends on the life of one process.

Now one VM lists the markers when a process has ended, and removes the turns of ended processes that no caller can continue any more. Nothing is listed while all processes run.

Without the longest run in the marker, "retained during the longest run that continues it" fails: the chain would be lost.

Ruled out: ages by the time of day in the records (clocks differ and jump, and a wrong age would remove turns that are still needed); removal by the VM that continues a conversation (most conversations are not continued).

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -307,7 +307,7 @@
 
 /** Retains a turn and another one that continues it. */
 async function retainTwo(store: turns.TurnStore, index: number): Promise<void> {
-  const kept = { workspace: 'w', retentionMs: RETENTION_MS };
+  const kept = { workspace: 'w', retentionMs: RETENTION_MS, maximumRunMs: 4_000 };
   const first = `first-${index}`;
   const second = `second-${index}`;
   await store.keep({ ...kept, id: first, content: Buffer.from(`${first};`) }, 100);
@@ -356,6 +356,7 @@
 ): turns.LoggedTurnStore {
   const store = new turns.LoggedTurnStore({
     log,
+    membership: { available: () => [] },
     clock: time,
     producer,
     network: wireTesting.createTestNetwork(producer),
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -366,6 +366,7 @@
       workspace: workspace?.name ?? '',
       content: Buffer.concat([call.body, ...this.output]),
       retentionMs: route.retentionMs,
+      maximumRunMs: route.timeoutMs,
     };
     const recorded = this.plan.recordUsage(this.tokensSent, timeoutMs);
     const retained = await store.keep(turn, timeoutMs);
--- a/packages/keyed-log/src/readAllNewestRecords.ts
+++ b/packages/keyed-log/src/readAllNewestRecords.ts
@@ -14,14 +14,19 @@
   message: 'The listing does not advance.',
 };
 
-/** Reads the newest record of every key of a partition. */
+/**
+ * Reads the newest record of every key of a partition.
+ *
+ * @param start Only keys after this one are read.
+ */
 export async function readAllNewestRecords(
   log: KeyedLog,
   partition: PartitionName,
+  start?: string,
 ): Promise<LogResult<PartitionState>> {
   const records: StoredRecord[] = [];
   let endOffset: number | undefined;
-  let after: string | undefined;
+  let after = start;
   for (;;) {
     const page = await log.newest(partition, after);
     if (page.isErr) return trueMyth.Result.err(page.error);
--- /dev/null
+++ b/packages/turns/src/LeftoverRemoval.test.ts
@@ -0,0 +1,83 @@
+import * as jestGlobals from '@jest/globals';
+import * as turnFleet from './testing/TurnFleet.js';
+
+const { afterEach, describe, expect, test } = jestGlobals;
+
+/** The time after which a turn that nobody continues has been removed, also after its writer ended. */
+const REMOVED_WITHIN_MS = turnFleet.RETENTION_MS + turnFleet.LONGEST_RUN_MS + 30_000;
+
+const fleets: turnFleet.TurnFleet[] = [];
+
+afterEach(() => {
+  fleets.splice(0).forEach((fleet) => fleet.dispose());
+});
+
+describe('LeftoverRemoval', () => {
+  test('turns of a process that has ended do not fill the store for good', async () => {
+    const fleet = createFleet();
+    const [a] = [fleet.start('a'), fleet.start('b'), fleet.start('c')];
+    for (let turn = 0; turn < 20; turn += 1) await fleet.runTurn(a, `t${turn}`);
+    fleet.stop('a', a);
+    await fleet.advance(REMOVED_WITHIN_MS);
+    expect(await fleet.recordCount()).toBe(0);
+  });
+
+  test('turns do not fill the store when all processes lose power again and again', async () => {
+    const fleet = createFleet();
+    for (let start = 0; start < 10; start += 1) {
+      const vms = ['a', 'b', 'c'].map((name) => ({ name, store: fleet.start(name) }));
+      for (const { name, store } of vms) await fleet.runTurn(store, `${name}${start}`);
+      await fleet.advance(1_000);
+      vms.forEach(({ name, store }) => fleet.stop(name, store));
+    }
+    expect(await fleet.recordCount()).toBeGreaterThan(0);
+    fleet.start('d');
+    await fleet.advance(REMOVED_WITHIN_MS);
+    expect(await fleet.recordCount()).toBe(0);
+  });
+
+  test('a turn of a process that has ended is retained while a conversation continues it', async () => {
+    const fleet = createFleet();
+    const [a, b] = [fleet.start('a'), fleet.start('b')];
+    await fleet.runTurn(a, 't0');
+    fleet.stop('a', a);
+    const ids = Array.from({ length: 12 }, (_, index) => `t${index}`);
+    for (let index = 1; index < ids.length; index += 1) {
+      await fleet.advance(turnFleet.RETENTION_MS - 5_000);
+      expect(await fleet.runTurn(b, ids[index]!, ids[index - 1], 4_000)).toBe(true);
+    }
+    await fleet.advance(turnFleet.RETENTION_MS - 5_000);
+    fleet.dropHistory();
+    expect(await fleet.find(ids.at(-1)!)).toBe(ids.join(' '));
+    await fleet.advance(REMOVED_WITHIN_MS);
+    expect(await fleet.recordCount()).toBe(0);
+  });
+
+  test('a turn of a process that has ended is retained during the longest run that continues it', async () => {
+    const fleet = createFleet();
+    const [a, b] = [fleet.start('a'), fleet.start('b')];
+    await fleet.runTurn(a, 't1');
+    fleet.stop('a', a);
+    await fleet.advance(turnFleet.RETENTION_MS - 1_000);
+    expect(await fleet.runTurn(b, 't2', 't1', turnFleet.LONGEST_RUN_MS)).toBe(true);
+    await fleet.advance(turnFleet.RETENTION_MS - 1_000);
+    fleet.dropHistory();
+    expect(await fleet.find('t2')).toBe('t1 t2');
+  });
+
+  test('no turns are listed while all processes run', async () => {
+    const fleet = createFleet();
+    const [a] = [fleet.start('a'), fleet.start('b')];
+    await fleet.advance(20_000);
+    const reads = fleet.log.readCount;
+    await fleet.runTurn(a, 't1');
+    await fleet.advance(300_000);
+    expect(fleet.log.readCount).toBe(reads);
+  });
+});
+
+function createFleet(): turnFleet.TurnFleet {
+  const fleet = new turnFleet.TurnFleet();
+  fleets.push(fleet);
+  return fleet;
+}
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -2,9 +2,11 @@
 import * as errors from '@limpettack/errors';
 import type * as keyedLog from '@limpettack/keyed-log';
 import type * as lifetime from '@limpettack/lifetime';
+import type * as membership from '@limpettack/membership';
 import type * as wire from '@limpettack/wire';
 import * as lruCache from 'lru-cache';
 import * as trueMyth from 'true-myth';
+import * as leftoverRemoval from './LeftoverRemoval.js';
 import * as messages from './messages.js';
 import * as turnLog from './TurnLog.js';
 import * as turnRecords from './turnRecords.js';
@@ -36,6 +38,7 @@
 /** Dependencies and limits of the store. */
 export interface LoggedTurnStoreOptions extends turnLog.TurnLogOptions {
   readonly network: wire.PeerNetwork;
+  readonly membership: Pick<membership.Membership, 'available'>;
   /** Memory for cached turns, in bytes. */
   readonly cacheBytes: number;
 }
@@ -61,6 +64,8 @@
 
   private readonly retention: turnRetention.TurnRetention;
 
+  private readonly leftovers: leftoverRemoval.LeftoverRemoval;
+
   public constructor(private readonly options: LoggedTurnStoreOptions) {
     this.cache = new lruCache.LRUCache({
       maxSize: options.cacheBytes,
@@ -72,8 +77,9 @@
     );
     this.retention = new turnRetention.TurnRetention({
       ...options,
-      remove: ({ id, size }) => this.log.remove(id, size, REMOVAL_TIMEOUT_MS),
+      remove: ({ id, size }) => this.log.remove(id, this.log.countParts(size), REMOVAL_TIMEOUT_MS),
     });
+    this.leftovers = new leftoverRemoval.LeftoverRemoval({ ...options, log: this.log });
   }
 
   /** @inheritdoc */
@@ -106,13 +112,16 @@
     turn: Turn,
     timeoutMs: clock.Milliseconds,
   ): Promise<trueMyth.Result<void, errors.Fault>> {
-    const { content, earlier: chain = [], id, previous, retentionMs, workspace } = turn;
+    const { content, earlier: chain = [], id, maximumRunMs, previous, workspace } = turn;
+    const { retentionMs } = turn;
     const nearest = chain.slice(0, MAXIMUM_EARLIER_TURNS);
     const earlier = nearest.map(({ id: turnId, offset }) => ({ id: turnId, offset }));
     const writer = this.options.network.self.address;
     const writtenAt = this.options.clock.timeOfDay();
     const record = { id, previous, workspace, content, earlier, writer, writtenAt };
-    const appended = await this.log.append(record, timeoutMs);
+    const process = leftoverRemoval.nameProcess(this.options.network.self);
+    const origin = { process, keepMs: retentionMs + maximumRunMs };
+    const appended = await this.log.append(record, origin, timeoutMs);
     if (appended.isErr) return trueMyth.Result.err(this.unavailable(id, appended.error.message));
     this.cache.set(id, appended.value);
     this.retention.retain({ id, size: content.length }, chain, retentionMs);
@@ -121,6 +130,7 @@
 
   /** @inheritdoc */
   public dispose(): void {
+    this.leftovers.dispose();
     this.retention.dispose();
     this.log.dispose();
     this.servedMethod.dispose();
--- a/packages/turns/src/TurnLog.ts
+++ b/packages/turns/src/TurnLog.ts
@@ -57,6 +57,18 @@
   readonly earlier: readonly turnRecords.TurnPosition[];
 }
 
+/** A stored turn as its marker describes it, without its content. */
+export interface MarkedTurn {
+  readonly id: string;
+  /** The id of the turn that it continues. */
+  readonly previous: string | undefined;
+  /** The process that wrote it. Unknown for turns of earlier releases, like the next two. */
+  readonly process: string | undefined;
+  /** How long it may be needed after it was written if no turn continues it. */
+  readonly keepMs: clock.Milliseconds | undefined;
+  readonly partCount: number | undefined;
+}
+
 type FoundRecord = keyedLog.LogResult<keyedLog.StoredRecord | undefined>;
 
 /**
@@ -92,6 +104,7 @@
    */
   public async append(
     turn: Omit<turnRecords.TurnRecord, 'offset'>,
+    origin: Pick<turnRecords.MarkerRecord, 'process' | 'keepMs'>,
     timeoutMs: clock.Milliseconds,
   ): Promise<keyedLog.LogResult<turnRecords.TurnRecord>> {
     const { earlier, id } = turn;
@@ -108,24 +121,46 @@
       if (receipt.isErr) return trueMyth.Result.err(receipt.error);
       further.push(receipt.value.firstOffset);
     }
+    const marker = { ...origin, earlier, partCount: further.length };
     const records = [
       { key: turnRecords.contentKey(id), value: turnRecords.encode({ ...turn, content, further }) },
-      { key: turnRecords.markerKey(id), value: turnRecords.encode({ earlier }) },
+      { key: turnRecords.markerKey(id), value: turnRecords.encode(marker) },
     ];
     const remainingMs = deadline - this.options.clock.now();
     const receipt = await writer.appendTogether(records, remainingMs);
     return receipt.map(({ firstOffset }) => ({ ...turn, offset: firstOffset }));
   }
 
-  /** Removes a turn from the log. `size` is the size of its content in bytes. */
-  public async remove(turn: string, size: number, timeoutMs: clock.Milliseconds): Promise<void> {
-    const further = Math.max(0, Math.ceil(size / this.partBytes) - 1);
-    const parts = Array.from({ length: further }, (_, index) =>
+  /** The number of records with further parts of a content of a size in bytes. */
+  public countParts(size: number): number {
+    return Math.max(0, Math.ceil(size / this.partBytes) - 1);
+  }
+
+  /** Removes a turn from the log, with all parts of its content. */
+  public async remove(
+    turn: string,
+    partCount: number,
+    timeoutMs: clock.Milliseconds,
+  ): Promise<keyedLog.LogResult<keyedLog.AppendReceipt>> {
+    const parts = Array.from({ length: partCount }, (_, index) =>
       turnRecords.partKey(turn, index + 1),
     );
     const keys = [turnRecords.markerKey(turn), turnRecords.contentKey(turn), ...parts];
     const records = keys.map((key) => ({ key }));
-    await this.writerOf(turn).appendTogether(records, timeoutMs);
+    return this.writerOf(turn).appendTogether(records, timeoutMs);
+  }
+
+  /** Lists all turns that the log holds. Their contents are not read. */
+  public async list(): Promise<keyedLog.LogResult<readonly MarkedTurn[]>> {
+    const turns: MarkedTurn[] = [];
+    for (let partition = 0; partition < this.options.partitionCount; partition += 1) {
+      const name = { topic: TOPIC, partition };
+      const before = turnRecords.keyBefore(turnRecords.MARKER_PREFIX);
+      const state = await keyedLog.readAllNewestRecords(this.options.log, name, before);
+      if (state.isErr) return trueMyth.Result.err(state.error);
+      turns.push(...state.value.records.flatMap(decodeMarkedTurn));
+    }
+    return trueMyth.Result.ok(turns);
   }
 
   /** Finds the position of a turn by its id. Returns undefined if the turn is not stored. */
@@ -224,6 +259,14 @@
   }
 }
 
+function decodeMarkedTurn({ key, value }: keyedLog.StoredRecord): readonly MarkedTurn[] {
+  const id = turnRecords.markedTurn(key);
+  const marker = value === undefined ? undefined : turnRecords.decodeMarker(value);
+  if (id === undefined || marker === undefined) return [];
+  const { earlier, keepMs, partCount, process } = marker;
+  return [{ id, previous: earlier[0]?.id, process, keepMs, partCount }];
+}
+
 /** A malformed record does not show whether the turn is stored, so this is a failure. */
 function malformed<Value>(turn: string): keyedLog.LogResult<Value> {
   const message = `The record of turn ${turn} is malformed.`;
--- a/packages/turns/src/Types.ts
+++ b/packages/turns/src/Types.ts
@@ -16,6 +16,8 @@
   readonly content: Uint8Array;
   /** How long the turn has to be retained, counted from the end of its response. */
   readonly retentionMs: clock.Milliseconds;
+  /** The maximum duration of a turn that continues it. */
+  readonly maximumRunMs: clock.Milliseconds;
 }
 
 /** Optional hints for finding a turn and for retaining it and the turns that it continues. */
--- a/packages/turns/src/testing/MemoryPeers.ts
+++ b/packages/turns/src/testing/MemoryPeers.ts
@@ -17,13 +17,17 @@
 
   private readonly handlers = new Map<string, Map<string, Handler>>();
 
+  private connectionCount = 0;
+
   /**
    * Returns the network of one process. A later process of the same name takes over its address.
    */
   public connect(name: string): wire.PeerNetwork {
     const ownHandlers = new Map<string, Handler>();
     this.handlers.set(name, ownHandlers);
-    const self = { name, incarnation: '1', address: name, failureDomain: 'a' };
+    this.connectionCount += 1;
+    const incarnation = String(this.connectionCount);
+    const self = { name, incarnation, address: name, failureDomain: 'a' };
     const serve = (method: { readonly name: string }, handler: Handler) => {
       ownHandlers.set(method.name, handler);
       return { dispose: () => ownHandlers.delete(method.name) };
--- a/packages/turns/src/testing/TurnFleet.ts
+++ b/packages/turns/src/testing/TurnFleet.ts
@@ -3,6 +3,8 @@
 import * as keyedLogTesting from '@limpettack/keyed-log/testing';
 import type * as lifetime from '@limpettack/lifetime';
 import * as logging from '@limpettack/logging';
+import * as membership from '@limpettack/membership';
+import type * as wire from '@limpettack/wire';
 import * as loggedTurnStore from '../LoggedTurnStore.js';
 import * as memoryPeers from './MemoryPeers.js';
 
@@ -17,6 +19,9 @@
 /** How long turns are retained, as in production. */
 export const RETENTION_MS = 60_000;
 
+/** The time limit of turns. */
+export const LONGEST_RUN_MS = 90_000;
+
 /** Processes that store turns in one log, with a manual clock that tests advance. */
 export class TurnFleet implements lifetime.Disposable {
   public readonly log = new keyedLogTesting.MemoryKeyedLog();
@@ -27,15 +32,21 @@
 
   private readonly stores: loggedTurnStore.LoggedTurnStore[] = [];
 
+  /** The running processes, as all of them see them, by the name of their VM. */
+  private readonly running = new Map<string, membership.Member>();
+
   /** Starts a process with an empty cache. Its wall clock may differ from that of others. */
   public start(name: string, timeOfDayShiftMs = 0): loggedTurnStore.LoggedTurnStore {
     const time = Object.create(this.time) as clock.Clock;
     time.now = () => this.time.now();
     time.timeOfDay = () => this.time.timeOfDay() + timeOfDayShiftMs;
     time.startTimer = (spanMs, onEnd) => this.time.startTimer(spanMs, onEnd);
+    const network = this.peers.connect(name);
+    this.running.set(name, createMember(network.self));
     const store = new loggedTurnStore.LoggedTurnStore({
       log: this.log,
-      network: this.peers.connect(name),
+      network,
+      membership: { available: () => [...this.running.values()] },
       clock: time,
       logger: new logging.PartLogger('test'),
       producer: `${name}.${this.stores.length}`,
@@ -47,6 +58,12 @@
     return store;
   }
 
+  /** Ends a process, as a kill does. Its VM does not start again by itself. */
+  public stop(name: string, store: loggedTurnStore.LoggedTurnStore): void {
+    store.dispose();
+    this.running.delete(name);
+  }
+
   /** Runs a turn as the gateway does: reads the history, waits, then stores the new content. */
   public async runTurn(
     store: loggedTurnStore.LoggedTurnStore,
@@ -61,7 +78,8 @@
     const earlier = history?.value.turns;
     await this.advance(runMs);
     const content = Buffer.from(id);
-    const turn = { id, previous, earlier, workspace: 'w', content, retentionMs };
+    const chain = { id, previous, earlier, workspace: 'w', content };
+    const turn = { ...chain, retentionMs, maximumRunMs: LONGEST_RUN_MS };
     return (await store.keep(turn, STORE_TIMEOUT_MS)).isOk;
   }
 
@@ -71,7 +89,7 @@
   public async find(turn: string): Promise<string> {
     const store = this.start('observer');
     const history = await store.history(turn, 'w', {});
-    store.dispose();
+    this.stop('observer', store);
     if (history.isErr) return history.error.kind;
     return history.value.contents.map((content) => Buffer.from(content).toString()).join(' ');
   }
@@ -110,6 +128,10 @@
   }
 }
 
+function createMember(self: wire.PeerIdentity): membership.Member {
+  return { ...self, state: membership.MEMBER_STATES.AVAILABLE, listed: true, leaving: false };
+}
+
 /** Runs all pending work that does not wait for the clock. */
 function runPendingWork(): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/turns/src/testing/turnFixtures.ts
+++ b/packages/turns/src/testing/turnFixtures.ts
@@ -41,6 +41,7 @@
       const store = new loggedTurnStore.LoggedTurnStore({
         log,
         network,
+        membership: { available: () => [] },
         clock: new clock.SystemClock(),
         logger: new logging.PartLogger('test'),
         producer: name,
@@ -62,7 +63,8 @@
 /** Creates a turn whose content contains its id, padded to a size. */
 export function createTurn(id: string, previous?: string, bytes = 0): Turn {
   const content = Buffer.from(`content ${id}`.padEnd(bytes, '.'));
-  return { id, previous, workspace: 'w', content, retentionMs: turnFleet.RETENTION_MS };
+  const timing = { retentionMs: turnFleet.RETENTION_MS, maximumRunMs: 4_000 };
+  return { id, previous, workspace: 'w', content, ...timing };
 }
 
 /** Stores a chain of turns, each with the earlier turns that its history returned. */
--- a/packages/turns/src/turnRecords.ts
+++ b/packages/turns/src/turnRecords.ts
@@ -1,6 +1,9 @@
 import * as msgpackr from 'msgpackr';
 import * as zod from 'zod';
 
+/** Starts the keys of all markers. Sorts after the start of all other keys. */
+export const MARKER_PREFIX = 'turn/';
+
 const BYTES = zod.custom<Uint8Array>((value) => value instanceof Uint8Array);
 
 /** Who wrote a turn, and when. Records of earlier releases lack both fields. */
@@ -33,7 +36,15 @@
   further: zod.array(zod.number().int().nonnegative()).readonly(),
 });
 
-const MARKER = CONTENT.pick({ earlier: true });
+/** Records of earlier releases contain only the positions. */
+const MARKER = CONTENT.pick({ earlier: true }).extend({
+  /** The process that wrote the turn and removes it, unless the process ends before. */
+  process: zod.string().optional(),
+  /** How long the turn may be needed after it was written if no turn continues it, in milliseconds. */
+  keepMs: zod.number().nonnegative().optional(),
+  /** The number of records with further parts of the content. */
+  partCount: zod.number().int().nonnegative().optional(),
+});
 
 const TURN = CONTENT.omit({ further: true }).extend({ offset: POSITION.shape.offset });
 
@@ -91,7 +102,12 @@
  * is small.
  */
 export function markerKey(turn: string): string {
-  return `turn/${turn}`;
+  return `${MARKER_PREFIX}${turn}`;
+}
+
+/** The id of the turn that a marker's key names. Returns undefined for other keys. */
+export function markedTurn(key: string): string | undefined {
+  return key.startsWith(MARKER_PREFIX) ? key.slice(MARKER_PREFIX.length) : undefined;
 }
 
 /**
