Remove expired turns as fast as a VM writes them, and retry removals

Seen: with 30 turns a second at one VM, expired turns accumulate in the store and in the VM's memory (a VM removed at most 20 a second), and turns whose removal the store did not accept within two seconds stayed for good.

Cause: the number of removals in a round was bounded below the rate at which a busy VM writes, and the result of a removal was ignored.

Evidence: "expired turns do not accumulate at a VM that writes many" failed with 3,000 stored turns after 180 s, where 2,250 are needed; "turns that expire during an outage of the log are removed after it" failed with 100 records left of 50 turns.

--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -77,7 +77,8 @@
     );
     this.retention = new turnRetention.TurnRetention({
       ...options,
-      remove: ({ id, size }) => this.log.remove(id, this.log.countParts(size), REMOVAL_TIMEOUT_MS),
+      remove: async ({ id, size }) =>
+        (await this.log.remove(id, this.log.countParts(size), REMOVAL_TIMEOUT_MS)).isOk,
     });
     this.leftovers = new leftoverRemoval.LeftoverRemoval({ ...options, log: this.log });
   }
--- a/packages/turns/src/TurnRetention.test.ts
+++ b/packages/turns/src/TurnRetention.test.ts
@@ -1,4 +1,5 @@
 import * as jestGlobals from '@jest/globals';
+import * as keyedLog from '@limpettack/keyed-log';
 import * as messages from './messages.js';
 import * as turnFleet from './testing/TurnFleet.js';
 
@@ -115,6 +116,31 @@
     expect(await fleet.recordCount()).toBe(0);
   });
 
+  test('expired turns do not accumulate at a VM that writes many', async () => {
+    const fleet = createFleet();
+    const a = fleet.start('a');
+    for (let second = 0; second < 180; second += 1) {
+      const ids = Array.from({ length: 30 }, (_, index) => `${second}/${index}`);
+      await Promise.all(ids.map((id) => fleet.runTurn(a, id)));
+      await fleet.advance(1_000);
+    }
+    expect(await fleet.storedTurnCount()).toBeLessThan(
+      30 * (turnFleet.RETENTION_MS + REMOVED_WITHIN_MS) * 0.001,
+    );
+  });
+
+  test('turns that expire during an outage of the log are removed after it', async () => {
+    const fleet = createFleet();
+    const a = fleet.start('a');
+    for (let index = 0; index < 50; index += 1) await fleet.runTurn(a, `t${index}`);
+    await fleet.advance(turnFleet.RETENTION_MS - PAUSE_MS);
+    fleet.log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
+    await fleet.advance(3 * PAUSE_MS);
+    fleet.log.outage = undefined;
+    await fleet.advance(REMOVED_WITHIN_MS);
+    expect(await fleet.recordCount()).toBe(0);
+  });
+
   test('a stopped VM sends no requests, also for a lookup that ends after the stop', async () => {
     const fleet = createFleet();
     const [a, b] = [fleet.start('a'), fleet.start('b')];
--- a/packages/turns/src/TurnRetention.ts
+++ b/packages/turns/src/TurnRetention.ts
@@ -12,8 +12,11 @@
 /** Time between two rounds of removals. */
 const REMOVAL_INTERVAL_MS = 10_000;
 
-/** The maximum number of removals in one round. */
-const MAXIMUM_REMOVALS_PER_ROUND = 200;
+/**
+ * The maximum number of removals in one round. A round removes more turns than a VM writes in the
+ * meantime, so that expired turns do not accumulate.
+ */
+const MAXIMUM_REMOVALS_PER_ROUND = 5_000;
 
 /**
  * How long a turn is kept beyond its retention. The retention counts from the end of the response
@@ -28,8 +31,8 @@
   readonly network: wire.PeerNetwork;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
-  /** Removes a turn from the log. */
-  readonly remove: (turn: retainedTurns.RetainedTurn) => void;
+  /** Removes a turn from the log. Returns whether the log has accepted the removal. */
+  readonly remove: (turn: retainedTurns.RetainedTurn) => Promise<boolean>;
 }
 
 /**
@@ -131,8 +134,12 @@
     });
   }
 
+  /** Removes expired turns. Those whose removal the log does not accept are removed in a later round. */
   private removeExpired(): void {
-    const { clock: time, remove } = this.options;
-    this.retained.takeExpired(time.now(), MAXIMUM_REMOVALS_PER_ROUND).forEach(remove);
+    const { clock: time } = this.options;
+    this.retained.takeExpired(time.now(), MAXIMUM_REMOVALS_PER_ROUND).forEach(async (turn) => {
+      const isRemoved = await this.options.remove(turn);
+      if (!isRemoved) this.retained.add(turn, time.now());
+    });
   }
 }
--- a/packages/turns/src/testing/TurnFleet.ts
+++ b/packages/turns/src/testing/TurnFleet.ts
@@ -115,6 +115,14 @@
     return pages.reduce((sum, page) => sum + (page.isOk ? page.value.records.length : 0), 0);
   }
 
+  /** The number of turns that the log holds. */
+  public async storedTurnCount(): Promise<number> {
+    const lists = await Promise.all(
+      this.partitions().map((name) => keyedLog.readAllNewestRecords(this.log, name, 'turn.')),
+    );
+    return lists.reduce((sum, list) => sum + (list.isOk ? list.value.records.length : 0), 0);
+  }
+
   /** @inheritdoc */
   public dispose(): void {
     this.stores.forEach((store) => store.dispose());
