A target that streams single bytes no longer ends the process

Seen: 50 calls whose targets stream chunks of one byte ended the built program with SIGABRT (heap limit 120 MB, limit of the VM 220 MB) within 8 seconds, and so did chunks that contain an empty line each.

Cause: the chunks of an incomplete event were kept as buffers of their own, up to 1 MiB of content. A buffer of one byte costs more than a hundred. Class: a bound on content that bounds no memory. The same class as bodies in chunks of one byte, which `BodyChunks` mended for callers only.

Now `CompactChunks` (the former `BodyChunks`, moved to the gateway package) also holds incomplete events and the output of retained turns. Events that arrive whole are passed on without a copy, as before.

--- a/platform/src/BodyChunks.ts
+++ b/packages/gateway/src/CompactChunks.ts
@@ -1,16 +1,16 @@
 /** A chunk of at least this size is kept as it is; smaller ones are copied into blocks. */
 const LARGE_CHUNK_BYTES = 4 * 1024;
 
-/** Sizes of the blocks, which grow with the body. */
+/** Sizes of the blocks, which grow with the content. */
 const MINIMUM_BLOCK_BYTES = 1024;
 const MAXIMUM_BLOCK_BYTES = 16 * 1024;
 
 /**
- * Collects the chunks of a body. Small chunks are copied into blocks, because a `Buffer` of a few
+ * Collects chunks of bytes. Small chunks are copied into blocks, because a `Buffer` of a few
  * bytes costs far more memory than its content.
  */
-export class BodyChunks {
-  private chunks: Buffer[] = [];
+export class CompactChunks {
+  private chunks: Uint8Array[] = [];
 
   private block: Buffer | undefined;
 
@@ -18,13 +18,13 @@
 
   private totalSize = 0;
 
-  /** Size of the body so far. */
+  /** Size of the content. */
   public get size(): number {
     return this.totalSize;
   }
 
   /** Adds a chunk. Returns the number of bytes of memory that it adds. */
-  public push(chunk: Buffer): number {
+  public push(chunk: Uint8Array): number {
     const isFirst = this.totalSize === 0;
     this.totalSize += chunk.length;
     if (!isFirst && chunk.length < LARGE_CHUNK_BYTES) return this.copy(chunk);
@@ -36,25 +36,28 @@
   /** Removes the content and returns it as one buffer. */
   public take(): Buffer {
     this.closeBlock();
-    const { chunks } = this;
+    const { chunks, totalSize } = this;
     this.clear();
-    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, this.totalSize);
+    const [first] = chunks;
+    return chunks.length === 1 && Buffer.isBuffer(first) ? first : Buffer.concat(chunks, totalSize);
   }
 
   /** Removes the content. */
   public clear(): void {
     this.chunks = [];
     this.block = undefined;
+    this.totalSize = 0;
   }
 
-  private copy(chunk: Buffer): number {
+  private copy(chunk: Uint8Array): number {
     let added = 0;
     let offset = 0;
     while (offset < chunk.length) {
       if (this.block === undefined) added += this.openBlock();
-      const copied = chunk.copy(this.block!, this.blockSize, offset);
-      offset += copied;
-      this.blockSize += copied;
+      const copied = chunk.subarray(offset, offset + this.block!.length - this.blockSize);
+      this.block!.set(copied, this.blockSize);
+      offset += copied.length;
+      this.blockSize += copied.length;
       if (this.blockSize === this.block!.length) this.closeBlock();
     }
     return added;
--- a/packages/gateway/src/EventSplitter.test.ts
+++ b/packages/gateway/src/EventSplitter.test.ts
@@ -1,3 +1,6 @@
+import * as process from 'node:process';
+import * as v8 from 'node:v8';
+import * as vm from 'node:vm';
 import * as jestGlobals from '@jest/globals';
 import * as eventSplitter from './EventSplitter.js';
 import * as fixtures from './testing/gatewayFixtures.js';
@@ -90,6 +93,33 @@
   });
 });
 
+describe('EventSplitter of a stream in chunks of one byte', () => {
+  // Each byte was kept as a buffer of its own. 50 such streams ended a process within seconds.
+  test('an incomplete event costs little more memory than its bytes', () => {
+    const collectGarbage = exposeGarbageCollection();
+    const splitter = new eventSplitter.EventSplitter();
+    collectGarbage();
+    const before = measureMemory();
+    const size = 512 * 1024;
+    for (let index = 0; index < size; index += 1) splitter.push(Buffer.from('x'));
+    collectGarbage();
+    expect(measureMemory() - before).toBeLessThan(2 * size);
+    const [event] = splitter.push(Buffer.from('\n\n'));
+    expect(event?.bytes).toHaveLength(size + 2);
+    expect(splitter.pendingBytes).toBe(0);
+  });
+});
+
+function exposeGarbageCollection(): () => void {
+  v8.setFlagsFromString('--expose-gc');
+  return vm.runInNewContext('gc') as () => void;
+}
+
+function measureMemory(): number {
+  const { arrayBuffers, heapUsed } = process.memoryUsage();
+  return arrayBuffers + heapUsed;
+}
+
 interface Split {
   readonly events: readonly eventSplitter.ServerSentEvent[];
   readonly splitter: eventSplitter.EventSplitter;
--- a/packages/gateway/src/EventSplitter.ts
+++ b/packages/gateway/src/EventSplitter.ts
@@ -1,3 +1,5 @@
+import * as compactChunks from './CompactChunks.js';
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
@@ -26,13 +28,8 @@
  * text would have further line terminators, and an event may hold part of a character.
  */
 export class EventSplitter {
-  /**
-   * Chunks of an incomplete event. They are joined only when the event is complete, so that its
-   * bytes are not copied with each chunk.
-   */
-  private pendingChunks: Buffer[] = [];
-
-  private pendingSize = 0;
+  /** The incomplete event. A target may send it in chunks of single bytes. */
+  private readonly pending = new compactChunks.CompactChunks();
 
   /** Whether the pending bytes contain anything but empty lines. */
   private hasContent = false;
@@ -44,12 +41,12 @@
 
   /** Buffered bytes of an incomplete event. */
   public get pendingBytes(): number {
-    return this.pendingSize;
+    return this.pending.size;
   }
 
   /** Whether the incomplete event exceeds the maximum size. */
   public get isOversized(): boolean {
-    return this.pendingSize > MAXIMUM_EVENT_BYTES;
+    return this.pending.size > MAXIMUM_EVENT_BYTES;
   }
 
   /** Whether a stream that ends here ends before the end of an event. */
@@ -80,16 +77,13 @@
         eventStart = position;
       }
     }
-    this.addPending(buffer.subarray(eventStart));
+    if (eventStart < buffer.length) this.pending.push(buffer.subarray(eventStart));
     return events;
   }
 
   /** Removes and returns the empty lines after the last event of a stream that has ended. */
   public takeTrailingLines(): Uint8Array {
-    const bytes = Buffer.concat(this.pendingChunks);
-    this.pendingChunks = [];
-    this.pendingSize = 0;
-    return bytes;
+    return this.pending.take();
   }
 
   /** Skips the line feed of a line end whose carriage return ended the previous chunk. */
@@ -100,18 +94,10 @@
   }
 
   private takeEvent(end: Buffer): Buffer {
-    this.addPending(end);
-    const bytes = this.pendingChunks.length === 1 ? end : Buffer.concat(this.pendingChunks);
-    this.pendingChunks = [];
-    this.pendingSize = 0;
     this.hasContent = false;
-    return bytes;
-  }
-
-  private addPending(chunk: Buffer): void {
-    if (chunk.length === 0) return;
-    this.pendingChunks.push(chunk);
-    this.pendingSize += chunk.length;
+    if (this.pending.size === 0) return end;
+    this.pending.push(end);
+    return this.pending.take();
   }
 }
 
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -4,6 +4,7 @@
 import type * as logging from '@limpettack/logging';
 import type * as turns from '@limpettack/turns';
 import type * as callContext from './CallContext.js';
+import * as compactChunks from './CompactChunks.js';
 import type * as crashWatch from './CrashWatch.js';
 import * as eventSplitter from './EventSplitter.js';
 import * as processEnd from './ProcessEnd.js';
@@ -110,7 +111,8 @@
 
   private eventsSent = 0;
 
-  private readonly output: Uint8Array[] = [];
+  /** The output of a retained turn. */
+  private readonly output = new compactChunks.CompactChunks();
 
   /** A response that is not a stream, such as an error. */
   private plainResponse: PlainResponse | undefined;
@@ -295,7 +297,8 @@
     if (!this.context.route.retainsTurns || event.data === undefined) return;
     if (event.id !== undefined && event.id <= this.lastCollectedId) return;
     this.lastCollectedId = event.id ?? this.lastCollectedId;
-    this.output.push(event.data, LINE_FEED);
+    this.output.push(event.data);
+    this.output.push(LINE_FEED);
   }
 
   private deferUntil(budgetRecorded: Promise<boolean>): void {
@@ -364,7 +367,7 @@
       previous: call.programContext?.previousTurn,
       earlier: this.plan.earlier,
       workspace: workspace?.name ?? '',
-      content: Buffer.concat([call.body, ...this.output]),
+      content: Buffer.concat([call.body, this.output.take()]),
       retentionMs: route.retentionMs,
       maximumRunMs: route.timeoutMs,
     };
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export * from './Types.js';
 export * from './RouteKinds.js';
 export * from './SendFailures.js';
+export * from './CompactChunks.js';
 export * from './CrashWatch.js';
 export * from './Gateway.js';
 export * from './CurrentTables.js';
