Receive no more of a stream while much output waits for the budget's record

Seen: 50 retained turns whose targets send small events at full speed ended the built program with SIGABRT (heap limit) within 8 seconds.

Cause: output that must not be sent before the log has recorded the budget is held, one closure for each event, and the target was read on as fast as it sent. In an outage of the log this lasts until the deadline of the call. Class: what waits for another part is received without a bound.

Now nothing more is received from the target while more than 64 KiB wait, in the same way as while the caller does not read.

--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -359,6 +359,43 @@
     expect(reply.eventIds).toEqual([1, 2]);
   });
 
+  // All output was received and held for as long as the log did not record the budget.
+  test('receives no more while much output waits for the record of the budget', async () => {
+    const { promise: recorded, resolve: record } = createSignal();
+    const ids = Array.from({ length: 5_000 }, (_, index) => index + 1);
+    let sentCount = 0;
+    let transport: scriptedTransport.ScriptedTransport | undefined;
+    const script: scriptedTransport.Script = (handler) => {
+      handler.onHead(fixtures.HEAD);
+      const send = (): void => {
+        while (transport!.flow.at(-1) !== 'pause' && sentCount < ids.length) {
+          handler.onData(fixtures.eventBytes(ids[sentCount]!));
+          sentCount += 1;
+        }
+        if (sentCount === ids.length) handler.onEnd();
+        else setImmediate(send);
+      };
+      send();
+    };
+    transport = new scriptedTransport.ScriptedTransport([script]);
+    const dependencies = fixtures.createDependencies(transport, TARGETS);
+    const reply = new recordedReply.RecordedReply();
+    const context = fixtures.createContext(dependencies, STREAM);
+    const recordUsage = async (): Promise<boolean> => true;
+    const budgetRecorded = recorded.then(() => true);
+    const plan = { body: context.call.body, tokensPerEvent: 20, budgetRecorded, recordUsage };
+    const running = new streamCall.StreamCall(dependencies, context, plan, reply).run();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    expect(transport.flow).toEqual(['pause']);
+    expect(sentCount * fixtures.eventBytes(1).length).toBeLessThan(128 * 1024);
+    record();
+    await running;
+    expect(transport.flow).toEqual(['pause', 'resume']);
+    expect(reply.eventIds).toEqual(ids);
+  });
+
   test('the request to the target is aborted when the caller disconnects', async () => {
     const caller = new AbortController();
     const script: scriptedTransport.Script = (handler) => {
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -40,6 +40,9 @@
 /** Maximum size of a response that is not a stream, such as an error, in bytes. */
 const MAXIMUM_PLAIN_RESPONSE_BYTES = 64 * 1024;
 
+/** Nothing more is received while this much output waits for the record of the budget, in bytes. */
+const MAXIMUM_DEFERRED_BYTES = 64 * 1024;
+
 const OK = 200;
 
 const LINE_FEED = Buffer.from('\n');
@@ -120,6 +123,8 @@
   /** Steps that wait until the budget is recorded. Undefined if steps run at once. */
   private deferredSteps: (() => void)[] | undefined;
 
+  private deferredBytes = 0;
+
   private deadlineTimer: clock.Timer | undefined;
 
   private stallTimer: clock.Timer | undefined;
@@ -250,22 +255,31 @@
     // indefinitely.
     if (events.length > 0 && this.target !== undefined && this.pausedExchange === undefined)
       this.startStallTimer(this.target, EVENT_TIMEOUT_MS);
-    this.pauseUntilRead();
+    if (this.deferredSteps !== undefined) this.deferredBytes += chunk.length;
+    const ready = this.awaitReceiver();
+    if (ready !== undefined) this.pauseUntil(ready);
+  }
+
+  /**
+   * Resolves when the caller reads, and output may be sent to it. Undefined if more can be received
+   * from the target at once.
+   */
+  private awaitReceiver(): Promise<unknown> | undefined {
+    const isHeld = this.deferredSteps !== undefined && this.deferredBytes > MAXIMUM_DEFERRED_BYTES;
+    return isHeld ? this.plan.budgetRecorded : this.reply.awaitReader();
   }
 
   /**
-   * Stops receiving from the target while the caller does not read. The target is not late
+   * Stops receiving from the target while the output cannot be passed on. The target is not late
    * meanwhile. The deadline of the request bounds the wait.
    */
-  private async pauseUntilRead(): Promise<void> {
+  private async pauseUntil(ready: Promise<unknown>): Promise<void> {
     const { exchange, target } = this;
-    const reading = this.reply.awaitReader();
-    if (reading === undefined || exchange === undefined) return;
-    if (exchange === this.pausedExchange) return;
+    if (exchange === undefined || exchange === this.pausedExchange) return;
     this.pausedExchange = exchange;
     this.stallTimer?.cancel();
     exchange.pause();
-    await reading;
+    await ready;
     this.pausedExchange = undefined;
     exchange.resume();
     if (this.isFinished || exchange !== this.exchange || target === undefined) return;
