A listener retries after each error of the system

Now each error that the system reports is logged and retried; an address that is invalid is still reported at once, by an exception of listen itself.

Ruled out: the process's own outgoing connections as holders of its ports.

--- a/packages/wire/src/ServerListener.ts
+++ b/packages/wire/src/ServerListener.ts
@@ -9,12 +9,6 @@
 /** Interval at which a listener that still waits for its address is logged again. */
 const REPEATED_LOG_MS = 10_000;
 
-/**
- * Errors that end without a change of the settings: another process still has the port, or the
- * address is not configured on the machine yet.
- */
-const TEMPORARY_ERRORS: ReadonlySet<string | undefined> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL']);
-
 /** Dependencies of a server's listener. */
 export interface ServerListenerOptions {
   readonly server: net.Server;
@@ -42,8 +36,9 @@
   }
 
   /**
-   * Starts to listen, and retries while the address is temporarily not available. Resolves with the
-   * port; rejects after any other error, or if the listener is disposed of before.
+   * Starts to listen, and retries after each error of the system, such as a port that is taken, an
+   * address that the machine does not have yet, or too many open files. Resolves with the port;
+   * rejects if the address is invalid or the listener is disposed of before.
    */
   public async listen(address: ListenAddress): Promise<number> {
     const { clock, logger, server } = this.options;
@@ -52,7 +47,6 @@
     let loggedAt: clockTypes.Milliseconds | undefined;
     while (!signal.aborted) {
       const error = await this.tryToListen(address);
-      if (error !== undefined && !TEMPORARY_ERRORS.has(error.code)) throw error;
       const now = clock.now();
       const spanMs = Math.round(now - startedAt);
       if (error === undefined && !signal.aborted) {
@@ -75,10 +69,10 @@
     this.disposal.abort();
   }
 
-  private tryToListen(address: ListenAddress): Promise<NodeJS.ErrnoException | undefined> {
+  private tryToListen(address: ListenAddress): Promise<Error | undefined> {
     const { server } = this.options;
     return new Promise((resolve) => {
-      const finish = (error?: NodeJS.ErrnoException): void => {
+      const finish = (error?: Error): void => {
         server.off('listening', finish);
         server.off('error', finish);
         resolve(error);
