Connections of callers are bounded by the memory and the file descriptors of a VM

Seen: 8,000 connections with a request each took 200 MB on a VM with a limit of 220 MB. Under `ulimit -n 300`, 600 connections took all descriptors: 157 of 200 requests on further connections were closed without an answer and half of the checks of the readiness were too, and the VM could not connect to its targets.

Cause: nothing bounded the connections of all callers. An idle one costs some 8 KB or more, and a descriptor.

Fix: `wire.ConnectionLimiter`. While there are as many connections as the memory (15% of the limit) and the descriptors (all but 1,000, or half of them if there are few) allow, a new one takes the place of the one that has been idle for the longest time: no request on it has been read, so its caller can send it again. A connection whose request is running is never closed; if all are, the new one is. One whose header or body is still arriving is closed after those that are idle for longer. The descriptors are the lower of `MaxFds` in the settings and the limit of the process.

Ruled out: `http.Server.maxConnections`, which refuses new callers while idle ones keep their connections.

--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,6 +1,7 @@
 /** Requests and streams between VM processes, over one WebSocket link per pair. */
 export * from './Types.js';
 export * from './PeerFailures.js';
+export { ConnectionLimiter } from './ConnectionLimiter.js';
 export * from './FleetNetwork.js';
 export * from './ServerListener.js';
 export { FAULT } from './frames.js';
