Peers' port: what a process may hold before it has proved the secret is bounded

Seen: 50 connections to the port for peers that each announce a message of 30 MB, and send it before their handshake, took a VM with a limit of 220 MB to 588 MB; 200 with 1 MB each to 270 MB. 8,000 that send nothing took 175 MB.

Cause: the limit of a message, 32 MB, is that of authenticated links and applied before too; the handshakes in progress were bounded (256), their bytes and the connections that never begin one were not.

Fix: a connection that has sent more than 128 KB before its handshake is complete is closed. That includes what an opener sends right after its proof, of which one read holds 64 KB at most. `ConnectionLimiter` bounds the connections without a handshake: a new one takes the place of the one that is idle for the longest time, so a peer still connects. Authenticated links do not count. Headers have at most 8 KB.

--- a/packages/wire/src/FleetNetwork.test.ts
+++ b/packages/wire/src/FleetNetwork.test.ts
@@ -9,7 +9,7 @@
 import * as countRemainingTimers from './testing/countRemainingTimers.js';
 import * as peerFailures from './PeerFailures.js';
 import * as peerLink from './PeerLink.js';
-import type { PeerMethod, PeerStreamKind } from './Types.js';
+import type { PeerMethod, PeerResult, PeerStreamKind } from './Types.js';
 
 const { afterEach, describe, expect, test } = jestGlobals;
 
@@ -24,6 +24,9 @@
   item: zod.object({ value: zod.number() }),
 };
 const TIMEOUT_MS = 2_000;
+const MEGABYTE = 1_048_576;
+
+const MAXIMUM_UNAUTHENTICATED = 20;
 
 const store: lifetime.DisposableStore[] = [];
 
@@ -31,14 +34,22 @@
   await Promise.all(store.splice(0).map((owner) => owner.dispose()));
 });
 
-async function startNetwork(name: string, secret = 'secret') {
+async function startNetwork(name: string, secret = 'secret', maximumUnauthenticated?: number) {
   const owner = new lifetime.DisposableStore();
   store.push(owner);
-  const network = owner.add(createTestNetwork.createTestNetwork(name, secret));
+  const network = owner.add(
+    createTestNetwork.createTestNetwork(name, secret, maximumUnauthenticated),
+  );
   await network.listen();
   return { network, address: network.self.address };
 }
 
+function disposing(dispose: () => void): lifetime.DisposableStore {
+  const owner = new lifetime.DisposableStore();
+  owner.add({ dispose });
+  return owner;
+}
+
 /** Forwards connections until they are stalled. Connections opened later are forwarded again. */
 async function startStallingProxy(address: string) {
   const [host = '', port = ''] = address.split(':');
@@ -143,6 +154,73 @@
     expect(result.isErr && result.error.kind).toBe(peerFailures.PEER_FAILURES.NOT_SENT);
   });
 
+  // Any process could announce a message of up to 32 MB and send it before it had to prove anything.
+  test('closes a connection that sends a large message before it has proved the secret', async () => {
+    const { address } = await startNetwork('a');
+    const [host = '', port = ''] = address.split(':');
+    const socket = net.connect(Number(port), host);
+    store.push(disposing(() => socket.destroy()));
+    socket.on('error', () => undefined);
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    socket.resume();
+    socket.write(
+      [
+        'GET /peer HTTP/1.1',
+        'Host: a',
+        'Connection: upgrade',
+        'Upgrade: websocket',
+        'Sec-WebSocket-Version: 13',
+        'Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==',
+        '\r\n',
+      ].join('\r\n'),
+    );
+    const messageBytes = 30_000_000;
+    const head = Buffer.alloc(14);
+    head.writeUInt16BE(0x82_ff, 0);
+    head.writeBigUInt64BE(BigInt(messageBytes), 2);
+    socket.write(head);
+    const piece = Buffer.alloc(MEGABYTE);
+    let sentBytes = 0;
+    const sendOn = (): void => {
+      socket.write(piece, (error) => {
+        if (error) return;
+        sentBytes += piece.length;
+        if (sentBytes + piece.length < messageBytes) sendOn();
+      });
+    };
+    sendOn();
+    await closed;
+    // The rest was not received, as it would have been until the handshake times out.
+    expect(sentBytes).toBeLessThan(messageBytes / 2);
+  });
+
+  test('a peer connects while connections that prove nothing take all places', async () => {
+    const { address, network } = await startNetwork('a', 'secret', MAXIMUM_UNAUTHENTICATED);
+    network.serve(DOUBLE, async ({ value }) => trueMyth.Result.ok({ value: 2 * value }));
+    const [host = '', port = ''] = address.split(':');
+    let closedCount = 0;
+    const idle = Array.from({ length: MAXIMUM_UNAUTHENTICATED + 5 }, () => {
+      const socket = net.connect(Number(port), host);
+      socket.on('error', () => undefined);
+      socket.on('close', () => {
+        closedCount += 1;
+      });
+      return socket;
+    });
+    store.push(disposing(() => idle.forEach((socket) => socket.destroy())));
+    const { network: peer } = await startNetwork('b');
+    const call = (): Promise<PeerResult<{ value: number }>> =>
+      peer.request(address, DOUBLE, { value: 4 }, { timeoutMs: TIMEOUT_MS });
+    expect((await call()).unwrapOr(undefined)).toEqual({ value: 8 });
+    for (let round = 0; round < 100 && closedCount < 5; round += 1) await call();
+    // An established link is not closed for new connections.
+    expect(network.linkCount).toBe(1);
+    expect(closedCount).toBeGreaterThanOrEqual(5);
+    expect(closedCount).toBeLessThan(10);
+  });
+
   test('sends no more items than a slow receiver has room for', async () => {
     const first = await startNetwork('a');
     const second = await startNetwork('b');
--- a/packages/wire/src/FleetNetwork.ts
+++ b/packages/wire/src/FleetNetwork.ts
@@ -5,6 +5,7 @@
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
 import * as ws from 'ws';
+import * as connectionLimiter from './ConnectionLimiter.js';
 import * as creditSink from './CreditSink.js';
 import * as handlerRegistry from './HandlerRegistry.js';
 import * as performHandshake from './performHandshake.js';
@@ -31,6 +32,18 @@
 /** The maximum number of accepted connections whose handshake is not complete. */
 const MAXIMUM_PENDING_HANDSHAKES = 256;
 
+/** The maximum number of connections that have not completed their handshake, if no other is set. */
+const MAXIMUM_UNAUTHENTICATED = 1_024;
+
+/**
+ * The maximum size of what is received on a connection before its handshake is complete, in bytes. It
+ * may include the beginning of the first message after the handshake.
+ */
+const MAXIMUM_UNAUTHENTICATED_BYTES = 128 * 1024;
+
+/** The maximum size of the header of a request to open a connection, in bytes. */
+const MAXIMUM_HEADER_BYTES = 8 * 1024;
+
 const { PEER_FAILURES } = peerFailures;
 
 /** Dependencies and settings of the network. */
@@ -46,6 +59,8 @@
   readonly host: string;
   /** The port to listen on for peers; 0 for any free port. */
   readonly port: number;
+  /** The maximum number of connections that have not completed their handshake. */
+  readonly maximumUnauthenticated?: number | undefined;
   readonly clock: clockTypes.Clock;
   readonly logger: logging.Logger;
 }
@@ -56,9 +71,15 @@
 export class FleetNetwork implements PeerNetwork {
   private readonly registry: handlerRegistry.HandlerRegistry;
 
-  private readonly server = http.createServer((_request, response) => {
-    response.writeHead(404).end();
-  });
+  private readonly server = http.createServer(
+    { maxHeaderSize: MAXIMUM_HEADER_BYTES },
+    (_request, response) => {
+      response.writeHead(404).end();
+    },
+  );
+
+  /** Counts the connections that have not completed their handshake. */
+  private readonly unauthenticated: connectionLimiter.ConnectionLimiter;
 
   private readonly listener: serverListener.ServerListener;
 
@@ -82,9 +103,11 @@
   private disposed = false;
 
   public constructor(private readonly options: FleetNetworkOptions) {
-    const { clock, logger } = options;
+    const { clock, logger, maximumUnauthenticated = MAXIMUM_UNAUTHENTICATED } = options;
+    this.unauthenticated = new connectionLimiter.ConnectionLimiter(maximumUnauthenticated);
     this.registry = new handlerRegistry.HandlerRegistry(logger);
     this.listener = new serverListener.ServerListener({ server: this.server, clock, logger });
+    this.server.on('connection', (socket) => this.unauthenticated.add(socket));
     this.server.on('upgrade', (request, socket, head) => {
       this.accept(request, socket as net.Socket, head);
     });
@@ -282,22 +305,28 @@
       return;
     }
     this.socketServer.handleUpgrade(request, socket, head, (accepted) => {
-      this.acceptSocket(accepted);
+      this.acceptSocket(accepted, socket);
     });
   }
 
-  private async acceptSocket(socket: ws.WebSocket): Promise<void> {
+  private async acceptSocket(socket: ws.WebSocket, transport: net.Socket): Promise<void> {
     this.pendingHandshakes += 1;
+    const onData = (): void => {
+      if (transport.bytesRead > MAXIMUM_UNAUTHENTICATED_BYTES) transport.destroy();
+    };
+    transport.on('data', onData);
     const connection = await performHandshake.acceptHandshake(
       socket,
       this.self,
       this.options.secret,
     );
     this.pendingHandshakes -= 1;
+    transport.off('data', onData);
     if (connection === undefined) {
       this.options.logger.warn('A connection failed the peer handshake.');
       return;
     }
+    this.unauthenticated.exempt(transport);
     this.addAcceptedLink(connection);
   }
 
--- a/packages/wire/src/testing/createTestNetwork.ts
+++ b/packages/wire/src/testing/createTestNetwork.ts
@@ -6,6 +6,7 @@
 export function createTestNetwork(
   name: string,
   secret = 'a secret of the tests',
+  maximumUnauthenticated?: number,
 ): fleetNetwork.FleetNetwork {
   return new fleetNetwork.FleetNetwork({
     name,
@@ -14,6 +15,7 @@
     secret,
     host: '127.0.0.1',
     port: 0,
+    maximumUnauthenticated,
     clock: new clock.SystemClock(),
     logger: new logging.PartLogger('test'),
   });
