Histories of turns share a bounded memory

What was seen: 100 conversations of 12 turns of 100 KB that continue at the same moment at one VM (real process, limit 220 MB) took it to 260 MB resident; 50 of 15 turns to 239 MB; 20 of 10 turns of 2 MB at two VMs to 273 MB. The VM would have been killed.

Cause: a turn's chain is read, held by its lookup, and copied in front of the new input for as long as the turn streams. Each chain is within the limits of a request; nothing added them up. A VM also sent whole chains to its peers in one message (beyond 32 MB it ends the link and all requests on it), and each turn cached from such a message was a view of all of it.

A peer is sent 1 MiB of a chain at once and all peers together 8 MiB; the rest is read from the log. Contents from peers are copied out of their message.

Ruled out: the cache itself, which is bounded; 110 MB of 215 are neither heap nor buffers and are freed with lower thresholds of malloc (168 in place of 203 MB after 200 conversations of 10 turns of 17 KB), which this commit does not touch.

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -114,6 +114,39 @@
     expect(budgets.timeoutsMs[0]).toBe(1_350);
   });
 
+  // Guards against conversations that are each within all limits, and whose histories together fill
+  // the memory of the process.
+  test('a turn whose history finds no memory is refused at once as not run, without a reservation', async () => {
+    const time = new clock.SystemClock();
+    const transport = new scriptedTransport.ScriptedTransport([
+      fixtures.streamEvents([1], 'hang'),
+      fixtures.streamEvents([1], 'end'),
+    ]);
+    const history = async (): Promise<trueMyth.Result<turns.History, errors.Fault>> =>
+      trueMyth.Result.ok({ contents: [Buffer.alloc(600_000)], turns: [] });
+    const turnMemory = new turns.TurnMemory(1_000_000);
+    const store = { history, keep: async () => trueMyth.Result.ok<void, errors.Fault>(undefined) };
+    const { budgets, gateway } = standIns.createGateway(transport, RETAINING, {
+      clock: time,
+      turns: store,
+      turnMemory,
+    });
+    const leaving = new AbortController();
+    const replies = [0, 1, 2].map(() => new recordedReply.RecordedReply());
+    const first = gateway.handle(createContinuingTurn(time, leaving.signal), replies[0]!);
+    await settleEvents();
+    await gateway.handle(createContinuingTurn(time), replies[1]!);
+    expect(replies[1]!.fault).toMatchObject({ kind: 'overloaded', run: 'not-run' });
+    expect(replies[1]!.fault!.retryAfterMs).toBeGreaterThan(0);
+    expect(budgets.settlements).toHaveLength(1);
+    leaving.abort();
+    await first;
+    expect(turnMemory.usedBytes).toBe(0);
+    await gateway.handle(createContinuingTurn(time), replies[2]!);
+    expect(replies[2]!.outcome).toBe('ended');
+    expect(turnMemory.usedBytes).toBe(0);
+  });
+
   test('a request past its deadline takes nothing from its limit and its budget', async () => {
     const time = new clock.ManualClock();
     const transport = new scriptedTransport.ScriptedTransport([]);
@@ -363,6 +396,7 @@
     partitionCount: 4,
     recordBytes: 262_144,
     cacheBytes: 10_000_000,
+    memory: new turns.TurnMemory(20_000_000),
   });
   stores.push(store);
   return store;
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -5,6 +5,7 @@
 import type * as logging from '@limpettack/logging';
 import type * as metrics from '@limpettack/metrics';
 import type * as programBudgets from '@limpettack/program-budgets';
+import type * as turns from '@limpettack/turns';
 import * as trueMyth from 'true-myth';
 import * as admitCaller from './admitCaller.js';
 import * as callContext from './CallContext.js';
@@ -33,6 +34,9 @@
 /** Share of a request's remaining time that it may wait for its workspace's rate limit. */
 const LIMIT_WAIT_SHARE = 0.3;
 
+/** Retry delay for callers whose turn finds no memory. They should try another VM. */
+const MEMORY_RETRY_AFTER_MS = 400;
+
 /** Minimum interval between two checks of whether the log covers a reservation. */
 const COVER_INTERVAL_MS = 100;
 
@@ -44,10 +48,19 @@
   readonly started: Pick<lifetime.Latch, 'isOpen' | 'opened'>;
   readonly allowances: Pick<unreplicatedLimits.AllowanceClient, 'admit'>;
   readonly budgets: programBudgets.ProgramBudgets;
+  readonly turnMemory: turns.TurnMemory;
   readonly logger: logging.Logger;
   readonly metrics: metrics.Metrics;
 }
 
+/** What the plan of a stream call depends on besides its request. */
+interface Preparation {
+  readonly budgetRecorded: Promise<boolean> | undefined;
+  readonly readyBy: clock.Milliseconds;
+  /** The memory that the turn takes until it has ended. */
+  readonly memory: turns.MemoryReservation;
+}
+
 /** Route name in metrics and logs for requests that the tables do not allow. */
 const NO_ROUTE = '';
 
@@ -176,7 +189,8 @@
     const budgetRecorded = grant.isCovered
       ? undefined
       : this.awaitBudgetRecord(call, ending.signal);
-    const plan = await this.createPlan(context, grant, budgetRecorded, readyBy);
+    const memory = this.dependencies.turnMemory.open();
+    const plan = await this.createPlan(context, grant, { budgetRecorded, readyBy, memory });
     let outcome = NOTHING_SENT;
     if (plan.isOk)
       outcome = await new streamCall.StreamCall(
@@ -186,6 +200,7 @@
         reply,
       ).run();
     ending.abort();
+    memory.dispose();
     this.settle(call, outcome);
     // The tokens are released before the refusal is sent, because the caller may retry at once.
     if (plan.isErr) refuse(call, reply, plan.error);
@@ -279,8 +294,7 @@
   private async createPlan(
     context: callContext.CallContext,
     grant: programBudgets.Grant,
-    budgetRecorded: Promise<boolean> | undefined,
-    readyBy: clock.Milliseconds,
+    { budgetRecorded, memory, readyBy }: Preparation,
   ): Promise<trueMyth.Result<streamCall.StreamPlan, errors.Fault>> {
     const { call, deadline, pool, route, workspace } = context;
     const tokensPerEvent = this.dependencies.tables.current?.pools.get(pool)?.tokensPerEvent ?? 1;
@@ -298,11 +312,12 @@
     // The lookup continues after a timeout, so that the caller's next attempt finds what has been
     // read by then.
     const history = await this.waitFor(call, waitBounds.WAITS.HISTORY, readyBy, reading);
-    return history.map(({ contents, turns: earlier }) => ({
-      body: Buffer.concat([...contents, call.body]),
-      earlier,
-      ...shared,
-    }));
+    return history.andThen(({ contents, turns: earlier }) => {
+      const parts = [...contents, call.body];
+      if (!memory.reserve(parts.reduce((sum, { length }) => sum + length, 0)))
+        return trueMyth.Result.err(noMemoryFault());
+      return trueMyth.Result.ok({ body: Buffer.concat(parts), earlier, ...shared });
+    });
   }
 
   /**
@@ -396,3 +411,8 @@
       : { previousTurn: programContext.previousTurn }),
   };
 }
+
+function noMemoryFault(): errors.Fault {
+  const message = 'The turns of the VM use all the memory that they may use.';
+  return errors.createFault('overloaded', message, { retryAfterMs: MEMORY_RETRY_AFTER_MS });
+}
--- a/packages/gateway/src/testing/gatewayStandIns.ts
+++ b/packages/gateway/src/testing/gatewayStandIns.ts
@@ -1,5 +1,6 @@
 import * as lifetime from '@limpettack/lifetime';
 import type * as metrics from '@limpettack/metrics';
+import * as turns from '@limpettack/turns';
 import * as gateway from '../Gateway.js';
 import * as currentTables from '../CurrentTables.js';
 import * as gatewayFixtures from './gatewayFixtures.js';
@@ -7,6 +8,8 @@
 import * as recordedLogger from './RecordedLogger.js';
 import type { Call, Route, TargetTransport } from '../Types.js';
 
+const TURN_MEMORY_BYTES = 20_000_000;
+
 const NO_METRICS: metrics.Metrics = {
   observeFirstToken: () => undefined,
   observeBetweenTokens: () => undefined,
@@ -54,6 +57,7 @@
     started,
     allowances: { admit: async () => ({ isAdmitted: true }) as const },
     budgets,
+    turnMemory: new turns.TurnMemory(TURN_MEMORY_BYTES),
     logger,
     metrics: NO_METRICS,
     ...changes,
--- a/packages/turns/src/LoggedTurnStore.test.ts
+++ b/packages/turns/src/LoggedTurnStore.test.ts
@@ -5,6 +5,7 @@
 import * as trueMyth from 'true-myth';
 import * as loggedTurnStore from './LoggedTurnStore.js';
 import * as messages from './messages.js';
+import * as turnMemory from './TurnMemory.js';
 import * as turnFixtures from './testing/turnFixtures.js';
 import * as turnFleet from './testing/TurnFleet.js';
 
@@ -68,6 +69,65 @@
     expect(log.readCount).toBe(reads);
   });
 
+  // Guards against cached turns that each keep a whole message in memory, which contains the turns
+  // of other chains too.
+  test('turns from a peer keep only their own contents in memory', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    const first = await stores.create(log, 'first');
+    const ids = Array.from({ length: 20 }, (_, index) => `t${index}`);
+    await turnFixtures.keepChain(first, ids, 16_000);
+    const second = await stores.create(log, 'second');
+    const hints = { writer: stores.networks[0]!.self.address };
+    const history = await second.history('t19', 'w', hints);
+    const contents = history.isOk ? history.value.contents : [];
+    expect(contents).toHaveLength(20);
+    contents.forEach(({ buffer }) => expect(buffer.byteLength).toBeLessThanOrEqual(32_000));
+  });
+
+  // Guards against messages of a whole conversation: those of 32 MB end the link to the peer, and
+  // all that waits for them is held in memory.
+  test('a peer sends a part of a large chain, and the rest is read from the log', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    const sizes = { recordBytes: 262_144, cacheBytes: 100_000_000 };
+    const first = await stores.create(log, 'first', sizes);
+    const ids = Array.from({ length: 40 }, (_, index) => `t${index}`);
+    await turnFixtures.keepChain(first, ids, 100_000);
+    const [network] = stores.networks;
+    const second = await stores.create(log, 'second', sizes);
+    const { address } = network!.self;
+    const request = { turn: 't39', held: [] };
+    const options = { timeoutMs: 5_000 };
+    const { FETCH_TURNS } = messages;
+    const fetched = await stores.networks[1]!.request(address, FETCH_TURNS, request, options);
+    expect(fetched.isOk && fetched.value.turns.length).toBe(10);
+    const history = await second.history('t39', 'w', { writer: address });
+    expect(history.isOk && history.value.contents.length).toBe(40);
+  });
+
+  // Guards against many lookups that are each within all limits, and together fill the memory of
+  // the process while the log is slow.
+  test('lookups of long chains share a bounded memory, and those without room are refused as not run', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    const writer = await stores.create(log, 'writer');
+    const chains = Array.from({ length: 12 }, (_, chain) =>
+      Array.from({ length: 10 }, (_unused, index) => `t${chain}-${index}`),
+    );
+    for (const chain of chains) await turnFixtures.keepChain(writer, chain, 10_000);
+    const memory = new turnMemory.TurnMemory(500_000);
+    const reader = await stores.create(log, 'reader', { memory, cacheBytes: 20_000 });
+    const findings = await Promise.all(chains.map((chain) => reader.history(chain[9]!, 'w', {})));
+    const refused = findings.filter(({ isErr }) => isErr);
+    expect(refused.length).toBeGreaterThanOrEqual(7);
+    expect(refused.length).toBeLessThan(12);
+    findings.forEach((finding) => {
+      if (finding.isErr)
+        expect(finding.error).toMatchObject({ kind: 'overloaded', run: 'not-run' });
+    });
+    await waitForRelease(memory);
+    const later = await reader.history(chains[0]![9]!, 'w', {});
+    expect(later.isOk && later.value.contents.length).toBe(10);
+  });
+
   test('a turn of another workspace is unknown', async () => {
     const store = await stores.create(new keyedLogTesting.MemoryKeyedLog(), 'first');
     await turnFixtures.keepChain(store, ['t1']);
@@ -268,3 +328,12 @@
   const result = await store.history(id, 'w', {});
   return result.isOk ? result.value.contents.map((content) => Buffer.from(content).toString()) : [];
 }
+
+/** Waits until lookups hold no memory. There is no timeout. */
+async function waitForRelease(memory: turnMemory.TurnMemory): Promise<void> {
+  while (memory.usedBytes > 0) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -5,7 +5,9 @@
 import type * as wire from '@limpettack/wire';
 import * as lruCache from 'lru-cache';
 import * as trueMyth from 'true-myth';
+import type * as memoryReservation from './MemoryReservation.js';
 import * as messages from './messages.js';
+import type * as turnMemory from './TurnMemory.js';
 import * as turnLog from './TurnLog.js';
 import * as turnRecords from './turnRecords.js';
 import * as turnRetention from './TurnRetention.js';
@@ -24,6 +26,12 @@
 /** Time limit for a peer to send turns. */
 const FETCH_TIMEOUT_MS = 300;
 
+/** Maximum size of the turns that are sent to a peer at once. It reads the others from the log. */
+const MAXIMUM_FETCH_BYTES = 1024 * 1024;
+
+/** Maximum size of the turns that are being sent to all peers. */
+const MAXIMUM_SENDING_BYTES = 8 * 1024 * 1024;
+
 /** Retry delay suggested to callers while the log cannot be reached. */
 const RETRY_AFTER_MS = 600;
 
@@ -38,6 +46,7 @@
   readonly network: wire.PeerNetwork;
   /** Memory for cached turns, in bytes. */
   readonly cacheBytes: number;
+  readonly memory: turnMemory.TurnMemory;
 }
 
 /** A turn and the turns that it continues, as far as they were found. */
@@ -48,6 +57,14 @@
   readonly missing: string | undefined;
 }
 
+/** The state of one lookup. */
+interface Lookup extends TurnHints {
+  readonly pendingReads: Map<string, Promise<turnLog.TurnLookupResult>>;
+  /** The reads that have not ended. */
+  readonly runningReads: Set<unknown>;
+  readonly memory: memoryReservation.MemoryReservation;
+}
+
 /** Stores turns in the log under their ids and caches recently used ones. */
 export class LoggedTurnStore implements TurnStore, lifetime.Disposable {
   private readonly cache: lruCache.LRUCache<string, turnRecords.TurnRecord>;
@@ -61,6 +78,9 @@
 
   private readonly retention: turnRetention.TurnRetention;
 
+  /** Size of the turns that are being sent to peers. */
+  private sendingBytes = 0;
+
   public constructor(private readonly options: LoggedTurnStoreOptions) {
     this.cache = new lruCache.LRUCache({
       maxSize: options.cacheBytes,
@@ -68,7 +88,7 @@
     });
     this.log = new turnLog.TurnLog(options);
     this.servedMethod = options.network.serve(messages.FETCH_TURNS, async ({ turn, held }) =>
-      trueMyth.Result.ok({ turns: [...this.cachedChain(turn, new Set(held))] }),
+      trueMyth.Result.ok({ turns: this.takeForPeer(this.cachedChain(turn, new Set(held))) }),
     );
     this.retention = new turnRetention.TurnRetention({
       ...options,
@@ -83,7 +103,7 @@
     hints: TurnHints,
   ): Promise<trueMyth.Result<History, errors.Fault>> {
     const chain = await this.lookup(turn, hints);
-    if (chain.isErr) return trueMyth.Result.err(this.unavailable(turn, chain.error.message));
+    if (chain.isErr) return trueMyth.Result.err(this.lookupFault(turn, chain.error));
     const { missing, turns: records } = chain.value;
     if (records.some((record) => record.workspace !== workspace)) {
       return trueMyth.Result.err(this.unknown(turn, 'it belongs to another workspace'));
@@ -144,21 +164,31 @@
    * concurrently.
    */
   private async readChain(turn: string, hints: TurnHints): Promise<keyedLog.LogResult<Chain>> {
+    const memory = this.options.memory.open();
+    const lookup = { ...hints, memory, pendingReads: new Map(), runningReads: new Set<unknown>() };
+    try {
+      return await this.followChain(turn, lookup);
+    } finally {
+      releaseAfterReads(lookup);
+    }
+  }
+
+  private async followChain(turn: string, lookup: Lookup): Promise<keyedLog.LogResult<Chain>> {
+    const { pendingReads } = lookup;
     const startedAt = this.options.clock.now();
     const turns: turnRecords.TurnRecord[] = [];
-    const pendingReads = new Map<string, Promise<turnLog.TurnLookupResult>>();
     let next: string | undefined = turn;
     let missing: string | undefined;
     while (next !== undefined && missing === undefined && turns.length < MAXIMUM_CHAIN_TURNS) {
       const found: turnLog.TurnLookupResult = await (pendingReads.get(next) ??
-        this.find(next, hints, pendingReads));
+        this.find(next, lookup));
       if (found.isErr) return trueMyth.Result.err(found.error);
       const record: turnRecords.TurnRecord | undefined = found.value;
       if (record === undefined) {
         missing = next;
       } else {
         turns.push(record);
-        this.readAhead(record.earlier, pendingReads);
+        this.readAhead(record.earlier, lookup);
         next = record.previous;
       }
     }
@@ -167,44 +197,40 @@
   }
 
   /** Starts to read turns that are neither cached nor being read. */
-  private readAhead(
-    positions: readonly turnRecords.TurnPosition[],
-    pendingReads: Map<string, Promise<turnLog.TurnLookupResult>>,
-  ): void {
+  private readAhead(positions: readonly turnRecords.TurnPosition[], lookup: Lookup): void {
+    const { pendingReads } = lookup;
     positions
       .filter(({ id }) => !this.cache.has(id) && !pendingReads.has(id))
-      .forEach((position) =>
-        pendingReads.set(position.id, this.cacheResult(this.log.readAt(position))),
-      );
+      .forEach((position) => pendingReads.set(position.id, this.read(position, lookup)));
   }
 
   /** Finds a turn in the cache, at the peer that wrote it, or in the log. */
-  private async find(
-    turn: string,
-    hints: TurnHints,
-    pendingReads: Map<string, Promise<turnLog.TurnLookupResult>>,
-  ): Promise<turnLog.TurnLookupResult> {
+  private async find(turn: string, lookup: Lookup): Promise<turnLog.TurnLookupResult> {
+    const { memory, writer } = lookup;
     const known = this.cache.get(turn);
-    if (known !== undefined) return trueMyth.Result.ok(known);
-    const { writer } = hints;
+    if (known !== undefined) return reserveFor(known, memory);
     if (writer !== undefined && writer !== this.options.network.self.address) {
       const fetched = await this.fetchFrom(writer, turn);
-      if (fetched !== undefined) return trueMyth.Result.ok(fetched);
+      if (fetched !== undefined) return reserveFor(fetched, memory);
     }
     const located = await this.log.locate(turn);
     if (located.isErr) return trueMyth.Result.err(located.error);
     if (located.value === undefined) return trueMyth.Result.ok(undefined);
     const { earlier, position } = located.value;
-    const reading = this.cacheResult(this.log.readAt(position));
-    this.readAhead(earlier, pendingReads);
+    const reading = this.read(position, lookup);
+    this.readAhead(earlier, lookup);
     return reading;
   }
 
-  /** Waits for a read and caches the turn that it found. */
-  private async cacheResult(
-    reading: Promise<turnLog.TurnLookupResult>,
+  /** Reads a turn from the log and caches it. */
+  private async read(
+    position: turnRecords.TurnPosition,
+    { memory, runningReads }: Lookup,
   ): Promise<turnLog.TurnLookupResult> {
+    const reading = this.log.readAt(position, memory);
+    runningReads.add(reading);
     const found = await reading;
+    runningReads.delete(reading);
     if (found.isOk && found.value !== undefined) this.cache.set(found.value.id, found.value);
     return found;
   }
@@ -226,8 +252,35 @@
       options,
     );
     if (response.isErr) return undefined;
-    response.value.turns.forEach((record) => this.cache.set(record.id, record));
-    return response.value.turns.find(({ id }) => id === turn);
+    // Decoded contents are views of the whole message, which a cached view would keep in memory.
+    const turns = response.value.turns.map((record) => ({
+      ...record,
+      content: Buffer.from(record.content),
+    }));
+    turns.forEach((record) => this.cache.set(record.id, record));
+    return turns.find(({ id }) => id === turn);
+  }
+
+  /**
+   * Returns the first turns of a chain, as many as are sent to a peer at once. They take memory
+   * until they have been sent or the peer has stopped waiting.
+   */
+  private takeForPeer(chain: Iterable<turnRecords.TurnRecord>): turnRecords.TurnRecord[] {
+    const taken: turnRecords.TurnRecord[] = [];
+    let bytes = 0;
+    for (const record of chain) {
+      const size = bytes + record.content.length;
+      if (size > MAXIMUM_FETCH_BYTES || this.sendingBytes + size > MAXIMUM_SENDING_BYTES) break;
+      bytes = size;
+      taken.push(record);
+    }
+    this.sendingBytes += bytes;
+    if (bytes > 0) {
+      this.options.clock.startTimer(FETCH_TIMEOUT_MS, () => {
+        this.sendingBytes -= bytes;
+      });
+    }
+    return taken;
   }
 
   /** Yields the cached turns of a chain, newest first, up to the first one that the peer holds. */
@@ -257,6 +310,12 @@
     });
   }
 
+  private lookupFault(turn: string, failure: keyedLog.LogFailure): errors.Fault {
+    const fault = this.unavailable(turn, failure.message);
+    if (failure !== turnLog.NO_MEMORY) return fault;
+    return errors.createFault('overloaded', failure.message, { retryAfterMs: RETRY_AFTER_MS });
+  }
+
   private unavailable(turn: string, reason: string): errors.Fault {
     this.options.logger.warn('A turn could not be read from or stored in the log.', {
       request: turn,
@@ -270,3 +329,21 @@
     return errors.createFault('turn-unknown');
   }
 }
+
+/** Reserves the memory of a turn that needs no read of the log. */
+function reserveFor(
+  record: turnRecords.TurnRecord,
+  memory: memoryReservation.MemoryReservation,
+): turnLog.TurnLookupResult {
+  if (memory.reserve(record.content.length)) return trueMyth.Result.ok(record);
+  return trueMyth.Result.err(turnLog.NO_MEMORY);
+}
+
+/**
+ * Releases the memory of a lookup as soon as it reads nothing more. What a failed lookup still
+ * reads will be cached.
+ */
+async function releaseAfterReads({ memory, runningReads }: Lookup): Promise<void> {
+  if (runningReads.size > 0) await Promise.allSettled(runningReads);
+  memory.dispose();
+}
--- a/packages/turns/src/TurnLog.ts
+++ b/packages/turns/src/TurnLog.ts
@@ -3,6 +3,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
+import type * as memoryReservation from './MemoryReservation.js';
 import * as readLimiter from './ReadLimiter.js';
 import * as turnRecords from './turnRecords.js';
 
@@ -57,6 +58,12 @@
   readonly earlier: readonly turnRecords.TurnPosition[];
 }
 
+/** The failure of a read that finds no memory. */
+export const NO_MEMORY: keyedLog.LogFailure = {
+  kind: keyedLog.LOG_FAILURES.UNAVAILABLE,
+  message: 'The turns of the VM use all the memory that they may use.',
+};
+
 type FoundRecord = keyedLog.LogResult<keyedLog.StoredRecord | undefined>;
 
 /**
@@ -140,9 +147,15 @@
     return trueMyth.Result.ok({ position, earlier: decoded.earlier });
   }
 
-  /** Reads the turn at a position, including the further parts of its content. */
-  public async readAt({ id, offset }: turnRecords.TurnPosition): Promise<TurnLookupResult> {
-    const record = await this.readRecord(id, turnRecords.contentKey(id), offset);
+  /**
+   * Reads the turn at a position, including the further parts of its content, and reserves the
+   * memory that it takes.
+   */
+  public async readAt(
+    { id, offset }: turnRecords.TurnPosition,
+    memory: memoryReservation.MemoryReservation,
+  ): Promise<TurnLookupResult> {
+    const record = await this.readRecord(id, turnRecords.contentKey(id), offset, memory);
     if (record.isErr) return trueMyth.Result.err(record.error);
     if (record.value?.value === undefined) return trueMyth.Result.ok(undefined);
     const first = turnRecords.decodeContent(record.value.value);
@@ -150,7 +163,7 @@
     const { further, ...turn } = first;
     const rest = await Promise.all(
       further.map((position, index) =>
-        this.readRecord(id, turnRecords.partKey(id, index + 1), position),
+        this.readRecord(id, turnRecords.partKey(id, index + 1), position, memory),
       ),
     );
     const contents = [turn.content];
@@ -167,10 +180,21 @@
     this.writers.forEach((writer) => writer.dispose());
   }
 
+  private async readRecord(
+    turn: string,
+    key: string,
+    offset: number,
+    memory: memoryReservation.MemoryReservation,
+  ): Promise<FoundRecord> {
+    const found = await this.findRecord(turn, key, offset);
+    if (found.isErr || memory.reserve(found.value?.value?.length ?? 0)) return found;
+    return trueMyth.Result.err(NO_MEMORY);
+  }
+
   /**
    * Reads a record by its offset, or by its key if the log has dropped the record at that offset.
    */
-  private async readRecord(turn: string, key: string, offset: number): Promise<FoundRecord> {
+  private async findRecord(turn: string, key: string, offset: number): Promise<FoundRecord> {
     const options = { waitMs: 0, maximumBytes: ONE_RECORD_BYTES };
     const partition = this.partitionOf(turn);
     const page = await this.contentReadLimiter.run(() =>
--- a/packages/turns/src/testing/TurnFleet.ts
+++ b/packages/turns/src/testing/TurnFleet.ts
@@ -4,6 +4,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import * as logging from '@limpettack/logging';
 import * as loggedTurnStore from '../LoggedTurnStore.js';
+import * as turnMemory from '../TurnMemory.js';
 import * as memoryPeers from './MemoryPeers.js';
 
 const PARTITIONS = 4;
@@ -42,6 +43,7 @@
       partitionCount: PARTITIONS,
       recordBytes: 16_384,
       cacheBytes: 1_000_000,
+      memory: new turnMemory.TurnMemory(20_000_000),
     });
     this.stores.push(store);
     return store;
--- a/packages/turns/src/testing/turnFixtures.ts
+++ b/packages/turns/src/testing/turnFixtures.ts
@@ -5,6 +5,7 @@
 import type * as wire from '@limpettack/wire';
 import * as wireTesting from '@limpettack/wire/testing';
 import * as loggedTurnStore from '../LoggedTurnStore.js';
+import * as turnMemory from '../TurnMemory.js';
 import type { Turn } from '../Types.js';
 import * as turnFleet from './TurnFleet.js';
 
@@ -47,6 +48,7 @@
         partitionCount: 4,
         recordBytes: 16_384,
         cacheBytes: 1_000_000,
+        memory: new turnMemory.TurnMemory(20_000_000),
         ...changes,
       });
       stores.push(store);
