Turns whose records are not stored share a bounded memory

What was seen (real process, one VM, limit 220 MB, 60 turns a second): 232 MB while the store reset its connections for 20 s (turns of 17 KB), 237 MB while it was silent for 40 s and 265 MB while appends took 2 s (turns of 100 KB). The VM would have been killed. The event loop was blocked for 0.5 to 0.7 s when the store returned.

Cause: until the log has a turn's record, the turn is in memory three times: its body, its content (with the output, which had no limit) and the record. Only the body was counted. The records of callers that have left stayed until the log had rejected the batch before them, seconds after their own time limit.

Now the memory of turns also counts records: two copies of the input, which are reserved before the turn is admitted, and of the output as it arrives. Without room a turn is refused at once as not run. The output of a turn that runs is not refused up to 256 KiB, as it has run. The memory is released when the log has stored or rejected the record, also after the caller has left. All records that wait for an append end at their own time limit.

Ruled out: the connections to the store (24) and its relays, whose calls end after 0.9 s each.

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -147,6 +147,48 @@
     expect(turnMemory.usedBytes).toBe(0);
   });
 
+  // Guards against an outage of the log in which the records of all turns since are in memory. Those
+  // of callers that have left stay until the log has rejected them.
+  test('turns whose records are not stored share a bounded memory, and further ones are refused at once', async () => {
+    const time = new clock.SystemClock();
+    const scripts = Array.from({ length: 5 }, () => fixtures.streamEvents([1], 'end'));
+    const transport = new scriptedTransport.ScriptedTransport(scripts);
+    const turnMemory = new turns.TurnMemory(1_000_000);
+    const endings: (() => void)[] = [];
+    const keep = (): Promise<trueMyth.Result<void, errors.Fault>> =>
+      new Promise((resolve) => {
+        endings.push(() => resolve(trueMyth.Result.ok(undefined)));
+      });
+    const history = async (): Promise<never> => Promise.reject(new Error('No turn continues.'));
+    const { gateway } = standIns.createGateway(transport, RETAINING, {
+      clock: time,
+      turns: { history, keep },
+      turnMemory,
+    });
+    const leaving = new AbortController();
+    const start = (): { reply: recordedReply.RecordedReply; ended: Promise<void> } => {
+      const reply = new recordedReply.RecordedReply();
+      const call = fixtures.createCall(time, {
+        ...standIns.turnOf('program'),
+        body: Buffer.alloc(100_000),
+        signal: leaving.signal,
+      });
+      return { reply, ended: gateway.handle(call, reply) };
+    };
+    const running = Array.from({ length: 4 }, start);
+    await settleEvents();
+    expect(endings).toHaveLength(4);
+    const refused = start();
+    await refused.ended;
+    expect(refused.reply.fault).toMatchObject({ kind: 'overloaded', run: 'not-run' });
+    leaving.abort();
+    await Promise.all(running.map(({ ended }) => ended));
+    expect(turnMemory.usedBytes).toBeGreaterThan(800_000);
+    endings.forEach((end) => end());
+    await settleEvents();
+    expect(turnMemory.usedBytes).toBe(0);
+  });
+
   test('a request past its deadline takes nothing from its limit and its budget', async () => {
     const time = new clock.ManualClock();
     const transport = new scriptedTransport.ScriptedTransport([]);
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -11,6 +11,7 @@
 import * as callContext from './CallContext.js';
 import * as observedReply from './ObservedReply.js';
 import * as processEnd from './ProcessEnd.js';
+import * as recordMemory from './recordMemory.js';
 import * as routeKinds from './RouteKinds.js';
 import * as streamCall from './StreamCall.js';
 import type * as currentTables from './CurrentTables.js';
@@ -34,9 +35,6 @@
 /** Share of a request's remaining time that it may wait for its workspace's rate limit. */
 const LIMIT_WAIT_SHARE = 0.3;
 
-/** Retry delay for callers whose turn finds no memory. They should try another VM. */
-const MEMORY_RETRY_AFTER_MS = 400;
-
 /** Minimum interval between two checks of whether the log covers a reservation. */
 const COVER_INTERVAL_MS = 100;
 
@@ -140,6 +138,10 @@
       return;
     }
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
+    if (isStream && route.retainsTurns && !this.hasMemory(recordMemory.recordBytes(call))) {
+      refuse(call, reply, recordMemory.noMemoryFault());
+      return;
+    }
     const readyBy = waitBounds.preparationDeadline(this.dependencies.clock.now(), deadline);
     // The rate limit and the budget may be owned by two other VMs, so both are requested in
     // parallel.
@@ -158,6 +160,14 @@
     else await this.runStream(context, grant.value, reply, readyBy);
   }
 
+  /** Whether a turn finds memory now. It is reserved only after the waits for limit and budget. */
+  private hasMemory(bytes: number): boolean {
+    const memory = this.dependencies.turnMemory.open();
+    const hasMemory = memory.reserve(bytes);
+    memory.dispose();
+    return hasMemory;
+  }
+
   /** Charges a request to its workspace's rate limit. Returns a fault if the limit is exceeded. */
   private async checkLimit(context: callContext.CallContext): Promise<errors.Fault | undefined> {
     const { call, deadline, workspace } = context;
@@ -199,8 +209,8 @@
         plan.value,
         reply,
       ).run();
+    else memory.dispose();
     ending.abort();
-    memory.dispose();
     this.settle(call, outcome);
     // The tokens are released before the refusal is sent, because the caller may retry at once.
     if (plan.isErr) refuse(call, reply, plan.error);
@@ -299,9 +309,11 @@
     const { call, deadline, pool, route, workspace } = context;
     const tokensPerEvent = this.dependencies.tables.current?.pools.get(pool)?.tokensPerEvent ?? 1;
     const previous = route.retainsTurns ? call.programContext?.previousTurn : undefined;
+    if (route.retainsTurns && !memory.reserve(recordMemory.recordBytes(call)))
+      return trueMyth.Result.err(recordMemory.noMemoryFault());
     const recordUsage = (tokens: number, timeoutMs: number): Promise<boolean> =>
       this.recordUsage(call, tokens, timeoutMs);
-    const shared = { tokensPerEvent, budgetRecorded, recordUsage };
+    const shared = { tokensPerEvent, budgetRecorded, recordUsage, memory };
     if (previous === undefined) return trueMyth.Result.ok({ body: call.body, ...shared });
     const hints = {
       writer: grant.writer,
@@ -315,7 +327,7 @@
     return history.andThen(({ contents, turns: earlier }) => {
       const parts = [...contents, call.body];
       if (!memory.reserve(parts.reduce((sum, { length }) => sum + length, 0)))
-        return trueMyth.Result.err(noMemoryFault());
+        return trueMyth.Result.err(recordMemory.noMemoryFault());
       return trueMyth.Result.ok({ body: Buffer.concat(parts), earlier, ...shared });
     });
   }
@@ -411,8 +423,3 @@
       : { previousTurn: programContext.previousTurn }),
   };
 }
-
-function noMemoryFault(): errors.Fault {
-  const message = 'The turns of the VM use all the memory that they may use.';
-  return errors.createFault('overloaded', message, { retryAfterMs: MEMORY_RETRY_AFTER_MS });
-}
--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -1,4 +1,5 @@
 import * as jestGlobals from '@jest/globals';
+import * as turnStore from '@limpettack/turns';
 import * as errors from '@limpettack/errors';
 import * as trueMyth from 'true-myth';
 import * as routeKinds from './RouteKinds.js';
@@ -37,7 +38,8 @@
   const reply = new recordedReply.RecordedReply();
   onReply(reply);
   const context = fixtures.createContext(dependencies, route, call);
-  const plan = { body: context.call.body, tokensPerEvent: 20, budgetRecorded, recordUsage };
+  const memory = new turnStore.TurnMemory(1_000_000).open();
+  const plan = { body: context.call.body, memory, tokensPerEvent: 20, budgetRecorded, recordUsage };
   const outcome = await new streamCall.StreamCall(dependencies, context, plan, reply).run();
   return { reply, outcome, transport, dependencies };
 }
@@ -347,7 +349,14 @@
     const reply = new recordedReply.RecordedReply();
     const context = fixtures.createContext(dependencies, STREAM);
     const recordUsage = async (): Promise<boolean> => true;
-    const plan = { body: context.call.body, tokensPerEvent: 20, budgetRecorded, recordUsage };
+    const memory = new turnStore.TurnMemory(1_000_000).open();
+    const plan = {
+      body: context.call.body,
+      memory,
+      tokensPerEvent: 20,
+      budgetRecorded,
+      recordUsage,
+    };
     const running = new streamCall.StreamCall(dependencies, context, plan, reply).run();
     await new Promise((resolve) => {
       setTimeout(resolve, 50);
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -10,6 +10,7 @@
 import * as sendFailures from './SendFailures.js';
 import type * as targetSender from './TargetSender.js';
 import * as targetTurns from './TargetTurns.js';
+import * as turnOutput from './TurnOutput.js';
 import * as waitBounds from './waitBounds.js';
 import type { ResponseHead, Reply, SendFailure, Target } from './Types.js';
 
@@ -41,8 +42,6 @@
 
 const OK = 200;
 
-const LINE_FEED = Buffer.from('\n');
-
 /** Dependencies of stream calls. */
 export interface StreamCallDependencies extends targetTurns.TargetTurnsOptions {
   readonly sender: targetSender.TargetSender;
@@ -57,6 +56,8 @@
 export interface StreamPlan {
   /** The history and the new input, as sent to the target. */
   readonly body: Uint8Array;
+  /** The memory of the turn. The call releases it, at the latest when the record has been stored. */
+  readonly memory: turns.MemoryReservation;
   /** The turns of the history. */
   readonly earlier?: turns.History['turns'] | undefined;
   /** Tokens in each event. */
@@ -104,13 +105,14 @@
 
   private isFinished = false;
 
-  private lastEventId: number;
+  /** Whether the record of the turn is being stored. It takes memory until then. */
+  private isStoring = false;
 
-  private lastCollectedId = -1;
+  private lastEventId: number;
 
   private eventsSent = 0;
 
-  private readonly output: Uint8Array[] = [];
+  private readonly output: turnOutput.TurnOutput;
 
   /** A response that is not a stream, such as an error. */
   private plainResponse: PlainResponse | undefined;
@@ -133,6 +135,7 @@
     private readonly reply: Reply,
   ) {
     this.lastEventId = context.call.lastEventId ?? -1;
+    this.output = new turnOutput.TurnOutput(plan.memory);
     this.turns = new targetTurns.TargetTurns(dependencies, context, context.route.isResumable, {
       isWaiting: () => !this.isFinished,
       onTarget: (target) => {
@@ -280,7 +283,12 @@
   }
 
   private forwardEvent(event: eventSplitter.ServerSentEvent): void {
-    this.collectOutput(event);
+    if (this.isFinished) return;
+    if (this.context.route.retainsTurns && !this.output.add(event)) {
+      this.exchange?.abort();
+      this.fail('target-failed', 'The output is too long to be retained.');
+      return;
+    }
     if (event.id !== undefined && event.id <= this.lastEventId) return;
     if (!this.reply.hasStarted && this.head !== undefined) this.reply.start(this.head);
     this.lastEventId = event.id ?? this.lastEventId;
@@ -288,16 +296,6 @@
     this.reply.write(event.bytes);
   }
 
-  /**
-   * Collects the output of a retained turn. Skips events that a target sends again after a retry.
-   */
-  private collectOutput(event: eventSplitter.ServerSentEvent): void {
-    if (!this.context.route.retainsTurns || event.data === undefined) return;
-    if (event.id !== undefined && event.id <= this.lastCollectedId) return;
-    this.lastCollectedId = event.id ?? this.lastCollectedId;
-    this.output.push(event.data, LINE_FEED);
-  }
-
   private deferUntil(budgetRecorded: Promise<boolean>): void {
     const steps: (() => void)[] = [];
     this.deferredSteps = steps;
@@ -364,11 +362,14 @@
       previous: call.programContext?.previousTurn,
       earlier: this.plan.earlier,
       workspace: workspace?.name ?? '',
-      content: Buffer.concat([call.body, ...this.output]),
+      content: this.output.recordContent(call.body),
       retentionMs: route.retentionMs,
     };
     const recorded = this.plan.recordUsage(this.tokensSent, timeoutMs);
+    this.isStoring = true;
     const retained = await store.keep(turn, timeoutMs);
+    this.isStoring = false;
+    if (this.isFinished) this.plan.memory.dispose();
     if (retained.isOk) await clock.withTimeout(time, USAGE_RECORD_WAIT_MS, recorded);
     if (this.isFinished) return;
     if (retained.isOk) {
@@ -483,6 +484,7 @@
     this.deadlineTimer?.cancel();
     this.stallTimer?.cancel();
     this.endSubscription?.dispose();
+    if (!this.isStoring) this.plan.memory.dispose();
     this.resolve({ tokens: this.tokensSent, isComplete, isKept });
   }
 
--- a/packages/gateway/src/TargetSender.test.ts
+++ b/packages/gateway/src/TargetSender.test.ts
@@ -2,6 +2,7 @@
 // returned. The caller's connection ended without a response, although other targets were free.
 
 import * as jestGlobals from '@jest/globals';
+import * as turns from '@limpettack/turns';
 import * as routeKinds from './RouteKinds.js';
 import * as sendFailures from './SendFailures.js';
 import * as streamCall from './StreamCall.js';
@@ -130,6 +131,7 @@
   const context = fixtures.createContext(dependencies, route);
   const plan = {
     body: context.call.body,
+    memory: new turns.TurnMemory(1_000_000).open(),
     tokensPerEvent: 20,
     budgetRecorded: undefined,
     recordUsage: async () => true,
--- /dev/null
+++ b/packages/gateway/src/TurnOutput.ts
@@ -0,0 +1,42 @@
+import type * as turns from '@limpettack/turns';
+import type * as eventSplitter from './EventSplitter.js';
+import * as recordMemory from './recordMemory.js';
+
+/** An output up to this size is stored even if the turns use all the memory that they may use. */
+const USUAL_OUTPUT_BYTES = 256 * 1024;
+
+/** Memory that a collected event takes in addition to its data, in bytes. */
+const EVENT_OVERHEAD_BYTES = 200;
+
+const LINE_FEED = Buffer.from('\n');
+
+/** Collects the output of a retained turn, which becomes part of its record. */
+export class TurnOutput {
+  private readonly parts: Uint8Array[] = [];
+
+  private collectedBytes = 0;
+
+  private lastCollectedId = -1;
+
+  public constructor(private readonly memory: turns.MemoryReservation) {}
+
+  /**
+   * Adds an event. Skips events that a target sends again after a retry. Returns false if a long
+   * output finds no memory. A usual one is not refused, since its turn has run.
+   */
+  public add({ data, id }: eventSplitter.ServerSentEvent): boolean {
+    if (data === undefined || (id !== undefined && id <= this.lastCollectedId)) return true;
+    this.lastCollectedId = id ?? this.lastCollectedId;
+    this.parts.push(data, LINE_FEED);
+    this.collectedBytes += data.length + EVENT_OVERHEAD_BYTES;
+    const bytes = recordMemory.RECORD_COPIES * data.length + EVENT_OVERHEAD_BYTES;
+    if (this.memory.reserve(bytes)) return true;
+    this.memory.add(bytes);
+    return this.collectedBytes <= USUAL_OUTPUT_BYTES;
+  }
+
+  /** What the turn adds to the history: its input, followed by its output. */
+  public recordContent(input: Uint8Array): Uint8Array {
+    return Buffer.concat([input, ...this.parts]);
+  }
+}
--- a/packages/keyed-log/src/PartitionWriter.test.ts
+++ b/packages/keyed-log/src/PartitionWriter.test.ts
@@ -62,6 +62,20 @@
     expect((await writer.append({ key: 'b', value }, WAIT_MS)).isOk).toBe(true);
   });
 
+  // Guards against an outage in which records wait behind a batch long after their callers have left.
+  test('records that wait for an append end at their own time limit', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const writer = createWriter(log);
+    log.outage = UNAVAILABLE;
+    const first = writer.append({ key: 'a', value }, WAIT_MS);
+    const startedAt = performance.now();
+    expect((await writer.append({ key: 'b', value }, 30)).isErr).toBe(true);
+    expect(performance.now() - startedAt).toBeLessThan(WAIT_MS / 2);
+    log.outage = undefined;
+    expect((await first).isOk).toBe(true);
+    expect((await log.newest(PARTITION)).isOk && log.appendCount).toBeGreaterThan(0);
+  });
+
   // One exception ended all further appends of the partition, whose callers then waited without end.
   test('continues after an append that threw, which it repeats', async () => {
     const log = new memoryKeyedLog.MemoryKeyedLog();
--- a/packages/keyed-log/src/PartitionWriter.ts
+++ b/packages/keyed-log/src/PartitionWriter.ts
@@ -115,6 +115,7 @@
         return;
       }
       unsettled = this.settleExpired(unsettled, result.error);
+      this.queue = [...this.settleExpired(this.queue, result.error)];
       if (this.isFinal(result.error)) {
         unsettled.forEach(({ settle }) => settle(trueMyth.Result.err(result.error)));
         return;
