Turns are refused at once while the store is full

What callers saw: while appends get 507 (one VM, 60 turns a second of 17 KB, 20 s), 460 of 1,149 turns ended with 504 after 12 s, 48 were cut or left, and none was refused. Memory rose to 203 MB of 220, and the event loop was blocked for 1.5 s when room returned.

Cause: a turn whose record cannot be stored ran all the same. An append that was rejected as full failed at once, so a turn that had run was lost even if room came back a moment later; after an attempt without a response it could also give its sequence number to other records. Removals, which make room, waited behind the records that found none.

Now `LogSpace` learns from the appends of turns whether there is room. While there is none, turns on retained routes are refused at once as not run, before their limit and budget are charged. Removals have writers of their own.

Ruled out: budgets, whose records are small and are written again until there is room.

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -125,7 +125,11 @@
     const history = async (): Promise<trueMyth.Result<turns.History, errors.Fault>> =>
       trueMyth.Result.ok({ contents: [Buffer.alloc(600_000)], turns: [] });
     const turnMemory = new turns.TurnMemory(1_000_000);
-    const store = { history, keep: async () => trueMyth.Result.ok<void, errors.Fault>(undefined) };
+    const store = {
+      admit: () => true,
+      history,
+      keep: async () => trueMyth.Result.ok<void, errors.Fault>(undefined),
+    };
     const { budgets, gateway } = standIns.createGateway(transport, RETAINING, {
       clock: time,
       turns: store,
@@ -162,7 +166,7 @@
     const history = async (): Promise<never> => Promise.reject(new Error('No turn continues.'));
     const { gateway } = standIns.createGateway(transport, RETAINING, {
       clock: time,
-      turns: { history, keep },
+      turns: { admit: () => true, history, keep },
       turnMemory,
     });
     const leaving = new AbortController();
@@ -264,6 +268,7 @@
     const hints: turns.TurnHints[] = [];
     const kept: turns.Turn[] = [];
     const store: turns.TurnStore = {
+      admit: () => true,
       history: async (_turn, _workspace, given) => {
         hints.push(given);
         return trueMyth.Result.ok({ contents: [Buffer.from('before;')], turns: EARLIER });
@@ -454,7 +459,7 @@
   const transport = new scriptedTransport.ScriptedTransport([]);
   const keep = async (): Promise<never> =>
     Promise.reject(new Error('No turn is expected to be retained.'));
-  const changes = { clock: time, turns: { history, keep } };
+  const changes = { clock: time, turns: { admit: () => true, history, keep } };
   const created = standIns.createGateway(transport, RETAINING, changes);
   return { ...created, transport, reply: new recordedReply.RecordedReply() };
 }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -138,8 +138,9 @@
       return;
     }
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
-    if (isStream && route.retainsTurns && !this.hasMemory(recordMemory.recordBytes(call))) {
-      refuse(call, reply, recordMemory.noMemoryFault());
+    const unstorable = isStream && route.retainsTurns ? this.checkRecord(call) : undefined;
+    if (unstorable !== undefined) {
+      refuse(call, reply, unstorable);
       return;
     }
     const readyBy = waitBounds.preparationDeadline(this.dependencies.clock.now(), deadline);
@@ -160,12 +161,17 @@
     else await this.runStream(context, grant.value, reply, readyBy);
   }
 
-  /** Whether a turn finds memory now. It is reserved only after the waits for limit and budget. */
-  private hasMemory(bytes: number): boolean {
-    const memory = this.dependencies.turnMemory.open();
-    const hasMemory = memory.reserve(bytes);
+  /**
+   * Returns a fault if the record of a turn could not be stored, or finds no memory until then. The
+   * memory is reserved only after the waits for limit and budget.
+   */
+  private checkRecord(call: Call): errors.Fault | undefined {
+    const { turnMemory, turns: store } = this.dependencies;
+    if (!store.admit()) return recordMemory.fullLogFault();
+    const memory = turnMemory.open();
+    const hasMemory = memory.reserve(recordMemory.recordBytes(call));
     memory.dispose();
-    return hasMemory;
+    return hasMemory ? undefined : recordMemory.noMemoryFault();
   }
 
   /** Charges a request to its workspace's rate limit. Returns a fault if the limit is exceeded. */
--- a/packages/gateway/src/ProcessEnd.test.ts
+++ b/packages/gateway/src/ProcessEnd.test.ts
@@ -112,7 +112,11 @@
 
   test('a stream whose turn is being stored is broken off', async () => {
     const keep = (): Promise<never> => new Promise(() => {});
-    const store = { history: async () => trueMyth.Result.ok({ contents: [], turns: [] }), keep };
+    const store = {
+      admit: () => true,
+      history: async () => trueMyth.Result.ok({ contents: [], turns: [] }),
+      keep,
+    };
     const bench = start([fixtures.streamEvents([1], 'end')], RETAINING, { turns: store });
     bench.admit();
     await until(() => bench.reply.chunks.length === 1);
--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -303,7 +303,11 @@
       if (timeoutMs >= outageMs) return trueMyth.Result.ok(undefined);
       return trueMyth.Result.err(errors.createFault('log-unavailable'));
     };
-    const turns = { history: async () => trueMyth.Result.ok({ contents: [], turns: [] }), keep };
+    const turns = {
+      admit: () => true,
+      history: async () => trueMyth.Result.ok({ contents: [], turns: [] }),
+      keep,
+    };
     const scripts = [fixtures.streamEvents([1, 2], 'end')];
     const { outcome } = await run(
       scripts,
@@ -316,6 +320,7 @@
 
   test('a turn that could not be retained does not end as complete', async () => {
     const turns = {
+      admit: () => true,
       history: async () => trueMyth.Result.ok({ contents: [], turns: [] }),
       keep: async () => trueMyth.Result.err(errors.createFault('log-unavailable')),
     };
--- a/packages/gateway/src/testing/gatewayFixtures.ts
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -168,6 +168,7 @@
       admit: () => true,
     },
     turns: {
+      admit: () => true,
       history: async () => trueMyth.Result.ok({ contents: [], turns: [] }),
       keep: async (turn) => {
         retainedContents.push(Buffer.from(turn.content).toString());
--- a/packages/keyed-log/src/PartitionWriter.test.ts
+++ b/packages/keyed-log/src/PartitionWriter.test.ts
@@ -11,8 +11,11 @@
 const { describe, expect, test } = jestGlobals;
 
 const PARTITION: PartitionName = { topic: 'test', partition: 0 };
-const { LOST, UNAVAILABLE } = logFailures.LOG_FAILURES;
+const { FULL, LOST, UNAVAILABLE } = logFailures.LOG_FAILURES;
 const WAIT_MS = 500;
+
+/** More than the time between two attempts while the log is full. */
+const FULL_MS = 800;
 const value = Buffer.from('value');
 
 describe('PartitionWriter', () => {
@@ -62,6 +65,21 @@
     expect((await writer.append({ key: 'b', value }, WAIT_MS)).isOk).toBe(true);
   });
 
+  // Guards against records that fail at once because the log is full, although their callers wait and
+  // there is room a moment later.
+  test('records wait for room in a full log as long as their callers do', async () => {
+    const log = new memoryKeyedLog.MemoryKeyedLog();
+    const writer = createWriter(log);
+    log.outage = FULL;
+    const waiting = writer.append({ key: 'a', value }, 2 * FULL_MS);
+    expect((await writer.append({ key: 'b', value }, 30)).isErr).toBe(true);
+    log.outage = undefined;
+    expect((await waiting).isOk).toBe(true);
+    expect((await writer.append({ key: 'c', value }, WAIT_MS)).isOk).toBe(true);
+    const state = await readAllNewestRecords.readAllNewestRecords(log, PARTITION);
+    expect(state.isOk && state.value.records.map(({ key }) => key)).toEqual(['a', 'c']);
+  });
+
   // Guards against an outage in which records wait behind a batch long after their callers have left.
   test('records that wait for an append end at their own time limit', async () => {
     const log = new memoryKeyedLog.MemoryKeyedLog();
--- a/packages/keyed-log/src/PartitionWriter.ts
+++ b/packages/keyed-log/src/PartitionWriter.ts
@@ -3,11 +3,13 @@
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
 import * as logFailures from './LogFailures.js';
+import * as logSpace from './LogSpace.js';
 import type {
   AppendReceipt,
   KeyedLog,
   KeyedRecord,
   LogFailure,
+  LogFailureKind,
   LogResult,
   PartitionName,
 } from './Types.js';
@@ -16,6 +18,12 @@
 const MAXIMUM_RECORDS = 256;
 const MAXIMUM_BYTES = 1_500_000;
 
+/** Failures of appends that certainly had no effect. */
+const HAD_NO_EFFECT: ReadonlySet<LogFailureKind> = new Set([
+  logFailures.LOG_FAILURES.UNAVAILABLE,
+  logFailures.LOG_FAILURES.FULL,
+]);
+
 /** The failure of appends that were pending when the writer was disposed of. */
 const WRITER_DISPOSED: LogFailure = {
   kind: logFailures.LOG_FAILURES.LOST,
@@ -32,6 +40,8 @@
   readonly producer: string;
   /** Time between attempts of one append. */
   readonly retryMs: clock.Milliseconds;
+  /** Learns from the appends of this writer whether the log has room. */
+  readonly space?: logSpace.LogSpace;
 }
 
 interface QueuedRecords {
@@ -109,6 +119,7 @@
     let unsettled = batch;
     while (!this.stopping.signal.aborted) {
       const result = await this.tryAppend(records);
+      this.noteSpace(result);
       if (result.isOk) {
         this.sequence += 1;
         settleAppended(batch, unsettled, result.value);
@@ -123,7 +134,7 @@
       // If no caller waits for the batch any more, it may still have taken effect. Its sequence
       // number must not be reused for other records, so these are appended under a new producer.
       // While there are none, an append whose response was lost is retried.
-      if (unsettled.length === 0 && result.error.kind === logFailures.LOG_FAILURES.UNAVAILABLE) {
+      if (unsettled.length === 0 && HAD_NO_EFFECT.has(result.error.kind)) {
         this.startNewProducer();
         return;
       }
@@ -131,7 +142,8 @@
         this.startNewProducer();
         return;
       }
-      await time.sleep(retryMs, this.stopping.signal);
+      const pauseMs = isFull(result.error) ? logSpace.FULL_RETRY_MS : retryMs;
+      await time.sleep(pauseMs, this.stopping.signal);
     }
     unsettled.forEach(({ settle }) => settle(trueMyth.Result.err(WRITER_DISPOSED)));
   }
@@ -162,9 +174,14 @@
   }
 
   private isFinal(error: LogFailure): boolean {
-    const { FENCED, FULL } = logFailures.LOG_FAILURES;
-    if (error.kind === FENCED) this.startNewProducer();
-    return error.kind === FENCED || error.kind === FULL;
+    if (error.kind !== logFailures.LOG_FAILURES.FENCED) return false;
+    this.startNewProducer();
+    return true;
+  }
+
+  private noteSpace(result: LogResult<AppendReceipt>): void {
+    if (result.isOk) this.options.space?.noteAppend();
+    else if (isFull(result.error)) this.options.space?.noteRejection();
   }
 
   private settleExpired(
@@ -203,3 +220,7 @@
 function sizeOf(records: readonly KeyedRecord[]): number {
   return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
 }
+
+function isFull({ kind }: LogFailure): boolean {
+  return kind === logFailures.LOG_FAILURES.FULL;
+}
--- a/packages/keyed-log/src/index.ts
+++ b/packages/keyed-log/src/index.ts
@@ -11,3 +11,4 @@
 export * from './readAllNewestRecords.js';
 export * from './readNewestRecord.js';
 export * from './partitionOf.js';
+export * from './LogSpace.js';
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -96,6 +96,11 @@
     });
   }
 
+  /** @inheritdoc */
+  public admit(): boolean {
+    return this.log.admit();
+  }
+
   /** @inheritdoc */
   public async history(
     turn: string,
--- a/packages/turns/src/TurnLog.ts
+++ b/packages/turns/src/TurnLog.ts
@@ -74,24 +74,24 @@
 export class TurnLog implements lifetime.Disposable {
   private readonly writers: readonly keyedLog.PartitionWriter[];
 
+  /** Removals make room in a full log, so they do not wait for other records. */
+  private readonly removalWriters: readonly keyedLog.PartitionWriter[];
+
+  private readonly space: keyedLog.LogSpace;
+
   private readonly contentReadLimiter = new readLimiter.ReadLimiter(MAXIMUM_CONTENT_READS);
 
   private readonly contentSearchLimiter = new readLimiter.ReadLimiter(MAXIMUM_CONTENT_SEARCHES);
 
   public constructor(private readonly options: TurnLogOptions) {
-    const { clock: time, log, logger, partitionCount, producer } = options;
-    this.writers = Array.from(
-      { length: partitionCount },
-      (_, partition) =>
-        new keyedLog.PartitionWriter({
-          log,
-          partition: { topic: TOPIC, partition },
-          clock: time,
-          logger,
-          producer: `${producer}.${partition}`,
-          retryMs: RETRY_MS,
-        }),
-    );
+    this.space = new keyedLog.LogSpace(options);
+    this.writers = this.createWriters(options.producer, { space: this.space });
+    this.removalWriters = this.createWriters(`${options.producer}.removals`, {});
+  }
+
+  /** Whether a turn should begin, since there may be room for it in the log. */
+  public admit(): boolean {
+    return this.space.admit();
   }
 
   /**
@@ -132,7 +132,8 @@
     );
     const keys = [turnRecords.markerKey(turn), turnRecords.contentKey(turn), ...parts];
     const records = keys.map((key) => ({ key }));
-    await this.writerOf(turn).appendTogether(records, timeoutMs);
+    const writer = this.removalWriters[keyedLog.partitionOf(turn, this.options.partitionCount)]!;
+    await writer.appendTogether(records, timeoutMs);
   }
 
   /** Finds the position of a turn by its id. Returns undefined if the turn is not stored. */
@@ -178,6 +179,7 @@
   /** @inheritdoc */
   public dispose(): void {
     this.writers.forEach((writer) => writer.dispose());
+    this.removalWriters.forEach((writer) => writer.dispose());
   }
 
   private async readRecord(
@@ -227,6 +229,26 @@
     return trueMyth.Result.ok(record);
   }
 
+  private createWriters(
+    producer: string,
+    further: Pick<keyedLog.PartitionWriterOptions, 'space'>,
+  ): readonly keyedLog.PartitionWriter[] {
+    const { clock: time, log, logger, partitionCount } = this.options;
+    return Array.from(
+      { length: partitionCount },
+      (_, partition) =>
+        new keyedLog.PartitionWriter({
+          log,
+          partition: { topic: TOPIC, partition },
+          clock: time,
+          logger,
+          producer: `${producer}.${partition}`,
+          retryMs: RETRY_MS,
+          ...further,
+        }),
+    );
+  }
+
   private get partBytes(): number {
     return this.options.recordBytes - RECORD_OVERHEAD_BYTES;
   }
--- a/packages/turns/src/Types.ts
+++ b/packages/turns/src/Types.ts
@@ -41,6 +41,12 @@
 
 /** Stores the turns of all programs for their retention. */
 export interface TurnStore {
+  /**
+   * Returns whether a turn should begin. It should not while the log is full, since its record would
+   * not be stored; from time to time one should, to find out.
+   */
+  admit(): boolean;
+
   /**
    * Returns the history up to and including a turn. All faults mean that nothing was run:
    * `turn-unknown` only if a turn of the history is certainly not stored or belongs to another
