--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -114,6 +114,85 @@
     expect(budgets.timeoutsMs[0]).toBe(1_350);
   });
 
+  // Guards against conversations that are each within all limits, and whose histories together fill
+  // the memory of the process.
+  test('a turn whose history finds no memory is refused at once as not run, without a reservation', async () => {
+    const time = new clock.SystemClock();
+    const transport = new scriptedTransport.ScriptedTransport([
+      fixtures.streamEvents([1], 'hang'),
+      fixtures.streamEvents([1], 'end'),
+    ]);
+    const history = async (): Promise<trueMyth.Result<turns.History, errors.Fault>> =>
+      trueMyth.Result.ok({ contents: [Buffer.alloc(600_000)], turns: [] });
+    const turnMemory = new turns.TurnMemory(1_000_000);
+    const store = {
+      admit: () => true,
+      history,
+      keep: async () => trueMyth.Result.ok<void, errors.Fault>(undefined),
+    };
+    const { budgets, gateway } = standIns.createGateway(transport, RETAINING, {
+      clock: time,
+      turns: store,
+      turnMemory,
+    });
+    const leaving = new AbortController();
+    const replies = [0, 1, 2].map(() => new recordedReply.RecordedReply());
+    const first = gateway.handle(createContinuingTurn(time, leaving.signal), replies[0]!);
+    await settleEvents();
+    await gateway.handle(createContinuingTurn(time), replies[1]!);
+    expect(replies[1]!.fault).toMatchObject({ kind: 'overloaded', run: 'not-run' });
+    expect(replies[1]!.fault!.retryAfterMs).toBeGreaterThan(0);
+    expect(budgets.settlements).toHaveLength(1);
+    leaving.abort();
+    await first;
+    expect(turnMemory.usedBytes).toBe(0);
+    await gateway.handle(createContinuingTurn(time), replies[2]!);
+    expect(replies[2]!.outcome).toBe('ended');
+    expect(turnMemory.usedBytes).toBe(0);
+  });
+
+  // Guards against an outage of the log in which the records of all turns since are in memory. Those
+  // of callers that have left stay until the log has rejected them.
+  test('turns whose records are not stored share a bounded memory, and further ones are refused at once', async () => {
+    const time = new clock.SystemClock();
+    const scripts = Array.from({ length: 5 }, () => fixtures.streamEvents([1], 'end'));
+    const transport = new scriptedTransport.ScriptedTransport(scripts);
+    const turnMemory = new turns.TurnMemory(1_000_000);
+    const endings: (() => void)[] = [];
+    const keep = (): Promise<trueMyth.Result<void, errors.Fault>> =>
+      new Promise((resolve) => {
+        endings.push(() => resolve(trueMyth.Result.ok(undefined)));
+      });
+    const history = async (): Promise<never> => Promise.reject(new Error('No turn continues.'));
+    const { gateway } = standIns.createGateway(transport, RETAINING, {
+      clock: time,
+      turns: { admit: () => true, history, keep },
+      turnMemory,
+    });
+    const leaving = new AbortController();
+    const start = (): { reply: recordedReply.RecordedReply; ended: Promise<void> } => {
+      const reply = new recordedReply.RecordedReply();
+      const call = fixtures.createCall(time, {
+        ...standIns.turnOf('program'),
+        body: Buffer.alloc(100_000),
+        signal: leaving.signal,
+      });
+      return { reply, ended: gateway.handle(call, reply) };
+    };
+    const running = Array.from({ length: 4 }, start);
+    await settleEvents();
+    expect(endings).toHaveLength(4);
+    const refused = start();
+    await refused.ended;
+    expect(refused.reply.fault).toMatchObject({ kind: 'overloaded', run: 'not-run' });
+    leaving.abort();
+    await Promise.all(running.map(({ ended }) => ended));
+    expect(turnMemory.usedBytes).toBeGreaterThan(800_000);
+    endings.forEach((end) => end());
+    await settleEvents();
+    expect(turnMemory.usedBytes).toBe(0);
+  });
+
   test('a request past its deadline takes nothing from its limit and its budget', async () => {
     const time = new clock.ManualClock();
     const transport = new scriptedTransport.ScriptedTransport([]);
@@ -189,6 +268,7 @@
     const hints: turns.TurnHints[] = [];
     const kept: turns.Turn[] = [];
     const store: turns.TurnStore = {
+      admit: () => true,
       history: async (_turn, _workspace, given) => {
         hints.push(given);
         return trueMyth.Result.ok({ contents: [Buffer.from('before;')], turns: EARLIER });
@@ -364,6 +444,7 @@
     partitionCount: 4,
     recordBytes: 262_144,
     cacheBytes: 10_000_000,
+    memory: new turns.TurnMemory(20_000_000),
   });
   stores.push(store);
   return store;
@@ -379,7 +460,7 @@
   const transport = new scriptedTransport.ScriptedTransport([]);
   const keep = async (): Promise<never> =>
     Promise.reject(new Error('No turn is expected to be retained.'));
-  const changes = { clock: time, turns: { history, keep } };
+  const changes = { clock: time, turns: { admit: () => true, history, keep } };
   const created = standIns.createGateway(transport, RETAINING, changes);
   return { ...created, transport, reply: new recordedReply.RecordedReply() };
 }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -5,11 +5,13 @@
 import type * as logging from '@limpettack/logging';
 import type * as metrics from '@limpettack/metrics';
 import type * as programBudgets from '@limpettack/program-budgets';
+import type * as turns from '@limpettack/turns';
 import * as trueMyth from 'true-myth';
 import * as admitCaller from './admitCaller.js';
 import * as callContext from './CallContext.js';
 import * as observedReply from './ObservedReply.js';
 import * as processEnd from './ProcessEnd.js';
+import * as recordMemory from './recordMemory.js';
 import * as routeKinds from './RouteKinds.js';
 import * as streamCall from './StreamCall.js';
 import type * as currentTables from './CurrentTables.js';
@@ -44,10 +46,19 @@
   readonly started: Pick<lifetime.Latch, 'isOpen' | 'opened'>;
   readonly allowances: Pick<unreplicatedLimits.AllowanceClient, 'admit'>;
   readonly budgets: programBudgets.ProgramBudgets;
+  readonly turnMemory: turns.TurnMemory;
   readonly logger: logging.Logger;
   readonly metrics: metrics.Metrics;
 }
 
+/** What the plan of a stream call depends on besides its request. */
+interface Preparation {
+  readonly budgetRecorded: Promise<boolean> | undefined;
+  readonly readyBy: clock.Milliseconds;
+  /** The memory that the turn takes until it has ended. */
+  readonly memory: turns.MemoryReservation;
+}
+
 /** Route name in metrics and logs for requests that the tables do not allow. */
 const NO_ROUTE = '';
 
@@ -127,6 +138,11 @@
       return;
     }
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
+    const unstorable = isStream && route.retainsTurns ? this.checkRecord(call) : undefined;
+    if (unstorable !== undefined) {
+      refuse(call, reply, unstorable);
+      return;
+    }
     const readyBy = waitBounds.preparationDeadline(this.dependencies.clock.now(), deadline);
     // The rate limit and the budget may be owned by two other VMs, so both are requested in
     // parallel.
@@ -145,6 +161,19 @@
     else await this.runStream(context, grant.value, reply, readyBy);
   }
 
+  /**
+   * Returns a fault if the record of a turn could not be stored, or finds no memory until then. The
+   * memory is reserved only after the waits for limit and budget.
+   */
+  private checkRecord(call: Call): errors.Fault | undefined {
+    const { turnMemory, turns: store } = this.dependencies;
+    if (!store.admit()) return recordMemory.fullLogFault();
+    const memory = turnMemory.open();
+    const hasMemory = memory.reserve(recordMemory.recordBytes(call));
+    memory.dispose();
+    return hasMemory ? undefined : recordMemory.noMemoryFault();
+  }
+
   /** Charges a request to its workspace's rate limit. Returns a fault if the limit is exceeded. */
   private async checkLimit(context: callContext.CallContext): Promise<errors.Fault | undefined> {
     const { call, deadline, workspace } = context;
@@ -176,7 +205,8 @@
     const budgetRecorded = grant.isCovered
       ? undefined
       : this.awaitBudgetRecord(call, ending.signal);
-    const plan = await this.createPlan(context, grant, budgetRecorded, readyBy);
+    const memory = this.dependencies.turnMemory.open();
+    const plan = await this.createPlan(context, grant, { budgetRecorded, readyBy, memory });
     let outcome = NOTHING_SENT;
     if (plan.isOk)
       outcome = await new streamCall.StreamCall(
@@ -185,6 +215,7 @@
         plan.value,
         reply,
       ).run();
+    else memory.dispose();
     ending.abort();
     this.settle(call, outcome);
     // The tokens are released before the refusal is sent, because the caller may retry at once.
@@ -279,15 +310,16 @@
   private async createPlan(
     context: callContext.CallContext,
     grant: programBudgets.Grant,
-    budgetRecorded: Promise<boolean> | undefined,
-    readyBy: clock.Milliseconds,
+    { budgetRecorded, memory, readyBy }: Preparation,
   ): Promise<trueMyth.Result<streamCall.StreamPlan, errors.Fault>> {
     const { call, deadline, pool, route, workspace } = context;
     const tokensPerEvent = this.dependencies.tables.current?.pools.get(pool)?.tokensPerEvent ?? 1;
     const previous = route.retainsTurns ? call.programContext?.previousTurn : undefined;
+    if (route.retainsTurns && !memory.reserve(recordMemory.recordBytes(call)))
+      return trueMyth.Result.err(recordMemory.noMemoryFault());
     const recordUsage = (tokens: number, timeoutMs: number): Promise<boolean> =>
       this.recordUsage(call, tokens, timeoutMs);
-    const shared = { tokensPerEvent, budgetRecorded, recordUsage };
+    const shared = { tokensPerEvent, budgetRecorded, recordUsage, memory };
     if (previous === undefined) return trueMyth.Result.ok({ body: call.body, ...shared });
     const hints = {
       writer: grant.writer,
@@ -298,11 +330,12 @@
     // The lookup continues after a timeout, so that the caller's next attempt finds what has been
     // read by then.
     const history = await this.waitFor(call, waitBounds.WAITS.HISTORY, readyBy, reading);
-    return history.map(({ contents, turns: earlier }) => ({
-      body: Buffer.concat([...contents, call.body]),
-      earlier,
-      ...shared,
-    }));
+    return history.andThen(({ contents, turns: earlier }) => {
+      const parts = [...contents, call.body];
+      if (!memory.reserve(parts.reduce((sum, { length }) => sum + length, 0)))
+        return trueMyth.Result.err(recordMemory.noMemoryFault());
+      return trueMyth.Result.ok({ body: Buffer.concat(parts), earlier, ...shared });
+    });
   }
 
   /**
--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -1,4 +1,5 @@
 import * as jestGlobals from '@jest/globals';
+import * as turnStore from '@limpettack/turns';
 import * as errors from '@limpettack/errors';
 import * as trueMyth from 'true-myth';
 import * as routeKinds from './RouteKinds.js';
@@ -37,7 +38,8 @@
   const reply = new recordedReply.RecordedReply();
   onReply(reply);
   const context = fixtures.createContext(dependencies, route, call);
-  const plan = { body: context.call.body, tokensPerEvent: 20, budgetRecorded, recordUsage };
+  const memory = new turnStore.TurnMemory(1_000_000).open();
+  const plan = { body: context.call.body, memory, tokensPerEvent: 20, budgetRecorded, recordUsage };
   const outcome = await new streamCall.StreamCall(dependencies, context, plan, reply).run();
   return { reply, outcome, transport, dependencies };
 }
@@ -301,7 +303,11 @@
       if (timeoutMs >= outageMs) return trueMyth.Result.ok(undefined);
       return trueMyth.Result.err(errors.createFault('log-unavailable'));
     };
-    const turns = { history: async () => trueMyth.Result.ok({ contents: [], turns: [] }), keep };
+    const turns = {
+      admit: () => true,
+      history: async () => trueMyth.Result.ok({ contents: [], turns: [] }),
+      keep,
+    };
     const scripts = [fixtures.streamEvents([1, 2], 'end')];
     const { outcome } = await run(
       scripts,
@@ -314,6 +320,7 @@
 
   test('a turn that could not be retained does not end as complete', async () => {
     const turns = {
+      admit: () => true,
       history: async () => trueMyth.Result.ok({ contents: [], turns: [] }),
       keep: async () => trueMyth.Result.err(errors.createFault('log-unavailable')),
     };
@@ -347,7 +354,14 @@
     const reply = new recordedReply.RecordedReply();
     const context = fixtures.createContext(dependencies, STREAM);
     const recordUsage = async (): Promise<boolean> => true;
-    const plan = { body: context.call.body, tokensPerEvent: 20, budgetRecorded, recordUsage };
+    const memory = new turnStore.TurnMemory(1_000_000).open();
+    const plan = {
+      body: context.call.body,
+      memory,
+      tokensPerEvent: 20,
+      budgetRecorded,
+      recordUsage,
+    };
     const running = new streamCall.StreamCall(dependencies, context, plan, reply).run();
     await new Promise((resolve) => {
       setTimeout(resolve, 50);
@@ -383,7 +397,9 @@
     const context = fixtures.createContext(dependencies, STREAM);
     const recordUsage = async (): Promise<boolean> => true;
     const budgetRecorded = recorded.then(() => true);
-    const plan = { body: context.call.body, tokensPerEvent: 20, budgetRecorded, recordUsage };
+    const memory = new turnStore.TurnMemory(1_000_000).open();
+    const usage = { tokensPerEvent: 20, budgetRecorded, recordUsage };
+    const plan = { body: context.call.body, memory, ...usage };
     const running = new streamCall.StreamCall(dependencies, context, plan, reply).run();
     await new Promise((resolve) => {
       setTimeout(resolve, 50);
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -4,13 +4,13 @@
 import type * as logging from '@limpettack/logging';
 import type * as turns from '@limpettack/turns';
 import type * as callContext from './CallContext.js';
-import * as compactChunks from './CompactChunks.js';
 import type * as crashWatch from './CrashWatch.js';
 import * as eventSplitter from './EventSplitter.js';
 import * as processEnd from './ProcessEnd.js';
 import * as sendFailures from './SendFailures.js';
 import type * as targetSender from './TargetSender.js';
 import * as targetTurns from './TargetTurns.js';
+import * as turnOutput from './TurnOutput.js';
 import * as waitBounds from './waitBounds.js';
 import type { ResponseHead, Reply, SendFailure, Target } from './Types.js';
 
@@ -45,8 +45,6 @@
 
 const OK = 200;
 
-const LINE_FEED = Buffer.from('\n');
-
 /** Dependencies of stream calls. */
 export interface StreamCallDependencies extends targetTurns.TargetTurnsOptions {
   readonly sender: targetSender.TargetSender;
@@ -61,6 +59,8 @@
 export interface StreamPlan {
   /** The history and the new input, as sent to the target. */
   readonly body: Uint8Array;
+  /** The memory of the turn. The call releases it, at the latest when the record has been stored. */
+  readonly memory: turns.MemoryReservation;
   /** The turns of the history. */
   readonly earlier?: turns.History['turns'] | undefined;
   /** Tokens in each event. */
@@ -108,14 +108,14 @@
 
   private isFinished = false;
 
-  private lastEventId: number;
+  /** Whether the record of the turn is being stored. It takes memory until then. */
+  private isStoring = false;
 
-  private lastCollectedId = -1;
+  private lastEventId: number;
 
   private eventsSent = 0;
 
-  /** The output of a retained turn. */
-  private readonly output = new compactChunks.CompactChunks();
+  private readonly output: turnOutput.TurnOutput;
 
   /** A response that is not a stream, such as an error. */
   private plainResponse: PlainResponse | undefined;
@@ -140,6 +140,7 @@
     private readonly reply: Reply,
   ) {
     this.lastEventId = context.call.lastEventId ?? -1;
+    this.output = new turnOutput.TurnOutput(plan.memory);
     this.turns = new targetTurns.TargetTurns(dependencies, context, context.route.isResumable, {
       isWaiting: () => !this.isFinished,
       onTarget: (target) => {
@@ -296,7 +297,12 @@
   }
 
   private forwardEvent(event: eventSplitter.ServerSentEvent): void {
-    this.collectOutput(event);
+    if (this.isFinished) return;
+    if (this.context.route.retainsTurns && !this.output.add(event)) {
+      this.exchange?.abort();
+      this.fail('target-failed', 'The output is too long to be retained.');
+      return;
+    }
     if (event.id !== undefined && event.id <= this.lastEventId) return;
     if (!this.reply.hasStarted && this.head !== undefined) this.reply.start(this.head);
     this.lastEventId = event.id ?? this.lastEventId;
@@ -304,17 +310,6 @@
     this.reply.write(event.bytes);
   }
 
-  /**
-   * Collects the output of a retained turn. Skips events that a target sends again after a retry.
-   */
-  private collectOutput(event: eventSplitter.ServerSentEvent): void {
-    if (!this.context.route.retainsTurns || event.data === undefined) return;
-    if (event.id !== undefined && event.id <= this.lastCollectedId) return;
-    this.lastCollectedId = event.id ?? this.lastCollectedId;
-    this.output.push(event.data);
-    this.output.push(LINE_FEED);
-  }
-
   private deferUntil(budgetRecorded: Promise<boolean>): void {
     const steps: (() => void)[] = [];
     this.deferredSteps = steps;
@@ -381,12 +376,15 @@
       previous: call.programContext?.previousTurn,
       earlier: this.plan.earlier,
       workspace: workspace?.name ?? '',
-      content: Buffer.concat([call.body, this.output.take()]),
+      content: this.output.recordContent(call.body),
       retentionMs: route.retentionMs,
       maximumRunMs: route.timeoutMs,
     };
     const recorded = this.plan.recordUsage(this.tokensSent, timeoutMs);
+    this.isStoring = true;
     const retained = await store.keep(turn, timeoutMs);
+    this.isStoring = false;
+    if (this.isFinished) this.plan.memory.dispose();
     if (retained.isOk) await clock.withTimeout(time, USAGE_RECORD_WAIT_MS, recorded);
     if (this.isFinished) return;
     if (retained.isOk) {
@@ -501,6 +499,7 @@
     this.deadlineTimer?.cancel();
     this.stallTimer?.cancel();
     this.endSubscription?.dispose();
+    if (!this.isStoring) this.plan.memory.dispose();
     this.resolve({ tokens: this.tokensSent, isComplete, isKept });
   }
 
--- a/packages/turns/src/TurnLog.ts
+++ b/packages/turns/src/TurnLog.ts
@@ -3,6 +3,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
+import type * as memoryReservation from './MemoryReservation.js';
 import * as readLimiter from './ReadLimiter.js';
 import * as turnRecords from './turnRecords.js';
 
@@ -69,6 +70,12 @@
   readonly partCount: number | undefined;
 }
 
+/** The failure of a read that finds no memory. */
+export const NO_MEMORY: keyedLog.LogFailure = {
+  kind: keyedLog.LOG_FAILURES.UNAVAILABLE,
+  message: 'The turns of the VM use all the memory that they may use.',
+};
+
 type FoundRecord = keyedLog.LogResult<keyedLog.StoredRecord | undefined>;
 
 /**
@@ -79,24 +86,24 @@
 export class TurnLog implements lifetime.Disposable {
   private readonly writers: readonly keyedLog.PartitionWriter[];
 
+  /** Removals make room in a full log, so they do not wait for other records. */
+  private readonly removalWriters: readonly keyedLog.PartitionWriter[];
+
+  private readonly space: keyedLog.LogSpace;
+
   private readonly contentReadLimiter = new readLimiter.ReadLimiter(MAXIMUM_CONTENT_READS);
 
   private readonly contentSearchLimiter = new readLimiter.ReadLimiter(MAXIMUM_CONTENT_SEARCHES);
 
   public constructor(private readonly options: TurnLogOptions) {
-    const { clock: time, log, logger, partitionCount, producer } = options;
-    this.writers = Array.from(
-      { length: partitionCount },
-      (_, partition) =>
-        new keyedLog.PartitionWriter({
-          log,
-          partition: { topic: TOPIC, partition },
-          clock: time,
-          logger,
-          producer: `${producer}.${partition}`,
-          retryMs: RETRY_MS,
-        }),
-    );
+    this.space = new keyedLog.LogSpace(options);
+    this.writers = this.createWriters(options.producer, { space: this.space });
+    this.removalWriters = this.createWriters(`${options.producer}.removals`, {});
+  }
+
+  /** Whether a turn should begin, since there may be room for it in the log. */
+  public admit(): boolean {
+    return this.space.admit();
   }
 
   /**
@@ -147,7 +154,8 @@
     );
     const keys = [turnRecords.markerKey(turn), turnRecords.contentKey(turn), ...parts];
     const records = keys.map((key) => ({ key }));
-    return this.writerOf(turn).appendTogether(records, timeoutMs);
+    const writer = this.removalWriters[keyedLog.partitionOf(turn, this.options.partitionCount)]!;
+    return writer.appendTogether(records, timeoutMs);
   }
 
   /** Lists all turns that the log holds. Their contents are not read. */
@@ -175,9 +183,15 @@
     return trueMyth.Result.ok({ position, earlier: decoded.earlier });
   }
 
-  /** Reads the turn at a position, including the further parts of its content. */
-  public async readAt({ id, offset }: turnRecords.TurnPosition): Promise<TurnLookupResult> {
-    const record = await this.readRecord(id, turnRecords.contentKey(id), offset);
+  /**
+   * Reads the turn at a position, including the further parts of its content, and reserves the
+   * memory that it takes.
+   */
+  public async readAt(
+    { id, offset }: turnRecords.TurnPosition,
+    memory: memoryReservation.MemoryReservation,
+  ): Promise<TurnLookupResult> {
+    const record = await this.readRecord(id, turnRecords.contentKey(id), offset, memory);
     if (record.isErr) return trueMyth.Result.err(record.error);
     if (record.value?.value === undefined) return trueMyth.Result.ok(undefined);
     const first = turnRecords.decodeContent(record.value.value);
@@ -185,7 +199,7 @@
     const { further, ...turn } = first;
     const rest = await Promise.all(
       further.map((position, index) =>
-        this.readRecord(id, turnRecords.partKey(id, index + 1), position),
+        this.readRecord(id, turnRecords.partKey(id, index + 1), position, memory),
       ),
     );
     const contents = [turn.content];
@@ -200,12 +214,24 @@
   /** @inheritdoc */
   public dispose(): void {
     this.writers.forEach((writer) => writer.dispose());
+    this.removalWriters.forEach((writer) => writer.dispose());
+  }
+
+  private async readRecord(
+    turn: string,
+    key: string,
+    offset: number,
+    memory: memoryReservation.MemoryReservation,
+  ): Promise<FoundRecord> {
+    const found = await this.findRecord(turn, key, offset);
+    if (found.isErr || memory.reserve(found.value?.value?.length ?? 0)) return found;
+    return trueMyth.Result.err(NO_MEMORY);
   }
 
   /**
    * Reads a record by its offset, or by its key if the log has dropped the record at that offset.
    */
-  private async readRecord(turn: string, key: string, offset: number): Promise<FoundRecord> {
+  private async findRecord(turn: string, key: string, offset: number): Promise<FoundRecord> {
     const options = { waitMs: 0, maximumBytes: ONE_RECORD_BYTES };
     const partition = this.partitionOf(turn);
     const page = await this.contentReadLimiter.run(() =>
@@ -238,6 +264,26 @@
     return trueMyth.Result.ok(record);
   }
 
+  private createWriters(
+    producer: string,
+    further: Pick<keyedLog.PartitionWriterOptions, 'space'>,
+  ): readonly keyedLog.PartitionWriter[] {
+    const { clock: time, log, logger, partitionCount } = this.options;
+    return Array.from(
+      { length: partitionCount },
+      (_, partition) =>
+        new keyedLog.PartitionWriter({
+          log,
+          partition: { topic: TOPIC, partition },
+          clock: time,
+          logger,
+          producer: `${producer}.${partition}`,
+          retryMs: RETRY_MS,
+          ...further,
+        }),
+    );
+  }
+
   private get partBytes(): number {
     return this.options.recordBytes - RECORD_OVERHEAD_BYTES;
   }
--- a/packages/turns/src/testing/TurnFleet.ts
+++ b/packages/turns/src/testing/TurnFleet.ts
@@ -6,6 +6,7 @@
 import * as membership from '@limpettack/membership';
 import type * as wire from '@limpettack/wire';
 import * as loggedTurnStore from '../LoggedTurnStore.js';
+import * as turnMemory from '../TurnMemory.js';
 import * as memoryPeers from './MemoryPeers.js';
 
 const PARTITIONS = 4;
@@ -53,6 +54,7 @@
       partitionCount: PARTITIONS,
       recordBytes: 16_384,
       cacheBytes: 1_000_000,
+      memory: new turnMemory.TurnMemory(20_000_000),
     });
     this.stores.push(store);
     return store;
