Output that waits for the record of a budget is bounded

What was seen (real process, 50 calls whose targets send events at full speed, appends take 5 s): the process ended after 4.5 s (SIGABRT, heap limit; 208 MB resident). The first turns of a program wait like this each time the store is slow.

Cause: the events of a turn whose budget is not recorded yet are held back, and nothing stopped their target meanwhile.

Now a response is paused when more than 64 KiB are held back, counted with what each event takes besides its content, and resumed when the budget is recorded.

Evidence: the new test failed before (not paused).

--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -373,6 +373,37 @@
     expect(reply.eventIds).toEqual([1, 2]);
   });
 
+  // Guards against the output of many targets at full speed that is held until a late record.
+  test('receives little output before the budget is recorded, and the rest afterwards', async () => {
+    const recorded = createSignal();
+    const ids = Array.from({ length: 100 }, (_, index) => index + 1);
+    const transport = new scriptedTransport.ScriptedTransport([fixtures.streamEvents(ids, 'hang')]);
+    const dependencies = fixtures.createDependencies(transport, TARGETS);
+    const reply = new recordedReply.RecordedReply();
+    const caller = new AbortController();
+    const context = fixtures.createContext(dependencies, STREAM, { signal: caller.signal });
+    const plan = {
+      body: context.call.body,
+      memory: new turnStore.TurnMemory(1_000_000).open(),
+      tokensPerEvent: 20,
+      budgetRecorded: recorded.promise.then(() => true),
+      recordUsage: async () => true,
+    };
+    const running = new streamCall.StreamCall(dependencies, context, plan, reply).run();
+    await settle();
+    expect(transport.flow).toEqual([]);
+    transport.handlers[0]!.onData(Buffer.from(`data: ${'x'.repeat(64 * 1024)}\n\n`));
+    await settle();
+    expect(transport.flow).toEqual(['pause']);
+    expect(reply.hasStarted).toBe(false);
+    recorded.resolve();
+    await settle();
+    expect(transport.flow).toEqual(['pause', 'resume']);
+    expect(reply.chunks).toHaveLength(ids.length + 1);
+    caller.abort();
+    await running;
+  });
+
   test('the request to the target is aborted when the caller disconnects', async () => {
     const caller = new AbortController();
     const script: scriptedTransport.Script = (handler) => {
@@ -385,6 +416,15 @@
   });
 });
 
+/** Waits until pending callbacks have run. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 3; turn += 1) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
 function createSignal(): { readonly promise: Promise<void>; readonly resolve: () => void } {
   let resolve = (): void => undefined;
   const promise = new Promise<void>((onResolved) => {
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -40,6 +40,12 @@
 /** Maximum size of a response that is not a stream, such as an error, in bytes. */
 const MAXIMUM_PLAIN_RESPONSE_BYTES = 64 * 1024;
 
+/** Maximum memory of the events that wait until the budget is recorded, in bytes. */
+const MAXIMUM_HELD_BYTES = 64 * 1024;
+
+/** Memory that an event which is held back takes in addition to its content, in bytes. */
+const HELD_EVENT_BYTES = 400;
+
 const OK = 200;
 
 /** Dependencies of stream calls. */
@@ -120,6 +126,9 @@
   /** Steps that wait until the budget is recorded. Undefined if steps run at once. */
   private deferredSteps: (() => void)[] | undefined;
 
+  /** The memory of the events received so far, which are held back until the budget is recorded. */
+  private deferredBytes = 0;
+
   private deadlineTimer: clock.Timer | undefined;
 
   private stallTimer: clock.Timer | undefined;
@@ -243,6 +252,7 @@
     }
     const events = this.splitter.current.push(chunk);
     events.forEach((event) => this.whenBudgetRecorded(() => this.forwardEvent(event)));
+    this.deferredBytes += chunk.length + events.length * HELD_EVENT_BYTES;
     if (this.splitter.current.isOversized) {
       this.abandonTarget('An event of the stream is too long.');
       return;
@@ -255,12 +265,13 @@
   }
 
   /**
-   * Stops receiving from the target while the caller does not read. The target is not late
+   * Stops receiving from the target while the caller does not read, or while many events wait until
+   * the budget is recorded. The target is not late
    * meanwhile. The deadline of the request bounds the wait.
    */
   private async pauseUntilRead(): Promise<void> {
     const { exchange, target } = this;
-    const reading = this.reply.awaitReader();
+    const reading = this.reply.awaitReader() ?? this.awaitBudgetRecord();
     if (reading === undefined || exchange === undefined) return;
     if (exchange === this.pausedExchange) return;
     this.pausedExchange = exchange;
@@ -306,6 +317,12 @@
     });
   }
 
+  /** The wait for the record of the budget, if it holds back too many events to receive more. */
+  private awaitBudgetRecord(): Promise<unknown> | undefined {
+    const isHolding = this.deferredSteps !== undefined && this.deferredBytes > MAXIMUM_HELD_BYTES;
+    return isHolding ? this.plan.budgetRecorded : undefined;
+  }
+
   private whenBudgetRecorded(step: () => void): void {
     if (this.deferredSteps === undefined) step();
     else this.deferredSteps.push(step);
--- a/packages/gateway/src/testing/ScriptedTransport.ts
+++ b/packages/gateway/src/testing/ScriptedTransport.ts
@@ -18,6 +18,9 @@
   /** How often responses were paused and resumed, in order. */
   public readonly flow: ('pause' | 'resume')[] = [];
 
+  /** The handlers of the responses, for tests that continue a response after its script. */
+  public readonly handlers: ResponseHandler[] = [];
+
   public constructor(private readonly scripts: Script[]) {}
 
   /** @inheritdoc */
@@ -36,6 +39,7 @@
       onEnd: unlessAborted(() => handler.onEnd()),
       onFailure: unlessAborted((failure) => handler.onFailure(failure)),
     };
+    this.handlers.push(guarded);
     setImmediate(() => {
       if (!isAborted) script?.(guarded);
     });
