--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -43,6 +43,9 @@
 /** Nothing more is received while this much output waits for the record of the budget, in bytes. */
 const MAXIMUM_DEFERRED_BYTES = 64 * 1024;
 
+/** Memory that an event which waits takes in addition to its content, in bytes. */
+const DEFERRED_EVENT_BYTES = 400;
+
 const OK = 200;
 
 /** Dependencies of stream calls. */
@@ -256,7 +259,7 @@
     // indefinitely.
     if (events.length > 0 && this.target !== undefined && this.pausedExchange === undefined)
       this.startStallTimer(this.target, EVENT_TIMEOUT_MS);
-    if (this.deferredSteps !== undefined) this.deferredBytes += chunk.length;
+    this.deferredBytes += chunk.length + events.length * DEFERRED_EVENT_BYTES;
     const ready = this.awaitReceiver();
     if (ready !== undefined) this.pauseUntil(ready);
   }
