The platform soak supervises the memory limit and counts ends of processes

On the users' machines processes ended by themselves, which counts as an outage when it happens three times on a tenth of the VMs, and memory over the limit counts too. The soak looked at neither: its limit of 200 MB was only a setting, a process that ended stayed down for the rest of the run, the load was a few small turns, all callers read what they got, and SIGHUP came alone.

Now a supervisor reads the resident memory of each process every 100 ms, kills one that exceeds the limit, restarts what ends and reports each end with its time, exit and highest memory. Turns of 4 to 30 KB, 100 KB at times, arrive at the rate of the users' sites whether or not earlier ones have ended, and some callers leave early. New faults: reloads in series with rewritten settings, bursts, callers that read long streams slowly, entries that name no target.

--- a/benchmarks/platform-cost/platformCost.mjs
+++ b/benchmarks/platform-cost/platformCost.mjs
@@ -55,7 +55,7 @@
 async function main() {
   const { options } = cac.cac('platform-cost').parse();
   const log = new keyedLogTesting.MemoryKeyedLog();
-  const fleet = new processFleet.ProcessFleet(log, (detail) => console.log(detail));
+  const fleet = new processFleet.ProcessFleet(log, (vm, detail) => console.log(vm.name, detail));
   fleet.failureDomainCount = Number(options.domains ?? 6);
   fleet.arguments = options.profile ? ['--cpu-prof', `--cpu-prof-dir=${options.profile}`] : [];
   const configuration = { Version: 1, Routes: [], Services: {}, Limits: {} };
--- a/benchmarks/platform-soak/ProcessFleet.mjs
+++ b/benchmarks/platform-soak/ProcessFleet.mjs
@@ -18,14 +18,15 @@
 
 /** VM processes that run the platform's program. Each has its own connection to a shared store. */
 export class ProcessFleet {
-  /** @param onExit Called with the VM, exit code and output when a process ends unexpectedly. */
-  constructor(log, onExit) {
+  /** @param onExit Called with the VM and a description when a process ends unexpectedly. */
+  constructor(log, onExit = () => undefined) {
     this.log = log;
     this.onExit = onExit;
     this.vms = [];
     this.failureDomainCount = 2;
     this.partitionCount = 4;
     this.recordBytes = 262_144;
+    this.memoryMb = 200;
     /** Command line arguments of Node.js. */
     this.arguments = [];
   }
@@ -47,7 +48,7 @@
       Listen: { FrontAddr: `127.0.0.1:${callersPort}`, ReadyAddr: `127.0.0.1:${readyPort}` },
       PortRange: [firstPort, lastPort],
       Seeds: this.vms.map((vm) => vm.peersAddress).slice(0, 3),
-      Limits: { MemoryMb: 200 },
+      Limits: { MemoryMb: this.memoryMb },
       Bounds: { GraceS: GRACE_S },
       Platform: {
         Address: await store.listen(),
@@ -69,7 +70,9 @@
     this.spawn(vm);
   }
 
+  /** Starts a process for the VM, unless one is running. */
   spawn(vm) {
+    if (vm.child !== undefined && !hasEnded(vm.child)) return;
     const child = childProcess.spawn(process.execPath, [...this.arguments, PROGRAM], {
       env: {
         ...process.env,
@@ -87,7 +90,7 @@
     child.startedAt = Date.now();
     child.ended = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
-        if (!child.isExitExpected) this.onExit(`${vm.name}: ${code ?? signal} ${output}`);
+        if (!child.isExitExpected) this.onExit(vm, `${code ?? signal} ${output}`);
         resolve(code ?? signal);
       });
     });
@@ -152,11 +155,21 @@
 
 /** Sends SIGHUP as soon as the program handles signals, which may be during its start. */
 export async function reload({ child }) {
-  const hasEnded = () => child.exitCode !== null || child.signalCode !== null;
-  while (!hasEnded() && !(await handlesHangup(child.pid))) await timers.setTimeout(1);
+  while (!hasEnded(child) && !(await handlesHangup(child.pid))) await timers.setTimeout(1);
   child.kill('SIGHUP');
 }
 
+/** Writes the settings again with a change that a process ignores, and reloads them. */
+export async function rewriteSettings(vm, revision) {
+  const settings = JSON.parse(await fs.readFile(vm.settingsFile, 'utf8'));
+  await fs.writeFile(vm.settingsFile, JSON.stringify({ ...settings, revision }));
+  await reload(vm);
+}
+
+function hasEnded({ exitCode, signalCode }) {
+  return exitCode !== null || signalCode !== null;
+}
+
 /** Signal 1 is the lowest bit of the mask of handled signals. */
 async function handlesHangup(pid) {
   const status = await fs.readFile(`/proc/${pid}/status`, 'utf8').catch(() => '');
--- a/benchmarks/platform-soak/createFaults.mjs
+++ b/benchmarks/platform-soak/createFaults.mjs
@@ -5,11 +5,26 @@
 
 const { UNAVAILABLE } = keyedLog.LOG_FAILURES;
 
+const NESTING = 1_000;
+
+/** Entries that name no target. */
+const TARGET = { Service: 'streams', Zone: 'zone-1', Slots: 8, State: 'ready', Seq: 1, born: 1 };
+const UNUSABLE = [
+  { ...TARGET, Address: '127.0.0.1:65536' },
+  { ...TARGET, Address: '127.0.0.1:0' },
+  { ...TARGET, Address: '300.0.0.1:80' },
+  { ...TARGET, Address: '127.0.0.1:80', Slots: 1e300, born: 1e300 },
+  { ...TARGET, Address: ['127.0.0.1:80'], Seq: null },
+  Array.from({ length: NESTING }).reduce((inner) => [inner], 'text'),
+  null,
+];
+
 /**
  * Returns the faults of a run by name. Each function injects its fault, waits and removes the fault
  * again. A VM has at most one fault of its process at a time.
  */
-export function createFaults({ configure, engines, fleet, log, random, verdicts }) {
+export function createFaults(collaborators) {
+  const { configure, engines, fleet, log, random, traffic, verdicts, write } = collaborators;
   const chooseDuration = (minimum, maximum) => Math.round(random.between(minimum, maximum));
   const withVm = async (injectFault) => {
     const vm = random.pick(fleet.vms);
@@ -81,5 +96,16 @@
       });
     },
     'tables change': () => configure(),
+    'reloads in series': async () => {
+      const count = random.integer(2, 8);
+      for (let index = 0; index < count; index += 1) {
+        await Promise.all(fleet.vms.map((vm) => processFleet.rewriteSettings(vm, index)));
+        await timers.setTimeout(chooseDuration(1, 300));
+      }
+    },
+    burst: () => traffic.burst(random.between(2, 5), chooseDuration(1_000, 4_000)),
+    'slow readers': () => traffic.readSlowly(random.integer(10, 50), chooseDuration(1_000, 5_000)),
+    'unusable targets': () =>
+      Promise.all(UNUSABLE.map((entry, index) => write('servers', `unusable-${index}`, entry))),
   };
 }
--- a/benchmarks/platform-soak/platformSoak.mjs
+++ b/benchmarks/platform-soak/platformSoak.mjs
@@ -2,7 +2,13 @@
  * Runs the platform's program in real processes against a fake store and fake targets, under load
  * and a random schedule of faults, and prints which promises were violated.
  *
- * npm run platform-soak -- --seeds 20 [--first 1] [--span 10000]
+ * npm run platform-soak -- --seeds 20 [--first 1] [--span 10000] [--vms 4] [--memory 200] [--rate 5]
+ *   [--calm]
+ *
+ * A process that uses more than `--memory` MB of resident memory is killed, as on the platform, and
+ * each process that ends without a fault is restarted; each such end is a violation. `--rate` is the
+ * number of retained turns of the traffic, per second and VM; the users' sites send about 22. With
+ * `--calm` no fault is injected.
  */
 import * as cac from 'cac';
 import * as verdictsModule from '../soak/Verdicts.mjs';
@@ -10,9 +16,9 @@
 
 const SHOWN_CHARACTERS = 500;
 
-async function runOne(seed, durationMs) {
+async function runOne(seed, options) {
   const verdicts = new verdictsModule.Verdicts();
-  const { events } = await run.runSeed(seed, durationMs, verdicts);
+  const { events } = await run.runSeed(seed, options, verdicts);
   console.log(`seed ${seed}: ${verdicts.violationCount} violations`);
   verdicts.rows.forEach(({ checks, violations }, promise) => {
     if (checks > 0) console.log(`  ${promise}: ${checks} checks, ${violations.length} violated`);
@@ -28,7 +34,13 @@
   const first = Number(options.first ?? 1);
   let violations = 0;
   for (let seed = first; seed < first + Number(options.seeds ?? 20); seed += 1) {
-    violations += await runOne(seed, Number(options.span ?? 10_000));
+    violations += await runOne(seed, {
+      durationMs: Number(options.span ?? 10_000),
+      hasFaults: options.calm !== true,
+      memoryMb: Number(options.memory ?? 200),
+      turnsPerSecond: Number(options.rate ?? 5),
+      vmCount: Number(options.vms ?? 4),
+    });
   }
   process.exitCode = violations === 0 ? 0 : 1;
 }
--- a/benchmarks/soak/Verdicts.mjs
+++ b/benchmarks/soak/Verdicts.mjs
@@ -12,6 +12,7 @@
   CONFIGURATION: 'configuration',
   BOUNDED_TIME: 'bounded time',
   PROCESSES: 'no process dies by itself',
+  MEMORY: 'no process exceeds its memory limit',
 };
 
 /** Counts the checks of each promise and collects the violations. */
