--- a/benchmarks/platform-soak/RetainedChains.mjs
+++ b/benchmarks/platform-soak/RetainedChains.mjs
@@ -29,6 +29,9 @@
 const OTHER_TURNS = 4_000;
 const OTHER_TURN_BYTES = 6_000;
 
+/** Memory for the lookups of the VM that stores them, of which there are none. */
+const TURN_MEMORY_BYTES = 1_000_000;
+
 /** Bandwidth from the store to each VM, in bytes per second, as on the users' small VMs. */
 const LINK_BYTES_PER_SECOND = 3_000_000;
 
@@ -86,6 +89,7 @@
       partitionCount: this.fleet.partitionCount,
       recordBytes: this.fleet.recordBytes,
       cacheBytes: 1,
+      memory: new turns.TurnMemory(TURN_MEMORY_BYTES),
     });
     const content = buffer.Buffer.alloc(OTHER_TURN_BYTES, 'x');
     const turn = { previous: undefined, workspace: 'w-1', content, retentionMs: RETENTION_MS };
