--- a/packages/turns/src/LoggedTurnStore.test.ts
+++ b/packages/turns/src/LoggedTurnStore.test.ts
@@ -128,6 +128,18 @@
     expect(later.isOk && later.value.contents.length).toBe(10);
   });
 
+  test('reads turns again after the cached ones were dropped', async () => {
+    const log = new keyedLogTesting.MemoryKeyedLog();
+    const store = await stores.create(log, 'first');
+    await turnFixtures.keepChain(store, ['t1', 't2']);
+    const reads = log.readCount;
+    await texts(store, 't2');
+    expect(log.readCount).toBe(reads);
+    store.dropCached();
+    expect(await texts(store, 't2')).toEqual(['content t1', 'content t2']);
+    expect(log.readCount).toBeGreaterThan(reads);
+  });
+
   test('a turn of another workspace is unknown', async () => {
     const store = await stores.create(new keyedLogTesting.MemoryKeyedLog(), 'first');
     await turnFixtures.keepChain(store, ['t1']);
--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -154,6 +154,11 @@
     return trueMyth.Result.ok(undefined);
   }
 
+  /** Drops the cached turns to release their memory. They are read again when they are needed. */
+  public dropCached(): void {
+    this.cache.clear();
+  }
+
   /** @inheritdoc */
   public dispose(): void {
     this.leftovers.dispose();
