A short turn shows, too, that a full log has room again

Cause: an attempt that is allowed while the log is full counted as a rejection, and an append right after a rejection shows no room. They are two times now.

Evidence: four of the new cases failed before (turns of 200, 550, 2,050 and 2,500 ms).

--- a/packages/keyed-log/src/LogSpace.test.ts
+++ b/packages/keyed-log/src/LogSpace.test.ts
@@ -24,6 +24,21 @@
     expect([space.admit(), space.admit()]).toEqual([true, true]);
   });
 
+  // A short turn, or one that ended when the next one was tried, never showed that there was room.
+  test.each([200, 550, 2_050, 2_500])(
+    'a record that is appended %d ms after its attempt began shows that there is room',
+    (spanMs) => {
+      const { space, time } = createSpace();
+      space.noteRejection();
+      time.advance(3 * SECOND_MS);
+      expect(space.admit()).toBe(true);
+      time.advance(spanMs);
+      space.admit();
+      space.noteAppend();
+      expect([space.admit(), space.admit()]).toEqual([true, true]);
+    },
+  );
+
   // Guards against turns that are admitted because a small record has found room.
   test('an append right after a rejection does not show that there is room', () => {
     const { space, time } = createSpace();
--- a/packages/keyed-log/src/LogSpace.ts
+++ b/packages/keyed-log/src/LogSpace.ts
@@ -26,17 +26,19 @@
 export class LogSpace {
   private isFull = false;
 
-  /** The time of the last rejection or of the last attempt that was allowed since. */
   private rejectedAt: clock.Milliseconds = 0;
 
+  /** The time of the last attempt that was allowed while the log was full. */
+  private probedAt: clock.Milliseconds = 0;
+
   public constructor(private readonly options: LogSpaceOptions) {}
 
   /** Returns whether work should begin whose record is appended later. */
   public admit(): boolean {
     if (!this.isFull) return true;
     const now = this.options.clock.now();
-    if (now - this.rejectedAt < PROBE_INTERVAL_MS) return false;
-    this.rejectedAt = now;
+    if (now - Math.max(this.rejectedAt, this.probedAt) < PROBE_INTERVAL_MS) return false;
+    this.probedAt = now;
     return true;
   }
 
