The listing of stored turns is bounded, page by page with pauses

Seen: one listing of 40,000 stored turns took an idle VM from 68 to 117 MB and 340 ms of the event loop, one of 100,000 to 172 MB and 1.1 s. All markers were held and decoded at once, those of running processes included, up to every five seconds, so that the removal of leftovers could itself end a VM, and then the next one.

Now a page is reduced to what decides: for turns of running processes, the turn that each continues; for leftovers, their need. There are 50 ms between pages and 30 s between listings, also before the first one of a VM, and a listing that would have to remember more than 50,000 turns is given up with a log line. The runs with 40,000 turns were not repeated on this code.

--- a/packages/turns/src/LeftoverRemoval.ts
+++ b/packages/turns/src/LeftoverRemoval.ts
@@ -10,6 +10,15 @@
 /** Interval at which it is checked whether turns have to be listed. */
 const CHECK_INTERVAL_MS = 5_000;
 
+/** Minimum time between two listings, and before the first one of a VM. */
+const LISTING_INTERVAL_MS = 30_000;
+
+/** Pause between two pages of a listing, which leaves the processor to requests. */
+const PAGE_PAUSE_MS = 50;
+
+/** A listing is given up when so many turns have to be remembered. They take some 10 MB. */
+const MAXIMUM_TURNS = 50_000;
+
 /** How much longer than its retention and the longest run a turn is treated as needed. */
 const NEED_MARGIN_MS = 5_000;
 
@@ -22,7 +31,7 @@
 
 /** Dependencies of the removal. */
 export interface LeftoverRemovalOptions {
-  readonly log: Pick<turnLog.TurnLog, 'list' | 'remove'>;
+  readonly log: Pick<turnLog.TurnLog, 'visitAll' | 'remove'>;
   readonly network: Pick<wire.PeerNetwork, 'self'>;
   readonly membership: Pick<membership.Membership, 'available'>;
   readonly clock: clock.Clock;
@@ -50,6 +59,9 @@
   /** When the turns have to be listed again; undefined if only the end of a process requires it. */
   private dueAt: clock.Milliseconds | undefined;
 
+  /** When the last listing ended, or this VM was chosen. */
+  private listedAt: clock.Milliseconds | undefined;
+
   private isDisposed = false;
 
   public constructor(private readonly options: LeftoverRemovalOptions) {
@@ -75,37 +87,52 @@
     const [owner] = keyedLog.rankByRendezvous(OWNER_KEY, available, ({ name }) => name);
     if (owner?.name !== network.self.name) {
       this.knownProcesses = new Set();
+      this.listedAt = undefined;
       return;
     }
+    this.listedAt ??= time.now();
+    if (time.now() - this.listedAt < LISTING_INTERVAL_MS) return;
     const processes = new Set(available.map(nameProcess));
     const hasEnded = [...this.knownProcesses].some((name) => !processes.has(name));
     const isFirst = this.knownProcesses.size === 0;
-    if (!isFirst && !hasEnded && (this.dueAt === undefined || time.now() < this.dueAt)) return;
+    const isDue = this.dueAt !== undefined && time.now() >= this.dueAt;
+    if (!isFirst && !hasEnded && !isDue) return;
     if (await this.removeLeftovers(processes)) this.knownProcesses = processes;
+    this.listedAt = time.now();
   }
 
   /** Returns whether the turns could be listed. */
   private async removeLeftovers(processes: ReadonlySet<string>): Promise<boolean> {
     const { clock: time, log, logger } = this.options;
     const startedAt = time.now();
-    const turns = await log.list();
-    if (turns.isErr) {
-      logger.warn('The stored turns could not be listed.', { reason: turns.error.message });
+    let listedCount = 0;
+    this.leftovers.begin();
+    const visited = await log.visitAll(async (turns) => {
+      listedCount += turns.length;
+      if (this.leftovers.size > MAXIMUM_TURNS) return;
+      turns.forEach((turn) =>
+        this.leftovers.add(turn, time.now(), processes.has(turn.process ?? '')),
+      );
+      await time.sleep(PAGE_PAUSE_MS);
+    });
+    const isTooLarge = this.leftovers.size > MAXIMUM_TURNS;
+    if (visited.isErr || isTooLarge || this.isDisposed) {
+      this.leftovers.begin();
+      const reason = visited.isErr ? visited.error.message : 'There are too many turns.';
+      logger.warn('The stored turns could not be listed.', { count: listedCount, reason });
       return false;
     }
-    const now = time.now();
-    const isRunning = (process: string): boolean => processes.has(process);
-    const { nextAt, removable } = this.leftovers.update(turns.value, now, isRunning);
+    const { nextAt, removable } = this.leftovers.finish(time.now());
     const taken = removable.slice(0, MAXIMUM_REMOVALS);
     const results = await Promise.all(
-      taken.map(({ id, partCount = 0 }) => log.remove(id, partCount, REMOVAL_TIMEOUT_MS)),
+      taken.map(({ id, partCount }) => log.remove(id, partCount, REMOVAL_TIMEOUT_MS)),
     );
     const failedCount = results.filter(({ isErr }) => isErr).length;
     const isComplete = taken.length === removable.length && failedCount === 0;
-    this.dueAt = isComplete ? nextAt : now;
+    this.dueAt = isComplete ? nextAt : time.now();
     logger.info('Turns of ended processes were removed.', {
       count: taken.length - failedCount,
-      reason: `${turns.value.length} turns listed, ${failedCount} removals failed`,
+      reason: `${listedCount} turns listed, ${failedCount} removals failed`,
       spanMs: Math.round(time.now() - startedAt),
     });
     return true;
--- a/packages/turns/src/TurnLog.ts
+++ b/packages/turns/src/TurnLog.ts
@@ -158,17 +158,22 @@
     return writer.appendTogether(records, timeoutMs);
   }
 
-  /** Lists all turns that the log holds. Their contents are not read. */
-  public async list(): Promise<keyedLog.LogResult<readonly MarkedTurn[]>> {
-    const turns: MarkedTurn[] = [];
+  /** Lists all turns that the log holds, page by page. Their contents are not read. */
+  public async visitAll(
+    visit: (turns: readonly MarkedTurn[]) => Promise<void>,
+  ): Promise<keyedLog.LogResult<void>> {
+    const before = turnRecords.keyBefore(turnRecords.MARKER_PREFIX);
     for (let partition = 0; partition < this.options.partitionCount; partition += 1) {
       const name = { topic: TOPIC, partition };
-      const before = turnRecords.keyBefore(turnRecords.MARKER_PREFIX);
-      const state = await keyedLog.readAllNewestRecords(this.options.log, name, before);
-      if (state.isErr) return trueMyth.Result.err(state.error);
-      turns.push(...state.value.records.flatMap(decodeMarkedTurn));
+      const visited = await keyedLog.visitNewestRecords(
+        this.options.log,
+        name,
+        before,
+        ({ records }) => visit(records.flatMap(decodeMarkedTurn)),
+      );
+      if (visited.isErr) return visited;
     }
-    return trueMyth.Result.ok(turns);
+    return trueMyth.Result.ok(undefined);
   }
 
   /** Finds the position of a turn by its id. Returns undefined if the turn is not stored. */
--- a/packages/turns/src/testing/TurnFleet.ts
+++ b/packages/turns/src/testing/TurnFleet.ts
@@ -119,10 +119,14 @@
 
   /** The number of turns that the log holds. */
   public async storedTurnCount(): Promise<number> {
-    const lists = await Promise.all(
-      this.partitions().map((name) => keyedLog.readAllNewestRecords(this.log, name, 'turn.')),
+    const ids: string[] = [];
+    const add = ({ records }: keyedLog.NewestPage): void => {
+      ids.push(...records.map(({ key }) => key));
+    };
+    await Promise.all(
+      this.partitions().map((name) => keyedLog.visitNewestRecords(this.log, name, 'turn.', add)),
     );
-    return lists.reduce((sum, list) => sum + (list.isOk ? list.value.records.length : 0), 0);
+    return ids.length;
   }
 
   /** @inheritdoc */
