A turn that is continued during a listing of leftovers is retained

Cause: need was compared with the time after the listing, but what was recorded since its pages were read is not in them. It is compared with the time at which the listing began; what existed then is in the pages.

Evidence: the new test fails with the former comparison.

--- a/packages/turns/src/LeftoverRemoval.test.ts
+++ b/packages/turns/src/LeftoverRemoval.test.ts
@@ -1,4 +1,9 @@
 import * as jestGlobals from '@jest/globals';
+import * as clock from '@limpettack/clock';
+import * as logging from '@limpettack/logging';
+import type * as membership from '@limpettack/membership';
+import * as trueMyth from 'true-myth';
+import * as leftoverRemoval from './LeftoverRemoval.js';
 import * as turnFleet from './testing/TurnFleet.js';
 
 const { afterEach, describe, expect, test } = jestGlobals;
@@ -65,6 +70,53 @@
     expect(await fleet.find('t2')).toBe('t1 t2');
   });
 
+  // A turn that was recorded while the VM that lists was frozen was not in the pages it had read.
+  test('a turn is retained that another one has continued during the listing', async () => {
+    const time = new clock.ManualClock();
+    const removed: string[] = [];
+    let listings = 0;
+    const marked = { previous: undefined, process: 'a.1', keepMs: 60_000, partCount: 0 };
+    const network = { self: { name: 'b', incarnation: '2', address: 'b', failureDomain: 'a' } };
+    const own = { ...network.self, state: 'available', listed: true, leaving: false } as const;
+    // Its end makes the turns be listed before the turn is due.
+    let other: membership.Member | undefined = { ...own, name: 'c', address: 'c' };
+    const removal = new leftoverRemoval.LeftoverRemoval({
+      log: {
+        visitAll: async (visit) => {
+          listings += 1;
+          await visit([{ ...marked, id: 'a1' }]);
+          return trueMyth.Result.ok(undefined);
+        },
+        remove: async (id) => {
+          removed.push(id);
+          return trueMyth.Result.ok({ firstOffset: 0, endOffset: 1 });
+        },
+      },
+      network,
+      membership: { available: () => (other === undefined ? [own] : [own, other]) },
+      clock: time,
+      logger: new logging.PartLogger('test'),
+    });
+    const advance = async (spanMs: number): Promise<void> => {
+      time.advance(spanMs);
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    };
+    while (listings === 0) await advance(5_000);
+    const dueAt = time.now() + 65_000;
+    await advance(30_000);
+    other = undefined;
+    while (listings === 1) await advance(5_000);
+    expect(time.now()).toBeLessThan(dueAt);
+    await advance(120_000);
+    expect(removed).toEqual([]);
+    while (listings === 2) await advance(5_000);
+    await advance(5_000);
+    expect(removed).toEqual(['a1']);
+    removal.dispose();
+  });
+
   test('no turns are listed while all processes run', async () => {
     const fleet = createFleet();
     const [a] = [fleet.start('a'), fleet.start('b')];
--- a/packages/turns/src/LeftoverRemoval.ts
+++ b/packages/turns/src/LeftoverRemoval.ts
@@ -122,7 +122,7 @@
       logger.warn('The stored turns could not be listed.', { count: listedCount, reason });
       return false;
     }
-    const { nextAt, removable } = this.leftovers.finish(time.now());
+    const { nextAt, removable } = this.leftovers.finish(startedAt);
     const taken = removable.slice(0, MAXIMUM_REMOVALS);
     const results = await Promise.all(
       taken.map(({ id, partCount }) => log.remove(id, partCount, REMOVAL_TIMEOUT_MS)),
