Records of turns whose append got no response do not stay in the log

Found by the reviewer, by reading: a turn whose append was not confirmed in time was not retained, so nothing removed what the log held of it: a record that took effect late, or the parts of a content whose last append failed.

Now its removal is scheduled like that of any other turn. Removing records that do not exist does nothing.

Evidence: the new test failed before with two records left for good.

--- a/packages/turns/src/LoggedTurnStore.ts
+++ b/packages/turns/src/LoggedTurnStore.ts
@@ -148,7 +148,11 @@
     const process = leftoverRemoval.nameProcess(this.options.network.self);
     const origin = { process, keepMs: retentionMs + maximumRunMs };
     const appended = await this.log.append(record, origin, timeoutMs);
-    if (appended.isErr) return trueMyth.Result.err(this.unavailable(id, appended.error.message));
+    if (appended.isErr) {
+      // The log may hold the records all the same, or some of them.
+      this.retention.retain({ id, size: content.length }, [], retentionMs);
+      return trueMyth.Result.err(this.unavailable(id, appended.error.message));
+    }
     this.cache.set(id, appended.value);
     this.retention.retain({ id, size: content.length }, chain, retentionMs);
     return trueMyth.Result.ok(undefined);
--- a/packages/turns/src/TurnRetention.test.ts
+++ b/packages/turns/src/TurnRetention.test.ts
@@ -129,6 +129,20 @@
     );
   });
 
+  test('records of turns whose append got no response do not stay in the log', async () => {
+    const fleet = createFleet();
+    const a = fleet.start('a');
+    fleet.log.losesAnswers = true;
+    const stored = fleet.runTurn(a, 't1');
+    await fleet.advance(2_000);
+    expect(await stored).toBe(false);
+    fleet.log.losesAnswers = false;
+    await fleet.advance(1_000);
+    expect(await fleet.recordCount()).toBeGreaterThan(0);
+    await fleet.advance(turnFleet.RETENTION_MS + REMOVED_WITHIN_MS);
+    expect(await fleet.recordCount()).toBe(0);
+  });
+
   test('turns that expire during an outage of the log are removed after it', async () => {
     const fleet = createFleet();
     const a = fleet.start('a');
