--- a/benchmarks/platform-soak/ProcessFleet.mjs
+++ b/benchmarks/platform-soak/ProcessFleet.mjs
@@ -29,6 +29,8 @@
     this.memoryMb = 200;
     /** Command line arguments of Node.js. */
     this.arguments = [];
+    // Otherwise the processes would survive an exception of the soak.
+    process.on('exit', () => this.vms.forEach(({ child }) => child?.kill('SIGKILL')));
   }
 
   async start(count) {
