Collected responses in many small pieces take little more memory than their bytes

A target that sent chunks of one byte without end made the process abort for its heap within 5 s (40 callers, limit 220 MB), and all requests of other callers ended with it. UnaryCall kept each piece as a buffer of its own, some hundred bytes for one, and counted the content in the budget of responses. It collects them in CompactChunks now, like bodies, and reserves what these take; StreamCall does the same for an error in place of a stream.

--- a/packages/gateway/src/CompactChunks.ts
+++ b/packages/gateway/src/CompactChunks.ts
@@ -33,11 +33,18 @@
     return chunk.length;
   }
 
-  /** Removes the content and returns it as one buffer. */
-  public take(): Buffer {
+  /** Removes the content and returns it in parts, without a copy. */
+  public takeParts(): readonly Uint8Array[] {
     this.closeBlock();
-    const { chunks, totalSize } = this;
+    const { chunks } = this;
     this.clear();
+    return chunks;
+  }
+
+  /** Removes the content and returns it as one buffer. */
+  public take(): Buffer {
+    const { totalSize } = this;
+    const chunks = this.takeParts();
     const [first] = chunks;
     return chunks.length === 1 && Buffer.isBuffer(first) ? first : Buffer.concat(chunks, totalSize);
   }
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -4,6 +4,7 @@
 import type * as logging from '@limpettack/logging';
 import type * as turns from '@limpettack/turns';
 import type * as callContext from './CallContext.js';
+import * as compactChunks from './CompactChunks.js';
 import type * as crashWatch from './CrashWatch.js';
 import * as eventSplitter from './EventSplitter.js';
 import * as processEnd from './ProcessEnd.js';
@@ -92,8 +93,7 @@
 
 interface PlainResponse {
   readonly head: ResponseHead;
-  readonly chunks: Uint8Array[];
-  size: number;
+  readonly body: compactChunks.CompactChunks;
 }
 
 /** A call whose response is a stream of events, passed on as they arrive. */
@@ -232,7 +232,7 @@
   private onHead(head: ResponseHead): void {
     if (this.isFinished) return;
     if (head.status !== OK) {
-      this.plainResponse = { head, chunks: [], size: 0 };
+      this.plainResponse = { head, body: new compactChunks.CompactChunks() };
       return;
     }
     this.head ??= head;
@@ -243,9 +243,8 @@
   private onData(chunk: Uint8Array): void {
     if (this.isFinished) return;
     if (this.plainResponse !== undefined) {
-      this.plainResponse.chunks.push(chunk);
-      this.plainResponse.size += chunk.length;
-      if (this.plainResponse.size > MAXIMUM_PLAIN_RESPONSE_BYTES)
+      this.plainResponse.body.push(chunk);
+      if (this.plainResponse.body.size > MAXIMUM_PLAIN_RESPONSE_BYTES)
         this.abandonTarget('The error is too long.');
       return;
     }
@@ -344,7 +343,7 @@
         this.retryOrFail(`The target that was to resume answered ${plainResponse.head.status}.`);
         return;
       }
-      this.reply.send({ ...plainResponse.head, body: Buffer.concat(plainResponse.chunks) });
+      this.reply.send({ ...plainResponse.head, body: plainResponse.body.take() });
       this.finish(false, false);
       return;
     }
--- a/packages/gateway/src/UnaryCall.ts
+++ b/packages/gateway/src/UnaryCall.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@limpettack/clock';
 import * as errors from '@limpettack/errors';
 import type * as lifetime from '@limpettack/lifetime';
+import * as compactChunks from './CompactChunks.js';
 import * as processEnd from './ProcessEnd.js';
 import * as routeKinds from './RouteKinds.js';
 import * as sendFailures from './SendFailures.js';
@@ -150,7 +151,7 @@
   private sendTo(target: Target): void {
     const { clock: time, sender } = this.dependencies;
     const now = time.now();
-    const chunks: Uint8Array[] = [];
+    const chunks = new compactChunks.CompactChunks();
     let head: ResponseHead | undefined;
     let size = 0;
     this.turns.tried.add(target.id);
@@ -171,7 +172,7 @@
         this.abandonEarlier(exchange);
         this.running.delete(exchange);
         if (this.relayed === exchange) this.endRelay();
-        else if (head !== undefined) this.onResponse({ ...head, body: Buffer.concat(chunks) });
+        else if (head !== undefined) this.onResponse({ ...head, body: chunks.take() });
       },
       onFailure: (failure) => {
         this.running.delete(exchange);
@@ -189,15 +190,14 @@
   private take(
     exchange: targetSender.SentCall,
     head: ResponseHead | undefined,
-    chunks: Uint8Array[],
+    chunks: compactChunks.CompactChunks,
     chunk: Uint8Array,
   ): boolean {
     if (this.relayed === undefined) {
-      chunks.push(chunk);
-      if (this.reply.reserve(chunk.length)) return true;
+      if (this.reply.reserve(chunks.push(chunk))) return true;
       if (head === undefined || (this.isRepeatable && head.status >= SERVER_ERROR)) return false;
       this.startRelay(exchange, head);
-      chunks.splice(0).forEach((collected) => this.reply.write(collected));
+      chunks.takeParts().forEach((collected) => this.reply.write(collected));
     } else {
       this.reply.write(chunk);
     }
