What arrives on connections is handed over in turns, measured in time

Targets that sent chunks, header lines, trailers or lines of a stream of a few bytes without end kept all other callers of the VM from any response within 1.5 s (40 callers of the faulty target), and chunks of one byte did so on each port: for callers, readiness, metrics and peers, the last three without any secret. Readiness checks took 1 to 3 s, so that the VM could be taken for dead.

The class is work that no bound on bytes sees. Node hands over up to 64 KB of a connection at once, and the parsers run callbacks for each piece of it, 11,000 for chunks of one byte. ReadScheduler measures the time instead.

--- a/packages/wire/src/FleetNetwork.ts
+++ b/packages/wire/src/FleetNetwork.ts
@@ -12,6 +12,7 @@
 import * as itemQueue from './ItemQueue.js';
 import * as peerFailures from './PeerFailures.js';
 import * as peerLink from './PeerLink.js';
+import type * as readScheduler from './ReadScheduler.js';
 import * as serverListener from './ServerListener.js';
 import type {
   PeerFailureKind,
@@ -63,6 +64,8 @@
   readonly maximumUnauthenticated?: number | undefined;
   readonly clock: clockTypes.Clock;
   readonly logger: logging.Logger;
+  /** Paces what arrives on accepted connections, if it is set. */
+  readonly reads?: readScheduler.ReadScheduler;
 }
 
 /**
@@ -108,6 +111,7 @@
     this.registry = new handlerRegistry.HandlerRegistry(logger);
     this.listener = new serverListener.ServerListener({ server: this.server, clock, logger });
     this.server.on('connection', (socket) => this.unauthenticated.add(socket));
+    options.reads?.paceServer(this.server, 'peers');
     this.server.on('upgrade', (request, socket, head) => {
       this.accept(request, socket as net.Socket, head);
     });
