--- a/packages/wire/src/PacedReader.ts
+++ b/packages/wire/src/PacedReader.ts
@@ -30,6 +30,8 @@
 
   private isOnHold = false;
 
+  private isDiscarding = false;
+
   /** The time that this connection has used of its turn, in milliseconds. */
   public usedMs = 0;
 
@@ -91,10 +93,18 @@
     else this.resumeReading();
   }
 
+  /** Drops what arrives from now on. The end of the connection is still handed over. */
+  public discard(): void {
+    this.isDiscarding = true;
+    this.pending = undefined;
+    this.release();
+  }
+
   /** Takes what has arrived. Returns whether more may be read from the connection. */
   private receive(chunk: Buffer | null): boolean {
     if (chunk === null) this.hasEnded = true;
-    else this.pending = this.pending === undefined ? chunk : Buffer.concat([this.pending, chunk]);
+    else if (!this.isDiscarding)
+      this.pending = this.pending === undefined ? chunk : Buffer.concat([this.pending, chunk]);
     if (this.isReady) this.options.requestTurn(this);
     return this.mayRead;
   }
--- a/packages/wire/src/ReadScheduler.test.ts
+++ b/packages/wire/src/ReadScheduler.test.ts
@@ -146,6 +146,23 @@
     await waitUntil(() => bytes === BLOCK_BYTES);
   });
 
+  test('drops what arrives on a connection, but not its end', async () => {
+    const { far, near } = await connectPair();
+    const scheduler = createScheduler();
+    scheduler.pace(near, { label: 'test' });
+    let bytes = 0;
+    near.on('data', (piece: Buffer) => {
+      bytes += piece.length;
+      scheduler.discard(near);
+    });
+    const ended = new Promise((resolve) => {
+      near.once('end', resolve);
+    });
+    far.end(createBlock());
+    await ended;
+    expect(bytes).toBeLessThanOrEqual(4_096);
+  });
+
   // A parser that needed long for what arrived at once kept the process from everything else: other
   // connections, timers and readiness checks.
   test('connections whose input takes long to parse do not delay others', async () => {
--- a/packages/wire/src/ReadScheduler.ts
+++ b/packages/wire/src/ReadScheduler.ts
@@ -92,6 +92,11 @@
     this.readers.get(socket)?.release();
   }
 
+  /** Drops what arrives on a connection from now on. */
+  public discard(socket: net.Socket): void {
+    this.readers.get(socket)?.discard();
+  }
+
   private request(reader: pacedReader.PacedReader): void {
     if (reader === this.current || this.queue.has(reader)) return;
     if (this.current === undefined && this.usedMs < LOOP_TURN_MS) {
