Peers that have proved nothing cannot fill the memory with small parts of messages

240 connections to the port for peers, without any secret, ended the process (SIGABRT) with messages in parts of one byte, or with messages of one byte: 128 KB of them take some 4 MB, on each of 256 connections. A message has 16 parts at most now (peers send one), and a connection is closed on which 256 messages wait for the end of the handshake.

--- a/packages/wire/src/FleetNetwork.test.ts
+++ b/packages/wire/src/FleetNetwork.test.ts
@@ -28,6 +28,23 @@
 
 const MAXIMUM_UNAUTHENTICATED = 20;
 
+/** A request to open a connection, as a process sends it that need not hold the secret. */
+const OPENING = [
+  'GET /peer HTTP/1.1',
+  'Host: a',
+  'Connection: upgrade',
+  'Upgrade: websocket',
+  'Sec-WebSocket-Version: 13',
+  'Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==',
+  '\r\n',
+].join('\r\n');
+
+/** A frame that continues a message with one byte. */
+const FRAGMENT = Buffer.from([0x00, 0x81, 0, 0, 0, 0, 0x78]);
+
+/** A frame that closes a connection for a violation of its policy. */
+const POLICY_VIOLATION = Buffer.from([0x88, 0x02, 0x03, 0xf0]);
+
 const store: lifetime.DisposableStore[] = [];
 
 afterEach(async () => {
@@ -165,17 +182,7 @@
       socket.once('close', resolve);
     });
     socket.resume();
-    socket.write(
-      [
-        'GET /peer HTTP/1.1',
-        'Host: a',
-        'Connection: upgrade',
-        'Upgrade: websocket',
-        'Sec-WebSocket-Version: 13',
-        'Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==',
-        '\r\n',
-      ].join('\r\n'),
-    );
+    socket.write(OPENING);
     const messageBytes = 30_000_000;
     const head = Buffer.alloc(14);
     head.writeUInt16BE(0x82_ff, 0);
@@ -196,6 +203,25 @@
     expect(sentBytes).toBeLessThan(messageBytes / 2);
   });
 
+  // A message in parts of one byte took thirty times its size, on as many connections as came.
+  test('closes a connection that sends a message in many parts', async () => {
+    const { address } = await startNetwork('a');
+    const [host = '', port = ''] = address.split(':');
+    const socket = net.connect(Number(port), host);
+    store.push(disposing(() => socket.destroy()));
+    socket.on('error', () => undefined);
+    const received: Buffer[] = [];
+    socket.on('data', (data) => received.push(data));
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    const begin = Buffer.from([0x02, ...FRAGMENT.subarray(1)]);
+    socket.write(OPENING);
+    socket.write(Buffer.concat([begin, ...Array.from({ length: 100 }, () => FRAGMENT)]));
+    await closed;
+    expect(Buffer.concat(received).includes(POLICY_VIOLATION)).toBe(true);
+  });
+
   test('a peer connects while connections that prove nothing take all places', async () => {
     const { address, network } = await startNetwork('a', 'secret', MAXIMUM_UNAUTHENTICATED);
     network.serve(DOUBLE, async ({ value }) => trueMyth.Result.ok({ value: 2 * value }));
--- a/packages/wire/src/FleetNetwork.ts
+++ b/packages/wire/src/FleetNetwork.ts
@@ -89,6 +89,7 @@
   private readonly socketServer = new ws.WebSocketServer({
     noServer: true,
     maxPayload: performHandshake.MAXIMUM_MESSAGE_BYTES,
+    maxFragments: performHandshake.MAXIMUM_FRAGMENTS,
     perMessageDeflate: false,
   });
 
--- a/packages/wire/src/MessageInbox.ts
+++ b/packages/wire/src/MessageInbox.ts
@@ -1,7 +1,16 @@
 import type * as clockTypes from '@limpettack/clock';
 import type * as ws from 'ws';
 
-/** Receives the messages of a socket and buffers them while no reader waits, so none is lost. */
+/**
+ * Maximum number of messages that wait for a reader. A peer sends a few before its handshake has been
+ * completed here; one that sends more may send small ones without end.
+ */
+const MAXIMUM_BUFFERED_MESSAGES = 256;
+
+/**
+ * Receives the messages of a socket and buffers them while no reader waits, so none is lost. Closes a
+ * socket on which too many wait.
+ */
 export class MessageInbox {
   private readonly messages: Buffer[] = [];
 
@@ -43,7 +52,8 @@
   }
 
   private receive(message: Buffer): void {
-    if (this.listener === undefined) this.messages.push(message);
-    else this.listener(message);
+    if (this.listener !== undefined) this.listener(message);
+    else if (this.messages.length < MAXIMUM_BUFFERED_MESSAGES) this.messages.push(message);
+    else this.socket.terminate();
   }
 }
--- a/packages/wire/src/performHandshake.ts
+++ b/packages/wire/src/performHandshake.ts
@@ -14,6 +14,9 @@
 /** The maximum size of a message on a link, in bytes. */
 export const MAXIMUM_MESSAGE_BYTES = 32 * 1024 * 1024;
 
+/** The maximum number of parts of a message. Peers send each message as a whole. */
+export const MAXIMUM_FRAGMENTS = 16;
+
 /** A connection on which both sides have proved that they hold the secret. */
 export interface AuthenticatedConnection {
   readonly socket: ws.WebSocket;
@@ -66,6 +69,7 @@
     return new ws.WebSocket(`ws://${address}${PEER_PATH}`, {
       handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
       maxPayload: MAXIMUM_MESSAGE_BYTES,
+      maxFragments: MAXIMUM_FRAGMENTS,
       perMessageDeflate: false,
     });
   } catch {
