--- a/benchmarks/platform-soak/createFaults.mjs
+++ b/benchmarks/platform-soak/createFaults.mjs
@@ -1,4 +1,7 @@
+import * as childProcess from 'node:child_process';
+import * as path from 'node:path';
 import * as timers from 'node:timers/promises';
+import * as util from 'node:util';
 import * as keyedLog from '@limpettack/keyed-log';
 import * as verdictsModule from '../soak/Verdicts.mjs';
 import * as processFleet from './ProcessFleet.mjs';
@@ -7,6 +10,13 @@
 
 const NESTING = 1_000;
 
+const BUILD = path.join(import.meta.dirname, '..', '..', 'platform', 'build.mjs');
+
+/** Chunks of a response that never ends: content, events, header lines after the last chunk. */
+const ENDLESS = ['1\r\nx\r\n', 'b\r\ndata: x\n\n\r\n', '0\r\na:\r\n'];
+
+const execute = util.promisify(childProcess.execFile);
+
 /** Entries that name no target. */
 const TARGET = { Service: 'streams', Zone: 'zone-1', Slots: 8, State: 'ready', Seq: 1, born: 1 };
 const UNUSABLE = [
@@ -95,6 +105,20 @@
         engine.isSilent = isOn;
       });
     },
+    'target sends without end': () => {
+      const engine = random.pick(engines);
+      const text = random.pick(ENDLESS);
+      return during(chooseDuration(200, 1_500), (isOn) => {
+        engine.endlessText = isOn ? text : undefined;
+      });
+    },
+    'store sends without end to a VM': () => {
+      const { store } = random.pick(fleet.vms);
+      return during(chooseDuration(200, 1_500), (isOn) => {
+        store.isEndless = isOn;
+      });
+    },
+    'build beside starts': () => execute(process.execPath, [BUILD]),
     'tables change': () => configure(),
     'reloads in series': async () => {
       const count = random.integer(2, 8);
