--- a/packages/entry/src/EntryServer.ts
+++ b/packages/entry/src/EntryServer.ts
@@ -43,6 +43,7 @@
    */
   readonly isDraining: () => boolean;
   readonly metrics: metrics.Metrics;
+  readonly reads: wire.ReadScheduler;
   readonly clock: clockTypes.Clock;
   readonly logger: logging.Logger;
 }
@@ -74,6 +75,7 @@
         this.serve(request, response);
       },
     );
+    options.reads.paceServer(this.server, 'callers');
     this.server.maxConnections = limits.maximumConnections;
     this.server.on('clientError', (error, socket) =>
       respondToClientError(error, socket as net.Socket),
--- a/packages/node/src/OperatorsServer.ts
+++ b/packages/node/src/OperatorsServer.ts
@@ -34,6 +34,7 @@
   readonly isReady: () => boolean;
   readonly fleet: fleetView.FleetView;
   readonly homes: entry.Homes;
+  readonly reads: wire.ReadScheduler;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
 }
@@ -48,6 +49,7 @@
 
   public constructor(private readonly options: OperatorsServerOptions) {
     const { server } = this;
+    options.reads.paceServer(server, 'operators');
     this.listener = new wire.ServerListener({ ...options, server });
   }
 
--- a/packages/node/src/VmContext.ts
+++ b/packages/node/src/VmContext.ts
@@ -30,6 +30,8 @@
   readonly random: () => number;
   readonly metrics: metrics.Metrics;
   readonly network: wire.FleetNetwork;
+  /** Paces what arrives on the connections of all ports. */
+  readonly reads: wire.ReadScheduler;
   readonly log: platformClient.LogClient;
   readonly members: membership.ProbingMembership;
   readonly configuration: configuration.ConfigurationFollower;
--- a/packages/node/src/VmProcess.ts
+++ b/packages/node/src/VmProcess.ts
@@ -115,7 +115,8 @@
   /** Listens for peers and creates the components that all others depend on. */
   private async createContext(): Promise<VmContext> {
     const { settings, secrets, clock, store } = this;
-    const network = store.add(this.createNetwork());
+    const reads = new wire.ReadScheduler(vmContext.clockAndLogger(clock, 'wire'));
+    const network = store.add(this.createNetwork(reads));
     // The address is known only after listening, and is part of the identity of all components.
     await network.listen();
     const { url: baseUrl, requestTimeoutMs } = settings.platform;
@@ -137,10 +138,10 @@
     const view = store.add(follower);
     const registry = new metrics.VmMetrics();
     const shared = { settings, secrets, clock, random, store };
-    return { ...shared, metrics: registry, network, log, members, configuration: view };
+    return { ...shared, metrics: registry, network, reads, log, members, configuration: view };
   }
 
-  private createNetwork(): wire.FleetNetwork {
+  private createNetwork(reads: wire.ReadScheduler): wire.FleetNetwork {
     const { vm, peers } = this.settings;
     return new wire.FleetNetwork({
       ...vmContext.clockAndLogger(this.clock, 'wire'),
@@ -151,6 +152,7 @@
       secret: this.secrets.peers,
       host: peers.host,
       port: peers.port,
+      reads,
     });
   }
 
--- a/packages/node/src/createServers.ts
+++ b/packages/node/src/createServers.ts
@@ -30,6 +30,7 @@
     new operatorsServer.OperatorsServer({
       ...vmContext.clockAndLogger(clock, 'operators'),
       ...settings.operators,
+      reads: context.reads,
       token: context.secrets.operators,
       metrics,
       isReady: () => isReady() && !isDraining(),
@@ -54,6 +55,7 @@
   return new entry.EntryServer({
     ...vmContext.clockAndLogger(context.clock, 'entry'),
     ...shared,
+    reads: context.reads,
     host: callers.host,
     port: callers.port,
     chat: new entry.ChatHandler({ ...shared, gate }),
--- a/tests/callers.test.ts
+++ b/tests/callers.test.ts
@@ -1,3 +1,4 @@
+import * as net from 'node:net';
 import * as jestGlobals from '@jest/globals';
 import * as testKit from '@limpettack/test-kit';
 import * as openAi from 'openai';
@@ -6,6 +7,9 @@
 
 const DECODE_MS_PER_TOKEN = 20;
 
+const FLOODED_CONNECTIONS = 40;
+const BLOCK_PIECES = 10_000;
+
 let fleet: testKit.Fleet;
 const caller = new testKit.Caller(testKit.FLEET_NAMES.KEY, testKit.FLEET_NAMES.MODEL_ROUTE);
 
@@ -64,6 +68,31 @@
     await slow.return();
   });
 
+  // What had arrived on each connection was parsed at once, which kept the process from all others.
+  test('callers that send chunks of one byte without end do not delay other calls', async () => {
+    const { hostname, port } = new URL(fleet.vm(0).url);
+    const head =
+      'POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
+    const block = '1\r\nx\r\n'.repeat(BLOCK_PIECES);
+    const sockets = Array.from({ length: FLOODED_CONNECTIONS }, () => {
+      const socket = net.connect(Number(port), hostname);
+      const sendMore = (): void => {
+        while (!socket.destroyed && socket.write(block));
+      };
+      socket.on('error', () => undefined);
+      socket.on('drain', sendMore);
+      socket.write(head);
+      sendMore();
+      return socket;
+    });
+    for (let call = 0; call < 5; call += 1) {
+      const options = { text: 'quick', maximumTokens: 2, timeoutMs: 1_500 };
+      expect((await caller.chat(fleet.vm(0), options)).status).toBe(200);
+    }
+    expect(sockets.some((socket) => !socket.destroyed)).toBe(true);
+    sockets.forEach((socket) => socket.destroy());
+  });
+
   test('an OpenAI client makes a non-streaming and a streaming call within a program', async () => {
     const program = await caller.openProgram(fleet.vm(0));
     const client = createClient(fleet.vm(1), { 'Limpettack-Program': program });
