--- a/packages/wire/src/ReadScheduler.test.ts
+++ b/packages/wire/src/ReadScheduler.test.ts
@@ -11,6 +11,7 @@
 const { afterEach, describe, expect, test } = jestGlobals;
 
 const BLOCK_BYTES = 256 * 1024;
+const PIECE_BYTES = 4 * 1024;
 
 /** What a consumer that has much work with each byte needs for a piece. */
 const SLOW_PIECE_MS = 3;
@@ -73,6 +74,30 @@
   while (!condition()) await new Promise(setImmediate);
 }
 
+/** Opens a connection whose near end is paced and gets a block, then the end of the connection. */
+async function sendPaced(onData?: (near: net.Socket, bytes: number) => void): Promise<{
+  readonly scheduler: readScheduler.ReadScheduler;
+  readonly near: net.Socket;
+  readonly received: () => number;
+  readonly ended: Promise<unknown>;
+}> {
+  const { far, near } = await connectPair();
+  const scheduler = createScheduler();
+  scheduler.pace(near, { label: 'test' });
+  let bytes = 0;
+  if (onData !== undefined) {
+    near.on('data', (piece: Buffer) => {
+      bytes += piece.length;
+      onData(near, bytes);
+    });
+  }
+  const ended = new Promise((resolve) => {
+    near.once('end', resolve);
+  });
+  far.end(createBlock());
+  return { scheduler, near, received: () => bytes, ended };
+}
+
 function occupy(spanMs: number): void {
   const end = performance.now() + spanMs;
   while (performance.now() < end);
@@ -80,87 +105,57 @@
 
 describe('ReadScheduler', () => {
   test('hands everything over in order, then the end of the connection', async () => {
-    const { far, near } = await connectPair();
-    createScheduler().pace(near, { label: 'test' });
+    const { ended, near } = await sendPaced();
     const pieces: Buffer[] = [];
     near.on('data', (piece) => pieces.push(piece));
-    const ended = new Promise((resolve) => {
-      near.once('end', resolve);
-    });
-    far.end(createBlock());
     await ended;
     expect(Buffer.concat(pieces).equals(createBlock())).toBe(true);
-    expect(Math.max(...pieces.map(({ length }) => length))).toBeLessThanOrEqual(4_096);
+    expect(Math.max(...pieces.map(({ length }) => length))).toBeLessThanOrEqual(PIECE_BYTES);
   });
 
   test('a consumer that reads by itself gets everything, too', async () => {
-    const { far, near } = await connectPair();
-    createScheduler().pace(near, { label: 'test' });
+    const { ended, near } = await sendPaced();
     const pieces: Buffer[] = [];
     near.on('readable', () => {
       for (let piece = near.read(); piece !== null; piece = near.read()) pieces.push(piece);
     });
-    const ended = new Promise((resolve) => {
-      near.once('end', resolve);
-    });
-    far.end(createBlock());
     await ended;
     expect(Buffer.concat(pieces).equals(createBlock())).toBe(true);
   });
 
   test('a consumer that pauses gets nothing meanwhile, and the rest afterwards', async () => {
-    const { far, near } = await connectPair();
-    const scheduler = createScheduler();
-    scheduler.pace(near, { label: 'test' });
-    let bytes = 0;
-    near.on('data', (piece: Buffer) => {
-      bytes += piece.length;
-      if (bytes < 10_000) near.pause();
+    const pausedBytes = 10_000;
+    const { near, received } = await sendPaced((socket, bytes) => {
+      if (bytes < pausedBytes) socket.pause();
     });
-    far.end(createBlock());
-    await waitUntil(() => bytes > 0);
+    await waitUntil(() => received() > 0);
     await new Promise(setImmediate);
-    expect(bytes).toBeLessThan(10_000);
-    while (bytes < 10_000) {
+    expect(received()).toBeLessThan(pausedBytes);
+    while (received() < pausedBytes) {
       near.resume();
       await new Promise(setImmediate);
     }
-    await waitUntil(() => bytes === BLOCK_BYTES);
+    await waitUntil(() => received() === BLOCK_BYTES);
   });
 
   test('hands nothing over while a connection is on hold', async () => {
-    const { far, near } = await connectPair();
-    const scheduler = createScheduler();
-    scheduler.pace(near, { label: 'test' });
-    let bytes = 0;
-    near.on('data', (piece: Buffer) => {
-      bytes += piece.length;
-      if (bytes === piece.length) scheduler.hold(near);
-    });
-    far.end(createBlock());
-    await waitUntil(() => bytes > 0);
-    const held = bytes;
+    const holds: (() => void)[] = [];
+    const { near, received, scheduler } = await sendPaced(() => holds.shift()?.());
+    holds.push(() => scheduler.hold(near));
+    await waitUntil(() => received() > 0);
+    const held = received();
     for (let turn = 0; turn < 20; turn += 1) await new Promise(setImmediate);
-    expect(bytes).toBe(held);
+    expect(received()).toBe(held);
     scheduler.release(near);
-    await waitUntil(() => bytes === BLOCK_BYTES);
+    await waitUntil(() => received() === BLOCK_BYTES);
   });
 
   test('drops what arrives on a connection, but not its end', async () => {
-    const { far, near } = await connectPair();
-    const scheduler = createScheduler();
-    scheduler.pace(near, { label: 'test' });
-    let bytes = 0;
-    near.on('data', (piece: Buffer) => {
-      bytes += piece.length;
-      scheduler.discard(near);
-    });
-    const ended = new Promise((resolve) => {
-      near.once('end', resolve);
-    });
-    far.end(createBlock());
+    const discards: (() => void)[] = [];
+    const { ended, near, received, scheduler } = await sendPaced(() => discards.shift()?.());
+    discards.push(() => scheduler.discard(near));
     await ended;
-    expect(bytes).toBeLessThanOrEqual(4_096);
+    expect(received()).toBeLessThanOrEqual(PIECE_BYTES);
   });
 
   // A parser that needed long for what arrived at once kept the process from everything else: other
@@ -220,7 +215,7 @@
     });
     expect(await response.text()).toBe('done');
     expect(pieces.reduce((sum, size) => sum + size, 0)).toBe(BLOCK_BYTES);
-    expect(Math.max(...pieces)).toBeLessThanOrEqual(4_096);
+    expect(Math.max(...pieces)).toBeLessThanOrEqual(PIECE_BYTES);
   });
 
   test('logs who keeps the process busy', async () => {
