--- a/packages/wire/src/ReadScheduler.test.ts
+++ b/packages/wire/src/ReadScheduler.test.ts
@@ -207,7 +207,10 @@
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
-    disposables.push(() => server.close());
+    disposables.push(() => {
+      server.close();
+      server.closeAllConnections();
+    });
     const { port } = server.address() as net.AddressInfo;
     const response = await fetch(`http://127.0.0.1:${port}`, {
       method: 'POST',
