--- a/packages/gateway/src/TargetLimits.ts
+++ b/packages/gateway/src/TargetLimits.ts
@@ -10,6 +10,12 @@
 import type * as targetRegistry from './TargetRegistry.js';
 import type { Target } from './Types.js';
 
+/**
+ * Maximum time that a call waits for a turn; shorter than a new owner of the limit waits, so that the
+ * turns of the former one are used up by then.
+ */
+const MAXIMUM_TURN_WAIT_MS = 800;
+
 /** Timeout of a request for a turn. */
 const TURN_TIMEOUT_MS = 150;
 
@@ -77,12 +83,16 @@
     return this.find(target)?.exhaustedUntil ?? Number.NEGATIVE_INFINITY;
   }
 
-  /** Takes a turn to send a request to a target, if there is one within `maximumWaitMs`. */
+  /**
+   * Takes a turn to send a request to a target, if there is one within `acceptedWaitMs` and within
+   * the maximum wait.
+   */
   public async takeTurn(
     target: Target,
-    maximumWaitMs: clock.Milliseconds,
+    acceptedWaitMs: clock.Milliseconds,
   ): Promise<requestPacer.Turn> {
     const { clock: time } = this.options;
+    const maximumWaitMs = Math.min(MAXIMUM_TURN_WAIT_MS, acceptedWaitMs);
     const limited = this.find(target);
     if (limited === undefined) return UNLIMITED;
     if (!limited.startAsking(time.now())) return limited.takeOwnTurn(time.now(), maximumWaitMs);
--- a/packages/gateway/src/TargetSelector.ts
+++ b/packages/gateway/src/TargetSelector.ts
@@ -10,6 +10,8 @@
   readonly registry: Pick<targetRegistry.TargetRegistry, 'isUsable' | 'usable'>;
   readonly scores: targetScores.TargetScores;
   readonly limits: targetLimits.TargetLimiter;
+  /** Whether a target has just started and is slow. If undefined, no target is cold. */
+  readonly isCold?: (target: Target) => boolean;
   readonly clock: clock.Clock;
   readonly ownFailureDomain: string;
   /** Returns a number from 0 up to 1. */
@@ -30,7 +32,15 @@
     excluded: ReadonlySet<string>,
     isRepeatable: boolean,
   ): Target | undefined {
-    const { clock: time, limits, ownFailureDomain, random, registry, scores } = this.options;
+    const {
+      clock: time,
+      isCold,
+      limits,
+      ownFailureDomain,
+      random,
+      registry,
+      scores,
+    } = this.options;
     const now = time.now();
     const candidates = registry
       .usable(pool)
@@ -41,6 +51,7 @@
       affinity,
       isRepeatable,
       ownFailureDomain,
+      ...(isCold === undefined ? {} : { isCold }),
       random,
     });
   }
--- a/packages/gateway/src/TargetTurns.ts
+++ b/packages/gateway/src/TargetTurns.ts
@@ -7,12 +7,6 @@
 /** Number of exhausted targets that a call asks for a later turn. */
 const MAXIMUM_LATER_TURNS = 3;
 
-/**
- * Maximum time that a call waits for a turn; shorter than a new owner of the limit waits, so that the
- * turns of the former one are used up by then.
- */
-const MAXIMUM_TURN_WAIT_MS = 800;
-
 /** Dependencies of `TargetTurns`. */
 export interface TargetTurnsOptions {
   readonly selector: targetSelector.TargetSelector;
@@ -94,7 +88,7 @@
     let shortestWaitMs = Number.POSITIVE_INFINITY;
     let chosen: Target | undefined;
     for (const target of exhausted) {
-      const maximumWaitMs = Math.max(0, Math.min(MAXIMUM_TURN_WAIT_MS, latest - time.now()));
+      const maximumWaitMs = Math.max(0, latest - time.now());
       const { isGranted, waitMs } = await limits.takeTurn(target, maximumWaitMs);
       shortestWaitMs = Math.min(shortestWaitMs, waitMs);
       if (isGranted) {
--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -1,5 +1,6 @@
 import type * as clock from '@limpettack/clock';
 import type * as errors from '@limpettack/errors';
+import type * as trueMyth from 'true-myth';
 import type * as routeKinds from './RouteKinds.js';
 import type * as sendFailures from './SendFailures.js';
 
@@ -43,6 +44,14 @@
   readonly pools: readonly WeightedPool[];
 }
 
+/** How targets of a pool are treated that have just started. */
+export interface ColdStart {
+  /** Time for which a target is cold after its start, unless its entry states another time. */
+  readonly durationMs: clock.Milliseconds;
+  /** Number of requests per second that all VMs together may send to a cold target. */
+  readonly ratePerSecond: number;
+}
+
 /** Configuration of a pool. */
 export interface Pool {
   readonly name: string;
@@ -50,6 +59,8 @@
   readonly maximumConnections: number;
   /** Number of tokens in each event of a stream. */
   readonly tokensPerEvent: number;
+  /** Undefined if the targets of the pool are never cold. */
+  readonly coldStart?: ColdStart | undefined;
 }
 
 /** A workspace and its rate limit for the whole fleet. */
@@ -95,6 +106,16 @@
   readonly incarnation: string;
 }
 
+/** A target's entry in the list of targets. */
+export interface ListedTarget {
+  readonly target: Target;
+  /**
+   * How long the target remains cold as of when the entry was written; undefined if the entry does
+   * not state it. An error is the reason why the statement is malformed.
+   */
+  readonly coldLeftMs: trueMyth.Result<clock.Milliseconds | undefined, string>;
+}
+
 /** The agent program of a request and the position of the request in it. */
 export interface ProgramContext {
   readonly program: string;
--- a/packages/gateway/src/chooseTarget.ts
+++ b/packages/gateway/src/chooseTarget.ts
@@ -23,13 +23,15 @@
   /** Whether the call may be sent to another target if this one fails. */
   readonly isRepeatable: boolean;
   readonly ownFailureDomain: string;
+  /** Whether a target has just started and is slow. If undefined, no target is cold. */
+  readonly isCold?: (target: Target) => boolean;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
 }
 
 /**
  * Chooses a target. Targets that are neither paused (after a failure, or when full) nor slow come
- * first, then slow ones, then paused ones. A call that must not be repeated is lost if its target
+ * first, then slow ones, then cold ones, then paused ones. A call that must not be repeated is lost if its target
  * fails, so it goes to a target on probation only if all others are paused.
  *
  * With an affinity, chooses the first target by rendezvous hashing whose load is below a bound that
@@ -41,10 +43,12 @@
  * loaded to them, and a fixed order would make all VMs choose the same target.
  */
 export function chooseTarget(query: TargetQuery): Target | undefined {
-  const { affinity, candidates } = query;
+  const { affinity, candidates, isCold } = query;
+  const warm = candidates.filter((target) => isCold?.(target) !== true);
   const eligible =
     [
-      candidates.filter((target) => isHealthy(query, target)),
+      warm.filter((target) => isHealthy(query, target)),
+      warm.filter((target) => isTrusted(query, target) && !isPaused(query, target)),
       candidates.filter((target) => isTrusted(query, target) && !isPaused(query, target)),
       candidates.filter((target) => !isPaused(query, target)),
     ].find((targets) => targets.length > 0) ?? candidates;
