--- a/packages/gateway/src/ColdTargetLimiter.ts
+++ b/packages/gateway/src/ColdTargetLimiter.ts
@@ -1,5 +1,6 @@
 import type * as clock from '@limpettack/clock';
 import type * as lifetime from '@limpettack/lifetime';
+import type * as logging from '@limpettack/logging';
 import * as membership from '@limpettack/membership';
 import * as coldIntervalMs from './coldIntervalMs.js';
 import type * as coldTargets from './ColdTargets.js';
@@ -16,6 +17,7 @@
   readonly tables: Pick<currentTables.CurrentTables, 'current'>;
   readonly membership: Pick<membership.Membership, 'members' | 'self'>;
   readonly clock: clock.Clock;
+  readonly logger: logging.Logger;
 }
 
 /** This VM's share of a target's rate, and what it was computed from. */
@@ -126,6 +128,13 @@
       targetId: target.id,
       ratePerSecond,
     });
+    if (known === undefined || known.intervalMs !== intervalMs)
+      this.options.logger.info("This VM's share of the rate of a cold target was computed.", {
+        target: target.id,
+        count: vmNames.length,
+        reason: `${ratePerSecond}/s for all VMs`,
+        ...(intervalMs === undefined ? { kind: 'none' } : { kind: 'paced', spanMs: intervalMs }),
+      });
     return { vmNames, ratePerSecond, intervalMs };
   }
 
