--- a/packages/gateway/src/chooseTarget.ts
+++ b/packages/gateway/src/chooseTarget.ts
@@ -31,8 +31,8 @@
 
 /**
  * Chooses a target. Targets that are neither paused (after a failure, or when full) nor slow come
- * first, then slow ones, then cold ones, then paused ones. A call that must not be repeated is lost if its target
- * fails, so it goes to a target on probation only if all others are paused.
+ * first, then slow ones, then cold ones, then paused ones. A call that must not be repeated is lost
+ * if its target fails, so it goes to a target on probation only if all others are paused.
  *
  * With an affinity, chooses the first target by rendezvous hashing whose load is below a bound that
  * depends on the mean load. Calls with the same prompt prefix thus reach the target that has cached
