--- /dev/null
+++ b/packages/gateway/src/ColdTargetLimiter.test.ts
@@ -0,0 +1,65 @@
+import * as jestGlobals from '@jest/globals';
+import * as coldIntervalMs from './coldIntervalMs.js';
+import * as coldFleet from './testing/ColdFleet.js';
+
+const { describe, expect, test } = jestGlobals;
+
+describe('ColdTargetLimiter', () => {
+  // Guards against VMs that together crash a target that has just started, and against VMs that
+  // never get to use their share.
+  test.each([
+    { vmCount: 69, targetCount: 34, ratePerSecond: 8 },
+    { vmCount: 20, targetCount: 3, ratePerSecond: 39 },
+    { vmCount: 69, targetCount: 5, ratePerSecond: 0.5 },
+  ])('bursts to cold targets keep the rate in any second (%j)', async (options) => {
+    const { listAll, mostPerSecond, play, refusals, sends, targets, vms } =
+      coldFleet.createColdFleet(options);
+    const { ratePerSecond, targetCount } = options;
+    listAll(20_000);
+    await play(6, 6);
+    expect(mostPerSecond()).toBeLessThanOrEqual(Math.max(1, ratePerSecond));
+    expect(sends.length).toBeGreaterThan(0.7 * 6 * targetCount * ratePerSecond);
+    const vmNames = vms.map((_, vm) => `vm-${vm}`);
+    const sharing = vmNames.filter((ownName) =>
+      targets.some(({ id: targetId }) =>
+        coldIntervalMs.coldIntervalMs({ vmNames, ownName, targetId, ratePerSecond }),
+      ),
+    );
+    expect(new Set(sends.map(({ vm }) => `vm-${vm}`))).toEqual(new Set(sharing));
+    expect(Math.min(...refusals)).toBeGreaterThan(0);
+  });
+
+  // Guards against the load of a whole fleet on a failure domain that returns, whose entries still
+  // state that its targets are warm, and against a pace that outlives the cold period.
+  test('a pool that returns from an evacuation is paced until it is warm by the own clock', async () => {
+    const options = { vmCount: 69, targetCount: 5, ratePerSecond: 20 };
+    const { listAll, mostPerSecond, play, vms } = coldFleet.createColdFleet(options);
+    listAll(0);
+    vms.forEach(({ cold }) => cold.markDomain('a', 0));
+    await play(19, 3);
+    expect(mostPerSecond()).toBeLessThanOrEqual(20);
+    await play(2, 3);
+    expect(mostPerSecond()).toBeGreaterThan(40);
+  });
+
+  // Guards against VMs with different VM lists that all take themselves for one of the first.
+  test.each([2, 20, 100])('VMs with different lists stay in the margin (%d/s)', async (rate) => {
+    const { listAll, mostPerSecond, play } = coldFleet.createColdFleet(
+      { vmCount: 69, targetCount: 5, ratePerSecond: rate },
+      (vm, other) => (vm * 31 + other * 17) % 10 > 0,
+    );
+    listAll(20_000);
+    await play(4, 8);
+    expect(mostPerSecond()).toBeLessThanOrEqual(1.5 * rate + 5);
+  });
+
+  // Guards against slow responses of cold targets while a warm target is healthy.
+  test('cold targets get nothing while one target is warm', async () => {
+    const options = { vmCount: 4, targetCount: 4, ratePerSecond: 50 };
+    const { listAll, play, sends, targets, vms } = coldFleet.createColdFleet(options);
+    listAll(20_000);
+    vms.forEach(({ cold }) => cold.update(coldFleet.list(targets[2]!, 0)));
+    await play(2, 4);
+    expect(new Set(sends.map(({ target }) => target))).toEqual(new Set(['2']));
+  });
+});
