Share target loads between VMs and select targets by them

A fleet of 61 VMs sends about two turns per second to an engine, so one VM's own counts do not show which engines are slow or busy. VMs now measure their responses, report them to a collector once per second while they have requests, and reduce the weights of the targets that it names.

--- a/packages/gateway/src/CallContext.ts
+++ b/packages/gateway/src/CallContext.ts
@@ -44,6 +44,7 @@
       timeLeftMs: Math.max(1, this.deadline - now),
       lastEventId: call.lastEventId,
       mayReuseIdle: route.kind === routeKinds.ROUTE_KINDS.REPEATABLE || route.isResumable,
+      route,
       ...changes,
     };
   }
--- a/packages/gateway/src/TargetScores.ts
+++ b/packages/gateway/src/TargetScores.ts
@@ -134,6 +134,13 @@
     );
   }
 
+  /** The targets that run requests of this process, with the number of requests. */
+  public inFlightCounts(): readonly { readonly target: string; readonly count: number }[] {
+    return [...this.scores]
+      .map(([target, { inFlight }]) => ({ target, count: inFlight }))
+      .filter(({ count }) => count > 0);
+  }
+
   public discard(target: string): void {
     const score = this.scores.get(target);
     if (score === undefined) return;
--- a/packages/gateway/src/TargetSelector.ts
+++ b/packages/gateway/src/TargetSelector.ts
@@ -5,6 +5,14 @@
 import type * as targetScores from './TargetScores.js';
 import type { Target } from './Types.js';
 
+/** Weights of targets by their loads. */
+export interface TargetWeights {
+  /** Weights by id; 1 for targets that are missing. */
+  current(): ReadonlyMap<string, number>;
+  /** Counts a placement that the weights have changed. */
+  countMoved(): void;
+}
+
 /** Dependencies of the selector. */
 export interface TargetSelectorOptions {
   readonly registry: Pick<targetRegistry.TargetRegistry, 'isUsable' | 'usable'>;
@@ -14,6 +22,8 @@
   readonly ownFailureDomain: string;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
+  /** Without it, all weights are 1. */
+  readonly weights?: TargetWeights | undefined;
 }
 
 /** Selects a target for a call from those that accept new work. */
@@ -30,7 +40,15 @@
     excluded: ReadonlySet<string>,
     isRepeatable: boolean,
   ): Target | undefined {
-    const { clock: time, limits, ownFailureDomain, random, registry, scores } = this.options;
+    const {
+      clock: time,
+      limits,
+      ownFailureDomain,
+      random,
+      registry,
+      scores,
+      weights,
+    } = this.options;
     const now = time.now();
     const candidates = registry
       .usable(pool)
@@ -42,6 +60,8 @@
       isRepeatable,
       ownFailureDomain,
       random,
+      weights: weights?.current(),
+      onMoved: () => weights?.countMoved(),
     });
   }
 
--- a/packages/gateway/src/TargetSender.ts
+++ b/packages/gateway/src/TargetSender.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@limpettack/clock';
 import type * as logging from '@limpettack/logging';
 import * as sendFailures from './SendFailures.js';
+import type * as responseMeasurement from './ResponseMeasurement.js';
 import type * as targetScores from './TargetScores.js';
 import type {
   ResponseHandler,
@@ -21,12 +22,22 @@
   resume: () => undefined,
 };
 
+/** Measures the responses of targets. */
+export interface ResponseRecorder {
+  /** Starts to measure the response to a request that is being sent. */
+  begin(request: TargetRequest): responseMeasurement.ResponseMeasurement | undefined;
+  /** Records a response that has ended normally. */
+  record(target: Target, measurement: responseMeasurement.ResponseMeasurement): void;
+}
+
 /** Dependencies of the sender. */
 export interface TargetSenderOptions {
   readonly transport: TargetTransport;
   readonly scores: targetScores.TargetScores;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
+  /** Without it, responses are not measured. */
+  readonly recorder?: ResponseRecorder | undefined;
 }
 
 /** A request in flight whose outcome is recorded in the scores of its target. */
@@ -43,7 +54,7 @@
   public constructor(private readonly options: TargetSenderOptions) {}
 
   public send(target: Target, request: TargetRequest, handler: ResponseHandler): SentCall {
-    const { clock: time, scores } = this.options;
+    const { clock: time, recorder, scores } = this.options;
     const sentAt = time.now();
     let hasEnded = false;
     let hasData = false;
@@ -53,21 +64,25 @@
       hasEnded = true;
     };
     scores.recordSent(target.id);
+    const measurement = recorder?.begin(request);
     const targetHandler: ResponseHandler = {
       onHead: (head: ResponseHead) => {
         // Error responses are recorded as failures too, because an otherwise healthy target may
         // fail part of its requests.
         isError = head.status >= SERVER_ERROR;
         if (isError) scores.recordFailure(target.id);
+        measurement?.recordHead(head.status);
         handler.onHead(head);
       },
       onData: (chunk: Uint8Array) => {
         if (!hasData && !isError) scores.recordFirstData(target.id, time.now() - sentAt);
         hasData = true;
+        measurement?.recordChunk();
         handler.onData(chunk);
       },
       onEnd: () => {
         finish();
+        if (measurement !== undefined) recorder?.record(target, measurement);
         handler.onEnd();
       },
       onFailure: (failure: SendFailure) => {
@@ -86,7 +101,10 @@
       if (!hasEnded) scores.recordFailure(target.id);
       abort();
     };
-    const pause = (): void => exchange.pause();
+    const pause = (): void => {
+      measurement?.recordPause();
+      exchange.pause();
+    };
     const resume = (): void => exchange.resume();
     return { abort, abandon, pause, resume };
   }
--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@limpettack/clock';
 import type * as errors from '@limpettack/errors';
 import type * as routeKinds from './RouteKinds.js';
+import type * as sampleKinds from './SampleKinds.js';
 import type * as sendFailures from './SendFailures.js';
 
 /** A value of `ROUTE_KINDS`. */
@@ -10,6 +11,9 @@
 export type SendFailureKind =
   (typeof sendFailures.SEND_FAILURES)[keyof typeof sendFailures.SEND_FAILURES];
 
+/** A value of `SAMPLE_KINDS`. */
+export type SampleKind = (typeof sampleKinds.SAMPLE_KINDS)[keyof typeof sampleKinds.SAMPLE_KINDS];
+
 /** A pool of a route and its relative share of the traffic. */
 export interface WeightedPool {
   readonly pool: string;
@@ -190,6 +194,8 @@
   readonly lastEventId: number | undefined;
   /** Whether an idle connection may be reused, although the target may already have closed it. */
   readonly mayReuseIdle: boolean;
+  /** The route, by which the response is measured. Without it, the response is not measured. */
+  readonly route?: Pick<Route, 'kind' | 'name'>;
 }
 
 /** Why a request to a target failed. */
--- a/packages/gateway/src/chooseTarget.ts
+++ b/packages/gateway/src/chooseTarget.ts
@@ -25,6 +25,10 @@
   readonly ownFailureDomain: string;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
+  /** Weights of targets by id, between 0 and 1; 1 for those that are missing. */
+  readonly weights?: ReadonlyMap<string, number> | undefined;
+  /** Called if another target would have been chosen with weights of 1. */
+  readonly onMoved?: (() => void) | undefined;
 }
 
 /**
@@ -39,6 +43,10 @@
  * Without an affinity, chooses one of the least loaded targets at random, preferably in the own
  * failure domain. When hundreds of VMs each have hardly any call in flight, all targets look equally
  * loaded to them, and a fixed order would make all VMs choose the same target.
+ *
+ * Weights reduce the share of targets that are slow or busy according to other VMs. They are
+ * probabilities and not an order, because VMs with the same outdated information would otherwise
+ * all move to the same target.
  */
 export function chooseTarget(query: TargetQuery): Target | undefined {
   const { affinity, candidates } = query;
@@ -54,9 +62,26 @@
 }
 
 function chooseByHash(query: TargetQuery, candidates: readonly Target[]): Target | undefined {
-  const ranked = keyedLog.rankByRendezvous(query.affinity ?? '', candidates, ({ id }) => id);
-  const total = candidates.reduce((sum, target) => sum + inFlight(query, target), 0);
-  const bound = BASE_CALL_BOUND + (LOAD_FACTOR * total) / Math.max(1, candidates.length);
+  const { affinity = '' } = query;
+  const unweighted = firstBelowBound(
+    query,
+    keyedLog.rankByRendezvous(affinity, candidates, ({ id }) => id),
+  );
+  if (!hasWeights(query, candidates)) return unweighted;
+  const ranked = keyedLog.rankByWeightedRendezvous(
+    affinity,
+    candidates,
+    ({ id }) => id,
+    (target) => weightOf(query, target),
+  );
+  const chosen = firstBelowBound(query, ranked);
+  if (chosen !== unweighted) query.onMoved?.();
+  return chosen;
+}
+
+function firstBelowBound(query: TargetQuery, ranked: readonly Target[]): Target | undefined {
+  const total = ranked.reduce((sum, target) => sum + inFlight(query, target), 0);
+  const bound = BASE_CALL_BOUND + (LOAD_FACTOR * total) / Math.max(1, ranked.length);
   return ranked.find((target) => inFlight(query, target) < bound) ?? ranked[0];
 }
 
@@ -65,7 +90,32 @@
   const leastLoaded = candidates.filter((target) => inFlight(query, target) === minimum);
   const local = leastLoaded.filter((target) => isLocal(query, target));
   const preferred = local.length > 0 ? local : leastLoaded;
-  return preferred[Math.floor(query.random() * preferred.length)];
+  const drawn = preferred[Math.floor(query.random() * preferred.length)];
+  if (drawn === undefined) return undefined;
+  const weight = weightOf(query, drawn);
+  if (weight === 1 || query.random() < weight) return drawn;
+  const chosen = drawByWeight(query, leastLoaded);
+  if (chosen !== drawn) query.onMoved?.();
+  return chosen;
+}
+
+function drawByWeight(query: TargetQuery, candidates: readonly Target[]): Target | undefined {
+  const total = candidates.reduce((sum, target) => sum + weightOf(query, target), 0);
+  let left = query.random() * total;
+  const found = candidates.find((target) => {
+    left -= weightOf(query, target);
+    return left < 0;
+  });
+  // The sum may be reached only by rounding.
+  return found ?? candidates.at(-1);
+}
+
+function hasWeights(query: TargetQuery, candidates: readonly Target[]): boolean {
+  return candidates.some((target) => weightOf(query, target) !== 1);
+}
+
+function weightOf(query: TargetQuery, target: Target): number {
+  return query.weights?.get(target.id) ?? 1;
 }
 
 function isLocal(query: TargetQuery, target: Target): boolean {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,4 +13,5 @@
 export * from './TargetSender.js';
 export * from './OwnedTargetLimits.js';
 export * from './TargetLimits.js';
+export * from './TargetLoads.js';
 export * from './TargetWatch.js';
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -1,5 +1,6 @@
 import type * as wire from '@limpettack/wire';
 import * as zod from 'zod';
+import * as sampleKinds from './SampleKinds.js';
 
 const CRASH = zod.object({
   fingerprint: zod.string(),
@@ -51,6 +52,57 @@
   ageMs: zod.number().nonnegative(),
 });
 
+/** Maximum length of a target's id or incarnation in a report. */
+export const MAXIMUM_REPORTED_CHARACTERS = 200;
+
+/** Maximum number of samples, and of counts of requests in flight, in a report. */
+export const MAXIMUM_REPORT_ITEMS = 32;
+
+/** Maximum number of targets in a view. */
+export const MAXIMUM_VIEW_TARGETS = 64;
+
+const REPORTED_NAME = zod.string().max(MAXIMUM_REPORTED_CHARACTERS);
+
+const TARGET_LOAD_REPORT = zod.object({
+  samples: zod
+    .array(
+      zod.object({
+        target: REPORTED_NAME,
+        /** Identifies the process, because a target may restart with the same id. */
+        incarnation: REPORTED_NAME,
+        value: zod.number().positive(),
+        kind: zod.enum([sampleKinds.SAMPLE_KINDS.STREAM, sampleKinds.SAMPLE_KINDS.UNARY]),
+      }),
+    )
+    .max(MAXIMUM_REPORT_ITEMS),
+  /** Requests of the sender that run on targets. */
+  inFlight: zod
+    .array(zod.object({ target: REPORTED_NAME, count: zod.number().int().nonnegative() }))
+    .max(MAXIMUM_REPORT_ITEMS),
+});
+
+const LOADED_TARGET = zod.object({
+  target: REPORTED_NAME,
+  incarnation: REPORTED_NAME,
+  /** Time per unit of work, relative to the other targets of the pool; 1 is normal. */
+  pace: zod.number().positive(),
+  /** Requests in flight from the collector's group; 0 if the target is not busy. */
+  inFlight: zod.number().int().nonnegative(),
+});
+
+const TARGET_LOAD_VIEW = zod.object({
+  targets: zod.array(LOADED_TARGET).max(MAXIMUM_VIEW_TARGETS),
+});
+
+/** What a VM has measured since its last report. */
+export type TargetLoadReport = zod.infer<typeof TARGET_LOAD_REPORT>;
+
+/** A target that is slow or busy. */
+export type LoadedTarget = zod.infer<typeof LOADED_TARGET>;
+
+/** The targets that are slow or busy according to a collector. */
+export type TargetLoadView = zod.infer<typeof TARGET_LOAD_VIEW>;
+
 /** A request for a turn to send a request to a target with a limit. */
 export type TargetTurnRequest = zod.infer<typeof TURN_REQUEST>;
 
@@ -140,3 +192,10 @@
   request: ENDED_LIMIT,
   response: EMPTY,
 };
+
+/** Reports measurements of targets to the collector, which responds with its view. */
+export const TARGET_LOADS: wire.PeerMethod<TargetLoadReport, TargetLoadView> = {
+  name: 'gateway.target-loads',
+  request: TARGET_LOAD_REPORT,
+  response: TARGET_LOAD_VIEW,
+};
