--- a/packages/gateway/src/TargetLoadEstimates.ts
+++ b/packages/gateway/src/TargetLoadEstimates.ts
@@ -32,7 +32,7 @@
 }
 
 interface InFlightReport {
-  readonly counts: ReadonlyMap<string, number>;
+  readonly counts: Map<string, number>;
   readonly at: clock.Milliseconds;
 }
 
@@ -116,6 +116,7 @@
   public discard(target: string): void {
     this.samples.delete(target);
     this.slow.delete(target);
+    this.inFlight.forEach(({ counts }) => counts.delete(target));
   }
 
   private ids(): readonly string[] {
