Outages of single partitions no longer move all calls of the log to relays

Cause: LogPaths judges the direct path by all calls together. While the store is away for a part of its partitions, each call to one of them moves all running calls to relays, the next success moves them back, and the retries of the failing partition take most of the five direct attempts a second. Run: PartitionPaths, LogPaths, RelayedLog tests, 22 passed.

--- a/packages/keyed-log/src/LogPaths.ts
+++ b/packages/keyed-log/src/LogPaths.ts
@@ -43,10 +43,13 @@
     return this.isDirectWorking;
   }
 
-  /** Chooses the paths of a call that starts now. */
-  public choose(now: clock.Milliseconds): PathChoice {
+  /**
+   * Chooses the paths of a call that starts now. While the direct path fails, the call takes the
+   * next direct attempt only if that has been due for `yieldMs`.
+   */
+  public choose(now: clock.Milliseconds, yieldMs: clock.Milliseconds = 0): PathChoice {
     if (this.isDirectWorking) return { isDirect: true, isRelayed: false };
-    const isProbe = now >= this.nextProbeAt;
+    const isProbe = now >= this.nextProbeAt + yieldMs;
     const isRelayed = this.mayRelay(now);
     const intervalMs = isRelayed ? RELAYED_PROBE_INTERVAL_MS : OUTAGE_PROBE_INTERVAL_MS;
     if (isProbe) this.nextProbeAt = now + intervalMs;
--- a/packages/keyed-log/src/RelayedLog.ts
+++ b/packages/keyed-log/src/RelayedLog.ts
@@ -5,7 +5,7 @@
 import * as wire from '@limpettack/wire';
 import * as trueMyth from 'true-myth';
 import * as logFailures from './LogFailures.js';
-import * as logPaths from './LogPaths.js';
+import * as partitionPaths from './PartitionPaths.js';
 import * as messages from './messages.js';
 import * as pathRace from './PathRace.js';
 import type {
@@ -38,7 +38,11 @@
   wire.PEER_FAILURES.TIMED_OUT,
 ]);
 
-type Race = Pick<pathRace.PathRace<unknown>, 'sendDirect' | 'sendRelayed'>;
+/** A call in progress. */
+interface RunningCall {
+  readonly partition: PartitionName;
+  readonly race: Pick<pathRace.PathRace<unknown>, 'sendDirect' | 'sendRelayed'>;
+}
 
 /** Dependencies of a relayed log. */
 export interface RelayedLogOptions {
@@ -49,6 +53,8 @@
   readonly logger: logging.Logger;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
+  /** Whether a partition may fail on its own. Default: a failed call counts against the whole log. */
+  readonly isolatesPartitions?: boolean;
 }
 
 /**
@@ -56,16 +62,17 @@
  * reject the calls of some VMs and serve those of others.
  */
 export class RelayedLog implements KeyedLog, lifetime.Disposable {
-  private readonly paths = new logPaths.LogPaths();
+  private readonly paths: partitionPaths.PartitionPaths;
 
   /** The calls in progress. */
-  private readonly races = new Set<Race>();
+  private readonly running = new Set<RunningCall>();
 
   private lastRelay: string | undefined;
 
   private readonly registration: lifetime.Disposable;
 
   public constructor(private readonly options: RelayedLogOptions) {
+    this.paths = new partitionPaths.PartitionPaths(options.isolatesPartitions ?? false);
     this.registration = options.network.serve(messages.RELAYED_LOG_CALL, (request) =>
       this.serve(request),
     );
@@ -121,47 +128,71 @@
     direct: pathRace.Attempt<Value>,
     waitMs: clock.Milliseconds,
   ): Promise<LogResult<Value>> {
-    const choice = this.paths.choose(this.options.clock.now());
+    const { partition } = request;
+    const choice = this.paths.choose(partition, this.options.clock.now());
     if (!choice.isDirect && !choice.isRelayed) return trueMyth.Result.err(LOG_UNREACHABLE);
-    const race: pathRace.PathRace<Value> = new pathRace.PathRace({
-      direct: () => this.callDirect(direct, race),
-      relayed: () => this.callRelays(request, waitMs),
-    });
-    this.races.add(race);
+    const running: RunningCall & { readonly race: pathRace.PathRace<Value> } = {
+      partition,
+      race: new pathRace.PathRace({
+        direct: () => this.callDirect(direct, running, waitMs),
+        relayed: () => this.callRelays(request, waitMs),
+      }),
+    };
+    const { race } = running;
+    this.running.add(running);
     if (choice.isRelayed) race.sendRelayed();
     if (choice.isDirect) race.sendDirect();
     const result = await race.result;
-    this.races.delete(race);
+    this.running.delete(running);
     return result;
   }
 
   private async callDirect<Value>(
     direct: pathRace.Attempt<Value>,
-    race: Race,
+    call: RunningCall,
+    waitMs: clock.Milliseconds,
   ): Promise<LogResult<Value>> {
     const { clock: time } = this.options;
+    const { partition } = call;
     const startedAt = time.now();
     const result = await direct();
-    const wasWorking = this.paths.isDirect;
-    if (result.isErr && pathRace.isTransient(result.error))
-      this.paths.noteDirectFailure(startedAt, time.now());
-    else this.paths.noteDirectSuccess(time.now());
-    if (this.paths.isDirect !== wasWorking) this.switchRaces(race, result);
+    const now = time.now();
+    if (result.isErr && pathRace.isTransient(result.error)) {
+      const isStall = waitMs > 0 && now - startedAt >= waitMs;
+      const affected = this.paths.noteDirectFailure(partition, startedAt, now, isStall);
+      this.moveToRelays(this.affectedCalls(call, affected), result.error.message);
+    } else {
+      this.moveToDirect(this.affectedCalls(call, this.paths.noteDirectSuccess(partition, now)));
+    }
     return result;
   }
 
-  /** Moves the other running calls to the path that is known to work now. */
-  private switchRaces<Value>(cause: Race, result: LogResult<Value>): void {
+  /** The other running calls that an outcome of a call affects; undefined if it changes no path. */
+  private affectedCalls(
+    cause: RunningCall,
+    affected: partitionPaths.AffectedCalls,
+  ): readonly RunningCall[] | undefined {
+    const { ALL, NONE } = partitionPaths.AFFECTED_CALLS;
+    if (affected === NONE) return undefined;
+    const { partition, topic } = cause.partition;
+    const isAffected = (call: RunningCall): boolean =>
+      affected === ALL ||
+      (call.partition.topic === topic && call.partition.partition === partition);
+    return [...this.running].filter((call) => call !== cause && isAffected(call));
+  }
+
+  private moveToDirect(calls: readonly RunningCall[] | undefined): void {
+    if (calls === undefined) return;
     const { logger } = this.options;
-    const others = [...this.races].filter((race) => race !== cause);
-    if (this.paths.isDirect) {
-      logger.info('The direct connection to the log works again.', { count: others.length });
-      others.forEach((race) => race.sendDirect());
-      return;
-    }
-    const reason = result.isErr ? result.error.message : '';
-    logger.warn('The direct connection to the log has failed.', { reason, count: others.length });
-    others.forEach((race) => race.sendRelayed());
+    logger.info('The direct connection to the log works again.', { count: calls.length });
+    calls.forEach(({ race }) => race.sendDirect());
+  }
+
+  private moveToRelays(calls: readonly RunningCall[] | undefined, reason: string): void {
+    if (calls === undefined) return;
+    const { logger } = this.options;
+    logger.warn('The direct connection to the log has failed.', { reason, count: calls.length });
+    calls.forEach(({ race }) => race.sendRelayed());
   }
 
   private async callRelays<Value>(
@@ -170,19 +201,20 @@
   ): Promise<LogResult<Value>> {
     const { clock: time } = this.options;
     const startedAt = time.now();
-    if (!this.paths.mayRelay(startedAt)) return trueMyth.Result.err(LOG_UNREACHABLE);
+    if (!this.paths.mayRelay(request.partition, startedAt))
+      return trueMyth.Result.err(LOG_UNREACHABLE);
     let lost: LogResult<Value> | undefined;
     for (const address of this.chooseRelays()) {
       const result = await this.requestRelay<Value>(address, request, waitMs);
       if (result.isOk || !pathRace.isTransient(result.error)) {
         this.lastRelay = address;
-        this.paths.noteRelaySuccess(time.now());
+        this.paths.noteRelaySuccess(request.partition, time.now());
         return result;
       }
       if (result.error.kind === logFailures.LOG_FAILURES.LOST) lost = result;
     }
     this.lastRelay = undefined;
-    this.paths.noteRelayFailure(startedAt, time.now());
+    this.paths.noteRelayFailure(request.partition, startedAt, time.now());
     return lost ?? trueMyth.Result.err(LOG_UNREACHABLE);
   }
 
@@ -231,7 +263,8 @@
     request: messages.RelayedLogRequest,
   ): Promise<trueMyth.Result<messages.RelayedLogResponse, never>> {
     // Responds at once, so that the peer can try another relay.
-    if (!this.paths.isDirect) return trueMyth.Result.ok({ failure: LOG_UNREACHABLE });
+    if (!this.paths.isDirectFor(request.partition))
+      return trueMyth.Result.ok({ failure: LOG_UNREACHABLE });
     const result = await this.callForPeer(request);
     return trueMyth.Result.ok(result.isOk ? { value: result.value } : { failure: result.error });
   }
