Program budgets: a higher watermark for turns that are not retained

Cause: the watermark covers one turn ahead and is lowered after 300 ms, so a program stalls at its second turn while the store does not respond.

The pure function chooseWatermark decides. A partition that is served while another member owns it keeps the short plan.

Run: build, eslint, jest packages/program-budgets packages/gateway platform/src/decoding.test.ts platform/src/PlatformNode.test.ts: passed.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -18,7 +18,7 @@
 import * as waitBounds from './waitBounds.js';
 import * as waitWhileConnected from './waitWhileConnected.js';
 import * as unaryCall from './UnaryCall.js';
-import type { Call, Reply } from './Types.js';
+import type { Call, Reply, Route } from './Types.js';
 
 /** The grant of calls without a budget. */
 const NO_BUDGET: trueMyth.Result<programBudgets.Grant, errors.Fault> = trueMyth.Result.ok({
@@ -146,7 +146,7 @@
     const readyBy = waitBounds.preparationDeadline(this.dependencies.clock.now(), deadline);
     // The rate limit and the budget may be owned by two other VMs, so both are requested in
     // parallel.
-    const reserving = isStream ? this.reserve(call, readyBy) : Promise.resolve(NO_BUDGET);
+    const reserving = isStream ? this.reserve(context, readyBy) : Promise.resolve(NO_BUDGET);
     const refusal = await this.checkLimit(context);
     if (refusal !== undefined || call.signal.aborted) {
       // The request ends without waiting for the home, the VM that owns the program's partition. If
@@ -204,7 +204,7 @@
     const ending = new AbortController();
     const budgetRecorded = grant.isCovered
       ? undefined
-      : this.awaitBudgetRecord(call, ending.signal);
+      : this.awaitBudgetRecord(context, ending.signal);
     const memory = this.dependencies.turnMemory.open();
     const plan = await this.createPlan(context, grant, { budgetRecorded, readyBy, memory });
     let outcome = NOTHING_SENT;
@@ -247,11 +247,11 @@
   }
 
   private async reserve(
-    call: Call,
+    { call, route }: callContext.CallContext,
     readyBy: clock.Milliseconds,
   ): Promise<trueMyth.Result<programBudgets.Grant, errors.Fault>> {
     const { budgets, clock: time } = this.dependencies;
-    const reservation = reservationOf(call);
+    const reservation = reservationOf(call, route);
     if (reservation === undefined) return NO_BUDGET;
     const reserving = budgets.reserve(reservation, readyBy - time.now());
     return this.waitFor(call, waitBounds.WAITS.BUDGET, readyBy, reserving, (late) =>
@@ -268,9 +268,12 @@
   }
 
   /** Waits until the log covers the turn's reservation. Returns false if the turn ends earlier. */
-  private async awaitBudgetRecord(call: Call, ending: AbortSignal): Promise<boolean> {
+  private async awaitBudgetRecord(
+    { call, route }: callContext.CallContext,
+    ending: AbortSignal,
+  ): Promise<boolean> {
     const { budgets, clock: time, logger } = this.dependencies;
-    const reservation = reservationOf(call);
+    const reservation = reservationOf(call, route);
     logger.info('A response waits until its budget is recorded.', { request: call.id });
     while (reservation !== undefined && !ending.aborted) {
       const startedAt = time.now();
@@ -416,7 +419,10 @@
   return target === undefined ? {} : { target, count: context!.targets.length };
 }
 
-function reservationOf(call: Call): programBudgets.Reservation | undefined {
+function reservationOf(
+  call: Call,
+  { retainsTurns }: Route,
+): programBudgets.Reservation | undefined {
   const { programContext } = call;
   if (programContext?.budgetTokens === undefined) return undefined;
   return {
@@ -424,6 +430,7 @@
     call: call.id,
     budgetTokens: programContext.budgetTokens,
     mostTokens: call.maximumTokens,
+    isRetained: retainsTurns,
     ...(programContext.previousTurn === undefined
       ? {}
       : { previousTurn: programContext.previousTurn }),
--- a/packages/program-budgets/src/HomePartition.ts
+++ b/packages/program-budgets/src/HomePartition.ts
@@ -4,6 +4,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
+import * as chooseWatermark from './chooseWatermark.js';
 import * as conditionWaiters from './ConditionWaiters.js';
 import * as programAccount from './ProgramAccount.js';
 import * as watermarkRecord from './watermarkRecord.js';
@@ -12,15 +13,8 @@
 /** The topic that stores the watermarks of programs. */
 const TOPIC = 'programs';
 
-/**
- * Number of further turns that a raised watermark covers. A larger number saves appends, but if the
- * home is lost, all tokens up to the watermark are treated as used, so programs with small budgets
- * would end early.
- */
-const TURNS_AHEAD = 1;
-
-/** Idle time after which a program's watermark is lowered to the tokens it has used. */
-const LOWERING_DELAY_MS = 300;
+/** Interval at which programs whose watermark may be lowered are checked. */
+const LOWERING_INTERVAL_MS = chooseWatermark.SHORT_PLAN.loweringDelayMs;
 
 /** Maximum time that one request waits for a watermark to be written. */
 const WRITE_TIMEOUT_MS = 1_000;
@@ -52,6 +46,11 @@
    * Asks former owners to lower their watermarks to the used tokens and to release the partition.
    */
   readonly requestRelease: () => Promise<void>;
+  /**
+   * Whether programs whose turns are not retained continue while the log is unavailable, as far as
+   * their watermarks allow.
+   */
+  readonly programsContinueDuringOutages?: boolean;
 }
 
 /** A record of an append that is in progress. */
@@ -105,8 +104,8 @@
   }
 
   /**
-   * Reserves tokens and, if needed, requests a higher watermark that covers them and
-   * `TURNS_AHEAD` more turns. Faults: `budget-exhausted`, `log-unavailable`, `not-owner`, and
+   * Reserves tokens and, if needed, requests a higher watermark that covers them and further turns
+   * according to the plan of the turn. Faults: `budget-exhausted`, `log-unavailable`, `not-owner`, and
    * `home-unavailable` for a program whose id is too long for the log.
    */
   public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
@@ -115,12 +114,14 @@
     if (!(await this.awaitLoaded())) return trueMyth.Result.err(createUnavailableFault());
     if (this.isClosed) return trueMyth.Result.err(errors.createFault('not-owner'));
     const { budgetTokens, call, mostTokens, previousTurn, program } = reservation;
+    const { programsContinueDuringOutages = false } = this.options;
     const account = this.accountOf(program);
     if (!account.allows(call, mostTokens, budgetTokens, time.now())) {
       return trueMyth.Result.err(this.refuseExhaustedBudget(reservation, account));
     }
     account.reserve(call, mostTokens, time.now());
-    this.raiseWatermark(program, account, mostTokens, budgetTokens);
+    account.plan = chooseWatermark.choosePlan(reservation, programsContinueDuringOutages);
+    this.raiseWatermark(reservation, account);
     const { isCovered } = account;
     const writer = previousTurn === undefined ? undefined : account.writerOf(previousTurn);
     return trueMyth.Result.ok(writer === undefined ? { isCovered } : { isCovered, writer });
@@ -197,7 +198,7 @@
 
   private scheduleLowering(program: string): void {
     this.loweringCandidates.add(program);
-    this.loweringTimer ??= this.options.clock.startTimer(LOWERING_DELAY_MS, () => {
+    this.loweringTimer ??= this.options.clock.startTimer(LOWERING_INTERVAL_MS, () => {
       this.loweringTimer = undefined;
       this.lowerIdleWatermarks();
     });
@@ -208,10 +209,10 @@
    * used.
    */
   private lowerIdleWatermarks(): void {
-    const idleSince = this.options.clock.now() - LOWERING_DELAY_MS;
+    const now = this.options.clock.now();
     [...this.loweringCandidates].forEach((program) => {
       const account = this.accounts.get(program);
-      if (account?.hasSurplus && account.lastUsedAt > idleSince) {
+      if (account?.hasSurplus && account.lastUsedAt > now - account.plan.loweringDelayMs) {
         this.scheduleLowering(program);
         return;
       }
@@ -238,20 +239,13 @@
   }
 
   private raiseWatermark(
-    program: string,
+    { budgetTokens, mostTokens: turnTokens, program }: Reservation,
     account: programAccount.ProgramAccount,
-    turnTokens: number,
-    budgetTokens: number,
   ): void {
-    if (account.committedTokens + turnTokens <= account.grantableTokens) return;
-    const desired = account.committedTokens + TURNS_AHEAD * turnTokens;
-    // Caps the watermark so that one more turn fits into the budget: after a move, the next owner
-    // treats all tokens up to the watermark as used.
-    const watermark = Math.max(
-      account.committedTokens,
-      Math.min(desired, budgetTokens - turnTokens),
-    );
-    if (watermark <= account.grantableTokens) return;
+    const { committedTokens, grantableTokens: coveredTokens, plan } = account;
+    const input = { budgetTokens, committedTokens, coveredTokens, turnTokens };
+    const watermark = chooseWatermark.chooseWatermark(input, plan);
+    if (watermark === undefined) return;
     this.requestWatermark(program, Math.max(watermark, this.requested.get(program) ?? 0));
   }
 
--- a/packages/program-budgets/src/HomeServer.ts
+++ b/packages/program-budgets/src/HomeServer.ts
@@ -41,6 +41,8 @@
   readonly partitionCount: number;
   /** Unique for each start of the process. */
   readonly producer: string;
+  /** Whether programs whose turns are not retained continue while the log is unavailable. */
+  readonly programsContinueDuringOutages?: boolean;
 }
 
 /** The home of the programs whose partitions this process owns. */
@@ -158,7 +160,7 @@
   }
 
   private partitionFor(index: number): homePartition.HomePartition {
-    const { clock: time, log, logger, producer } = this.options;
+    const { clock: time, log, logger, producer, programsContinueDuringOutages } = this.options;
     const known = this.partitions.get(index);
     if (known !== undefined) return known;
     this.openedCount += 1;
@@ -169,6 +171,10 @@
       logger,
       producer: `${producer}.${index}.${this.openedCount}`,
       requestRelease: () => this.requestRelease(index),
+      // While another member owns the partition, it may let programs continue. Two homes that do so
+      // for one program would both deliver output that the log does not cover.
+      programsContinueDuringOutages:
+        programsContinueDuringOutages === true && this.otherOwner(index) === undefined,
     });
     this.partitions.set(index, created);
     return created;
--- a/packages/program-budgets/src/ProgramAccount.ts
+++ b/packages/program-budgets/src/ProgramAccount.ts
@@ -1,4 +1,5 @@
 import type * as clock from '@limpettack/clock';
+import * as chooseWatermark from './chooseWatermark.js';
 import type * as watermarkRecord from './watermarkRecord.js';
 
 /** A turn that is not settled within this time is charged for all its reserved tokens. */
@@ -27,6 +28,9 @@
  * just as this one does.
  */
 export class ProgramAccount {
+  /** The plan for the watermark, according to the latest turn. */
+  public plan: chooseWatermark.WatermarkPlan = chooseWatermark.SHORT_PLAN;
+
   private readonly reservations = new Map<string, OpenReservation>();
 
   private readonly writers = new Map<string, string>();
--- a/packages/program-budgets/src/Types.ts
+++ b/packages/program-budgets/src/Types.ts
@@ -13,6 +13,8 @@
   readonly mostTokens: number;
   /** The turn whose history the new turn continues. */
   readonly previousTurn?: string | undefined;
+  /** Whether the turn's route retains turns. VMs of earlier releases omit it. */
+  readonly isRetained?: boolean | undefined;
 }
 
 /** The home's response to a granted reservation. */
--- a/packages/program-budgets/src/messages.ts
+++ b/packages/program-budgets/src/messages.ts
@@ -7,6 +7,8 @@
   budgetTokens: zod.number(),
   mostTokens: zod.number(),
   previousTurn: zod.string().optional(),
+  /** VMs of earlier releases omit it. Their turns are treated as retained. */
+  isRetained: zod.boolean().optional(),
 });
 
 const RESERVE_REQUEST = RESERVATION.extend({
--- a/packages/program-budgets/src/testing/homeFixtures.ts
+++ b/packages/program-budgets/src/testing/homeFixtures.ts
@@ -31,6 +31,7 @@
   readonly log: keyedLog.KeyedLog;
   readonly producer: string;
   readonly time?: clock.Clock;
+  readonly programsContinueDuringOutages?: boolean;
 }): homePartition.HomePartition {
   return new homePartition.HomePartition({
     partition: 0,
@@ -39,6 +40,7 @@
     logger: new logging.PartLogger('homes'),
     producer: options.producer,
     requestRelease: async () => undefined,
+    programsContinueDuringOutages: options.programsContinueDuringOutages ?? false,
   });
 }
 
