Program budgets: an allowance for turns that the watermark does not cover

Cause: programs that start while the store does not respond, or that use up their watermark, get no output until it responds again.

Change: with the contract `pool`, the home grants an uncovered turn of a route without retained turns `uncoveredTokens`: the tokens that the log is certain to cover plus the smallest maximum of a turn, less what other turns have used or reserved. HeldOutput passes on events, in order, while they fit, and the end of a stream of which nothing is held back. The log's certain coverage is the minimum over the written and the uncertain record. After a conflict, output without a record is charged to the account that replaces the former one. A partition that is released in an outage goes on trying to write such programs for 10 s. The counter limpettack_held_turns_total counts turns whose output was held back.

--- a/packages/gateway/src/Gateway.test.ts
+++ b/packages/gateway/src/Gateway.test.ts
@@ -328,6 +328,25 @@
     expect(transport.sent).toHaveLength(0);
   });
 
+  // The home could neither choose the watermark of the turn nor let it continue.
+  test('a turn within its allowance ends without the record and is settled with its tokens', async () => {
+    const time = new clock.ManualClock();
+    const transport = new scriptedTransport.ScriptedTransport([
+      fixtures.streamEvents([1, 2], 'end'),
+    ]);
+    const { budgets, gateway } = standIns.createGateway(transport, STREAM, { clock: time });
+    budgets.respondToReserve = async () =>
+      trueMyth.Result.ok({ isCovered: false, uncoveredTokens: 1_000 });
+    budgets.respondToCover = () => time.sleep(150).then(() => false);
+    const reply = new recordedReply.RecordedReply();
+    await gateway.handle(fixtures.createCall(time, standIns.turnOf('program')), reply);
+    expect(reply.outcome).toBe('ended');
+    await advance(time, 500);
+    expect(budgets.openReservations.size).toBe(0);
+    expect(budgets.settlements.every(({ tokens }) => tokens > 0)).toBe(true);
+    expect(budgets.reservations.map(({ isRetained }) => isRetained)).toEqual([false]);
+  });
+
   test('the wait for the record of a budget ends with its turn and leaves no reservation', async () => {
     const time = new clock.ManualClock();
     const full = Array.from({ length: 200 }, () =>
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -322,7 +322,9 @@
       return trueMyth.Result.err(recordMemory.noMemoryFault());
     const recordUsage = (tokens: number, timeoutMs: number): Promise<boolean> =>
       this.recordUsage(call, tokens, timeoutMs);
-    const shared = { tokensPerEvent, budgetRecorded, recordUsage, memory };
+    const { uncoveredTokens } = grant;
+    const onHeld = (): void => this.dependencies.metrics.countHeldTurn();
+    const shared = { tokensPerEvent, budgetRecorded, uncoveredTokens, onHeld, recordUsage, memory };
     if (previous === undefined) return trueMyth.Result.ok({ body: call.body, ...shared });
     const hints = {
       writer: grant.writer,
--- a/packages/gateway/src/StreamCall.test.ts
+++ b/packages/gateway/src/StreamCall.test.ts
@@ -33,13 +33,27 @@
   onReply: (reply: recordedReply.RecordedReply) => void = () => undefined,
 ): Promise<Run> {
   const transport = new scriptedTransport.ScriptedTransport(scripts);
-  const { budgetRecorded, recordUsage = async () => true, ...dependencyChanges } = changes;
+  const {
+    budgetRecorded,
+    onHeld,
+    uncoveredTokens,
+    recordUsage = async () => true,
+    ...dependencyChanges
+  } = changes;
   const dependencies = fixtures.createDependencies(transport, TARGETS, dependencyChanges);
   const reply = new recordedReply.RecordedReply();
   onReply(reply);
   const context = fixtures.createContext(dependencies, route, call);
   const memory = new turnStore.TurnMemory(1_000_000).open();
-  const plan = { body: context.call.body, memory, tokensPerEvent: 20, budgetRecorded, recordUsage };
+  const plan = {
+    body: context.call.body,
+    memory,
+    tokensPerEvent: 20,
+    budgetRecorded,
+    uncoveredTokens,
+    recordUsage,
+    ...(onHeld === undefined ? {} : { onHeld }),
+  };
   const outcome = await new streamCall.StreamCall(dependencies, context, plan, reply).run();
   return { reply, outcome, transport, dependencies };
 }
@@ -373,6 +387,45 @@
     expect(reply.eventIds).toEqual([1, 2]);
   });
 
+  // A program would wait for the log although its home lets it continue without.
+  test('a stream whose whole output fits its allowance ends before the budget is recorded', async () => {
+    const changes = {
+      budgetRecorded: createSignal().promise.then(() => true),
+      uncoveredTokens: 60,
+      onHeld: () => {
+        throw new Error('Output is held back.');
+      },
+    };
+    const scripts = [fixtures.streamEvents([1, 2, 3], 'end')];
+    const { outcome, reply } = await run(scripts, STREAM, {}, changes);
+    expect(reply.eventIds).toEqual([1, 2, 3]);
+    expect(outcome).toEqual({ tokens: 60, isComplete: true, isKept: false });
+  });
+
+  // Output beyond the allowance would exceed the budget if the home is lost.
+  test('output beyond the allowance is held back in order until the budget is recorded', async () => {
+    const { promise: recorded, resolve: record } = createSignal();
+    const idsWhenHeld: (readonly number[])[] = [];
+    let heldReply: recordedReply.RecordedReply | undefined;
+    const changes = {
+      budgetRecorded: recorded.then(() => true),
+      uncoveredTokens: 59,
+      onHeld: () => {
+        setTimeout(() => {
+          idsWhenHeld.push([...heldReply!.eventIds]);
+          record();
+        }, 50);
+      },
+    };
+    const scripts = [fixtures.streamEvents([1, 2, 3, 4], 'end')];
+    const { outcome, reply } = await run(scripts, STREAM, {}, changes, (created) => {
+      heldReply = created;
+    });
+    expect(idsWhenHeld).toEqual([[1, 2]]);
+    expect(reply.eventIds).toEqual([1, 2, 3, 4]);
+    expect(outcome.tokens).toBe(80);
+  });
+
   // All output was received and held for as long as the log did not record the budget.
   test('receives no more while much output waits for the record of the budget', async () => {
     const { promise: recorded, resolve: record } = createSignal();
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -7,6 +7,7 @@
 import * as compactChunks from './CompactChunks.js';
 import type * as crashWatch from './CrashWatch.js';
 import * as eventSplitter from './EventSplitter.js';
+import * as heldOutput from './HeldOutput.js';
 import * as processEnd from './ProcessEnd.js';
 import * as sendFailures from './SendFailures.js';
 import type * as targetSender from './TargetSender.js';
@@ -71,10 +72,14 @@
   readonly tokensPerEvent: number;
   /**
    * Resolves to true when the log covers the turn's reservation, and to false if the call ends
-   * before that. Output is held back until it resolves to true, and is not sent if it resolves to
-   * false. Undefined if the log already covers the reservation, so that nothing is held back.
+   * before that. Output beyond `uncoveredTokens` is held back until it resolves to true, and is not
+   * sent if it resolves to false. Undefined if the log already covers the reservation, so that nothing is held back.
    */
   readonly budgetRecorded: Promise<boolean> | undefined;
+  /** Tokens that may be sent before the log covers the turn. None if undefined. */
+  readonly uncoveredTokens?: number | undefined;
+  /** Called when output is held back for the first time. */
+  readonly onHeld?: () => void;
   /**
    * Records the token usage of a retained turn before the end of its stream is sent, so that a turn
    * that continues it finds the remaining budget. Resolves within `timeoutMs`.
@@ -123,8 +128,7 @@
   /** A response that is not a stream, such as an error. */
   private plainResponse: PlainResponse | undefined;
 
-  /** Steps that wait until the budget is recorded. Undefined if steps run at once. */
-  private deferredSteps: (() => void)[] | undefined;
+  private readonly heldOutput: heldOutput.HeldOutput;
 
   private deferredBytes = 0;
 
@@ -152,7 +156,12 @@
       onNone: () => this.retryFullTargets(),
       onNoTurn: (waitMs) => this.failWithoutTarget(waitMs),
     });
-    if (plan.budgetRecorded !== undefined) this.deferUntil(plan.budgetRecorded);
+    this.heldOutput = new heldOutput.HeldOutput({
+      budgetRecorded: plan.budgetRecorded,
+      uncoveredTokens: plan.uncoveredTokens ?? 0,
+      isFinished: () => this.isFinished,
+      onHeld: plan.onHeld ?? (() => undefined),
+    });
   }
 
   /** Runs the call. Resolves when the reply has ended or the caller has disconnected. */
@@ -249,7 +258,10 @@
       return;
     }
     const events = this.splitter.current.push(chunk);
-    events.forEach((event) => this.whenBudgetRecorded(() => this.forwardEvent(event)));
+    events.forEach((event) => {
+      const tokens = event.data === undefined ? 0 : this.plan.tokensPerEvent;
+      this.heldOutput.run(this.tokensSent + tokens, () => this.forwardEvent(event));
+    });
     if (this.splitter.current.isOversized) {
       this.abandonTarget('An event of the stream is too long.');
       return;
@@ -258,7 +270,8 @@
     // indefinitely.
     if (events.length > 0 && this.target !== undefined && this.pausedExchange === undefined)
       this.startStallTimer(this.target, EVENT_TIMEOUT_MS);
-    this.deferredBytes += chunk.length + events.length * DEFERRED_EVENT_BYTES;
+    if (this.heldOutput.isHolding)
+      this.deferredBytes += chunk.length + events.length * DEFERRED_EVENT_BYTES;
     const ready = this.awaitReceiver();
     if (ready !== undefined) this.pauseUntil(ready);
   }
@@ -268,7 +281,7 @@
    * from the target at once.
    */
   private awaitReceiver(): Promise<unknown> | undefined {
-    const isHeld = this.deferredSteps !== undefined && this.deferredBytes > MAXIMUM_DEFERRED_BYTES;
+    const isHeld = this.heldOutput.isHolding && this.deferredBytes > MAXIMUM_DEFERRED_BYTES;
     return isHeld ? this.plan.budgetRecorded : this.reply.awaitReader();
   }
 
@@ -312,25 +325,10 @@
     this.reply.write(event.bytes);
   }
 
-  private deferUntil(budgetRecorded: Promise<boolean>): void {
-    const steps: (() => void)[] = [];
-    this.deferredSteps = steps;
-    budgetRecorded.then((isRecorded) => {
-      if (!isRecorded || this.isFinished) return;
-      this.deferredSteps = undefined;
-      steps.forEach((step) => step());
-    });
-  }
-
-  private whenBudgetRecorded(step: () => void): void {
-    if (this.deferredSteps === undefined) step();
-    else this.deferredSteps.push(step);
-  }
-
   private onEnd(): void {
     if (this.isFinished) return;
     this.stallTimer?.cancel();
-    this.whenBudgetRecorded(() => this.finishStream());
+    this.heldOutput.run(this.tokensSent, () => this.finishStream());
   }
 
   private finishStream(): void {
--- a/packages/gateway/src/testing/RecordedBudgets.ts
+++ b/packages/gateway/src/testing/RecordedBudgets.ts
@@ -8,6 +8,9 @@
   /** Ids of the turns with an unsettled reservation. */
   public readonly openReservations = new Set<string>();
 
+  /** The requests to reserve tokens, in order. */
+  public readonly reservations: programBudgets.Reservation[] = [];
+
   public readonly settlements: programBudgets.Settlement[] = [];
 
   public coverCount = 0;
@@ -24,12 +27,13 @@
 
   /** @inheritdoc */
   public async reserve(
-    { call }: programBudgets.Reservation,
+    reservation: programBudgets.Reservation,
     timeoutMs: clock.Milliseconds,
   ): Promise<trueMyth.Result<programBudgets.Grant, errors.Fault>> {
+    this.reservations.push(reservation);
     this.timeoutsMs.push(timeoutMs);
     const granted = await this.respondToReserve();
-    if (granted.isOk) this.openReservations.add(call);
+    if (granted.isOk) this.openReservations.add(reservation.call);
     return granted;
   }
 
--- a/packages/gateway/src/testing/gatewayStandIns.ts
+++ b/packages/gateway/src/testing/gatewayStandIns.ts
@@ -16,6 +16,7 @@
   observeCall: () => undefined,
   observeProgram: () => undefined,
   countRefusal: () => undefined,
+  countHeldTurn: () => undefined,
   countAdmission: () => undefined,
   observeLogCall: () => undefined,
   gauge: () => undefined,
--- a/packages/metrics/src/Types.ts
+++ b/packages/metrics/src/Types.ts
@@ -19,6 +19,8 @@
   observeCall(route: string, workspace: string, outcome: CallOutcome, durationMs: number): void;
   observeProgram(route: string, durationMs: number): void;
   countRefusal(kind: string): void;
+  /** Counts a turn whose output was held back until its budget was recorded. */
+  countHeldTurn(): void;
   countAdmission(workspace: string, answer: 'admitted' | 'refused'): void;
   /** Records a call to the platform's log, by kind of call, topic and outcome. */
   observeLogCall(call: LogCallMeasurement): void;
--- a/packages/metrics/src/VmMetrics.ts
+++ b/packages/metrics/src/VmMetrics.ts
@@ -65,6 +65,12 @@
     'kind',
   ]);
 
+  private readonly heldTurnsTotal = this.counter(
+    'limpettack_held_turns_total',
+    'Turns whose output was held back until their budget was recorded.',
+    [],
+  );
+
   private readonly admissionsTotal = this.counter(
     'limpettack_admissions_total',
     'Answers of the limits by workspace.',
@@ -125,6 +131,11 @@
     this.refusalsTotal.inc({ kind });
   }
 
+  /** @inheritdoc */
+  public countHeldTurn(): void {
+    this.heldTurnsTotal.inc();
+  }
+
   /** @inheritdoc */
   public countAdmission(workspace: string, answer: 'admitted' | 'refused'): void {
     this.admissionsTotal.inc({ workspace: this.workspaceLabel(workspace), answer });
--- a/packages/program-budgets/src/HomeClient.test.ts
+++ b/packages/program-budgets/src/HomeClient.test.ts
@@ -1,5 +1,6 @@
 import * as jestGlobals from '@jest/globals';
 import * as clock from '@limpettack/clock';
+import * as keyedLog from '@limpettack/keyed-log';
 import * as homeFixtures from './testing/homeFixtures.js';
 import type { Reservation } from './Types.js';
 
@@ -11,8 +12,11 @@
   await Promise.all(fleets.splice(0).map((fleet) => fleet.dispose()));
 });
 
-async function createFleet(count: number): Promise<homeFixtures.HomeFleet> {
-  const fleet = await homeFixtures.createHomeFleet(count);
+async function createFleet(
+  count: number,
+  programsContinueDuringOutages = false,
+): Promise<homeFixtures.HomeFleet> {
+  const fleet = await homeFixtures.createHomeFleet(count, programsContinueDuringOutages);
   fleets.push(fleet);
   return fleet;
 }
@@ -39,6 +43,36 @@
     expect(result.isOk).toBe(true);
   });
 
+  // The allowances of sub-agents at several VMs would add up to more than one turn.
+  test('turns of one program at several VMs share one allowance during an outage', async () => {
+    const fleet = await createFleet(3, true);
+    const program = fleet.programOwnedBy(0);
+    await fleet.servers[0]!.settle({ program, call: 'none', tokens: 0, isKept: false }, 'here');
+    fleet.log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
+    const allowances = await Promise.all(
+      fleet.clients.map(async (client, vm) => {
+        const request = { ...reservation(program, `call-${vm}`), isRetained: false };
+        const granted = await client.reserve(request);
+        return granted.isOk ? (granted.value.uncoveredTokens ?? 0) : undefined;
+      }),
+    );
+    expect(allowances.toSorted()).toEqual([0, 0, reservation(program, '').mostTokens]);
+  });
+
+  // The owner and a home that serves on insistence would each let the program exceed its record.
+  test('a home that serves although another VM is the owner grants no allowance', async () => {
+    const fleet = await createFleet(2, true);
+    const program = fleet.programOwnedBy(0);
+    const request = { ...reservation(program, 'a'), isRetained: false };
+    await fleet.servers[1]!.reserve(request, true);
+    fleet.log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
+    const granted = await fleet.servers[1]!.reserve(
+      { ...request, call: 'b', mostTokens: 300 },
+      true,
+    );
+    expect(granted.unwrapOr(undefined)).toEqual({ isCovered: false });
+  });
+
   test('tries no further home after the timeout of the request', async () => {
     const time = new clock.ManualClock();
     const { requestedMethods, client } = homeFixtures.createUnresponsiveClient(time);
--- a/packages/program-budgets/src/HomePartition.ts
+++ b/packages/program-budgets/src/HomePartition.ts
@@ -25,6 +25,12 @@
 /** Pause between two attempts to write or to load. */
 const RETRY_INTERVAL_MS = 100;
 
+/**
+ * How long a released partition tries to record output that was delivered without a record. Exceeds
+ * the outages of the log that have been observed (5 to 7 s).
+ */
+const FINAL_WRITES_MS = 10_000;
+
 /** Idle time after which a program is removed from the log. Exceeds any configured retention. */
 const IDLE_PROGRAM_MS = 600_000;
 
@@ -91,6 +97,13 @@
 
   private isClosed = false;
 
+  private isDisposed = false;
+
+  /** When a released partition stops to write. Undefined until the partition is released. */
+  private finalWritesEnd: clock.Milliseconds | undefined;
+
+  private finalWritesTimer: clock.Timer | undefined;
+
   /** Number of times that the producer name was changed after a conflict. */
   private producerGeneration = 0;
 
@@ -122,9 +135,14 @@
     account.reserve(call, mostTokens, time.now());
     account.plan = chooseWatermark.choosePlan(reservation, programsContinueDuringOutages);
     this.raiseWatermark(reservation, account);
-    const { isCovered } = account;
+    const { isCovered, plan } = account;
     const writer = previousTurn === undefined ? undefined : account.writerOf(previousTurn);
-    return trueMyth.Result.ok(writer === undefined ? { isCovered } : { isCovered, writer });
+    const allowance = !isCovered && plan.allowsUncovered ? account.allowUncovered(call) : 0;
+    return trueMyth.Result.ok({
+      isCovered,
+      ...(writer === undefined ? {} : { writer }),
+      ...(allowance > 0 ? { uncoveredTokens: allowance } : {}),
+    });
   }
 
   /** Waits up to `WRITE_TIMEOUT_MS` until the watermark in the log covers a reserved turn. */
@@ -186,6 +204,7 @@
   public async release(): Promise<void> {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.finalWritesEnd = this.options.clock.now() + FINAL_WRITES_MS;
     this.loweringTimer?.cancel();
     if (this.endOffset === undefined) return;
     this.accounts.forEach((account, program) => {
@@ -224,7 +243,9 @@
   /** Stops all writes. The next owner charges the programs according to the records in the log. */
   public dispose(): void {
     this.isClosed = true;
+    this.isDisposed = true;
     this.loweringTimer?.cancel();
+    this.finalWritesTimer?.cancel();
   }
 
   private accountOf(program: string): programAccount.ProgramAccount {
@@ -261,11 +282,29 @@
       await this.writeBatch();
     } catch (error) {
       this.logException(error);
-      if (this.isClosed) this.requested.clear();
+      if (this.isClosed) this.endWrites();
       else await this.options.clock.sleep(RETRY_INTERVAL_MS);
     }
   }
 
+  /**
+   * Drops the requested writes of a released partition, except for programs with output that was
+   * delivered without a record: they are tried again after a pause. No request waits for them.
+   */
+  private endWrites(): void {
+    const { clock: time } = this.options;
+    const uncovered = [...this.requested].filter(
+      ([program]) => (this.accounts.get(program)?.uncoveredTokens ?? 0) > 0,
+    );
+    this.requested.clear();
+    if (this.isDisposed || uncovered.length === 0 || time.now() > (this.finalWritesEnd ?? 0))
+      return;
+    this.finalWritesTimer = time.startTimer(RETRY_INTERVAL_MS, () => {
+      uncovered.forEach(([program, watermark]) => this.requested.set(program, watermark));
+      if (!this.isWriting) this.write();
+    });
+  }
+
   /** Appends records. An append that throws may have taken effect. */
   private async append(
     records: readonly keyedLog.KeyedRecord[],
@@ -311,7 +350,7 @@
       this.uncertainBatch = batch;
     }
     const isRead = isSuperseded(kind) && (await this.reloadAfterConflict());
-    if (this.isClosed) this.requested.clear();
+    if (this.isClosed) this.endWrites();
     else if (!isRead) await this.options.clock.sleep(RETRY_INTERVAL_MS);
   }
 
@@ -413,8 +452,12 @@
       known.noteOwnRecordRead(record.watermark);
       return;
     }
-    this.accounts.set(key, new programAccount.ProgramAccount(record, time.now()));
+    const account = new programAccount.ProgramAccount(record, time.now());
+    this.accounts.set(key, account);
     this.requested.delete(key);
+    if (known === undefined || known.uncoveredTokens === 0) return;
+    account.chargeUncovered(known);
+    this.requested.set(key, account.committedTokens);
   }
 
   private get producer(): string {
--- a/packages/program-budgets/src/ProgramAccount.ts
+++ b/packages/program-budgets/src/ProgramAccount.ts
@@ -1,5 +1,7 @@
 import type * as clock from '@limpettack/clock';
+import * as chooseAllowance from './chooseAllowance.js';
 import * as chooseWatermark from './chooseWatermark.js';
+import * as recordCoverage from './RecordCoverage.js';
 import type * as watermarkRecord from './watermarkRecord.js';
 
 /** A turn that is not settled within this time is charged for all its reserved tokens. */
@@ -51,6 +53,18 @@
   /** Unused tokens of listed turns that were settled since the latest record was created. */
   private freedSinceRecord = 0;
 
+  /** The coverage by the record in the log. */
+  private loggedRecord: recordCoverage.RecordCoverage;
+
+  /** The coverage by the latest created record, which the log may hold. */
+  private possibleRecord: recordCoverage.RecordCoverage | undefined;
+
+  /** The smallest maximum of any turn. */
+  private smallestTurnTokens = Number.POSITIVE_INFINITY;
+
+  /** Upper bound of the tokens that turns were allowed to deliver beyond the certain ones. */
+  private allowedUncovered = 0;
+
   private usedAt: clock.Milliseconds;
 
   public constructor({ open, watermark }: LoggedAccount, now: clock.Milliseconds) {
@@ -65,6 +79,7 @@
     this.spentTokens = Math.max(0, watermark - this.reservedTokens);
     this.loggedWatermark = watermark;
     this.coveredTokens = watermark;
+    this.loggedRecord = this.createCoverage(watermark);
     this.usedAt = now;
   }
 
@@ -83,6 +98,20 @@
     return this.coveredTokens;
   }
 
+  /** Upper bound of the tokens that were delivered and that the log may not cover. */
+  public get uncoveredTokens(): number {
+    const uncovered = this.committedTokens - this.certainTokens;
+    return Math.max(0, Math.min(uncovered, this.allowedUncovered));
+  }
+
+  /**
+   * Tokens that the log is certain to cover. Unlike `grantableTokens`, it does not deduct what a
+   * settled turn has freed from a record that does not list the turn.
+   */
+  private get certainTokens(): number {
+    return Math.min(this.loggedRecord.tokens, this.possibleRecord?.tokens ?? Infinity);
+  }
+
   /** When the account was last used. */
   public get lastUsedAt(): clock.Milliseconds {
     return this.usedAt;
@@ -124,12 +153,37 @@
   /** Reserves tokens for a turn. Replaces an earlier reservation of the same turn. */
   public reserve(call: string, tokens: number, now: clock.Milliseconds): void {
     this.usedAt = now;
+    this.smallestTurnTokens = Math.min(this.smallestTurnTokens, tokens);
     const earlier = this.reservations.get(call);
     this.reservedTokens += tokens - (earlier?.tokens ?? 0);
     const isListed = earlier?.isListed ?? false;
     this.reservations.set(call, { tokens, expiresAt: now + RESERVATION_TIMEOUT_MS, isListed });
   }
 
+  /** Returns how many tokens of a reserved turn may be delivered before the log covers it. */
+  public allowUncovered(call: string): number {
+    const { certainTokens, smallestTurnTokens } = this;
+    const turnTokens = this.reservations.get(call)?.tokens ?? 0;
+    const otherTokens = this.committedTokens - turnTokens;
+    const input = { certainTokens, smallestTurnTokens, otherTokens, turnTokens };
+    const allowance = chooseAllowance.chooseAllowance(input);
+    if (allowance > 0) {
+      const uncovered = otherTokens + allowance - certainTokens;
+      this.allowedUncovered = Math.max(this.allowedUncovered, uncovered);
+    }
+    return allowance;
+  }
+
+  /**
+   * Charges what this home may have delivered without a record under a former account, which the
+   * record of another home has replaced.
+   */
+  public chargeUncovered(former: ProgramAccount): void {
+    this.spentTokens += former.uncoveredTokens;
+    this.allowedUncovered = former.uncoveredTokens;
+    this.smallestTurnTokens = former.smallestTurnTokens;
+  }
+
   /** Whether tokens are reserved for a turn. */
   public hasReserved(call: string): boolean {
     return this.reservations.has(call);
@@ -143,12 +197,14 @@
     this.reservations.delete(call);
     this.reservedTokens -= reservation.tokens;
     this.spentTokens += tokens;
+    const unused = Math.max(0, reservation.tokens - tokens);
+    this.loggedRecord.settle(call, unused);
+    this.possibleRecord?.settle(call, unused);
     if (!reservation.isListed) return;
     // Another home may free the same tokens according to the record in the log. They must not be
     // granted again before a new record is written.
-    const freed = Math.max(0, reservation.tokens - tokens);
-    this.coveredTokens -= freed;
-    this.freedSinceRecord += freed;
+    this.coveredTokens -= unused;
+    this.freedSinceRecord += unused;
   }
 
   /** Creates the log record for a requested watermark; it covers at least the committed tokens. */
@@ -158,12 +214,16 @@
       reservation.isListed = true;
       return { call, tokens: reservation.tokens };
     });
-    return { watermark: Math.max(watermark, this.committedTokens), open };
+    const record = { watermark: Math.max(watermark, this.committedTokens), open };
+    this.possibleRecord = this.createCoverage(record.watermark);
+    return record;
   }
 
   /** Records that from now on the log may hold a lower watermark. */
   public noteLowerWatermark(watermark: number): void {
     this.coveredTokens = Math.min(this.coveredTokens, watermark);
+    this.loggedRecord.limit(watermark);
+    this.possibleRecord?.limit(watermark);
   }
 
   /**
@@ -173,6 +233,10 @@
   public noteWritten(watermark: number, next: number = watermark): void {
     this.loggedWatermark = watermark;
     this.coveredTokens = Math.min(watermark - this.freedSinceRecord, next);
+    this.loggedRecord = this.possibleRecord ?? this.loggedRecord;
+    this.loggedRecord.limit(Math.min(watermark, next));
+    this.possibleRecord = undefined;
+    if (this.committedTokens <= this.certainTokens) this.allowedUncovered = 0;
   }
 
   /** Records that a read of the log found one of this home's own records. */
@@ -193,6 +257,10 @@
     return this.writers.get(turn);
   }
 
+  private createCoverage(watermark: number): recordCoverage.RecordCoverage {
+    return new recordCoverage.RecordCoverage(watermark, new Set(this.reservations.keys()));
+  }
+
   /** Charges all tokens of expired reservations. */
   private expireReservations(now: clock.Milliseconds): void {
     const expired = [...this.reservations].filter(([, { expiresAt }]) => expiresAt <= now);
--- a/packages/program-budgets/src/Types.ts
+++ b/packages/program-budgets/src/Types.ts
@@ -21,6 +21,11 @@
 export interface Grant {
   /** Whether the watermark in the log covers the turn, so that its tokens may be sent at once. */
   readonly isCovered: boolean;
+  /**
+   * Tokens of a turn that may be sent before the watermark covers it. Omitted if none may, and by
+   * homes of earlier releases.
+   */
+  readonly uncoveredTokens?: number | undefined;
   /** Address of the process that wrote the previous turn, if the home knows it. */
   readonly writer?: string | undefined;
 }
--- a/packages/program-budgets/src/chooseWatermark.ts
+++ b/packages/program-budgets/src/chooseWatermark.ts
@@ -9,6 +9,8 @@
   readonly turnsAhead: number;
   /** Idle time after which the watermark is lowered to the tokens that the program has used. */
   readonly loweringDelayMs: clock.Milliseconds;
+  /** Whether turns may deliver some output before the watermark covers them. */
+  readonly allowsUncovered: boolean;
 }
 
 /**
@@ -19,6 +21,7 @@
   minimumTurnsAhead: 1,
   turnsAhead: 1,
   loweringDelayMs: 300,
+  allowsUncovered: false,
 };
 
 /**
@@ -31,6 +34,7 @@
   minimumTurnsAhead: 2,
   turnsAhead: 4,
   loweringDelayMs: 2_000,
+  allowsUncovered: true,
 };
 
 /** Chooses the plan for a turn. A VM of an earlier release does not state `isRetained`. */
--- a/packages/program-budgets/src/messages.ts
+++ b/packages/program-budgets/src/messages.ts
@@ -16,7 +16,11 @@
   isInsisting: zod.boolean(),
 });
 
-const RESERVE_RESPONSE = zod.object({ isCovered: zod.boolean(), writer: zod.string().optional() });
+const RESERVE_RESPONSE = zod.object({
+  isCovered: zod.boolean(),
+  writer: zod.string().optional(),
+  uncoveredTokens: zod.number().nonnegative().optional(),
+});
 
 const COVER_RESPONSE = zod.object({ isCovered: zod.boolean() });
 
--- a/packages/program-budgets/src/testing/homeFixtures.ts
+++ b/packages/program-budgets/src/testing/homeFixtures.ts
@@ -27,6 +27,38 @@
   return new keyedLogTesting.MemoryKeyedLog();
 }
 
+/** Time after which a call to a silent log is given up. */
+const SILENCE_TIMEOUT_MS = 1_000;
+
+/** A log that does not respond to appends while it is silent, and counts the stored records. */
+class SilentLog extends keyedLogTesting.MemoryKeyedLog {
+  public recordCount = 0;
+
+  public constructor(
+    private readonly time: clock.Clock,
+    private readonly isSilent: () => boolean,
+  ) {
+    super();
+  }
+
+  /** @inheritdoc */
+  public override async append(
+    ...call: Parameters<keyedLog.KeyedLog['append']>
+  ): Promise<keyedLog.LogResult<keyedLog.AppendReceipt>> {
+    if (this.isSilent()) {
+      await this.time.sleep(SILENCE_TIMEOUT_MS);
+      const kind = keyedLog.LOG_FAILURES.LOST;
+      return trueMyth.Result.err({ kind, message: 'no response' });
+    }
+    this.recordCount += call[1].length;
+    return super.append(...call);
+  }
+}
+
+export function createSilentLog(time: clock.Clock, isSilent: () => boolean): SilentLog {
+  return new SilentLog(time, isSilent);
+}
+
 export function createPartition(options: {
   readonly log: keyedLog.KeyedLog;
   readonly producer: string;
@@ -100,6 +132,7 @@
 
 /** Home servers and their clients, connected over real network links. */
 export interface HomeFleet extends lifetime.Disposable {
+  readonly log: keyedLogTesting.MemoryKeyedLog;
   readonly networks: readonly wire.FleetNetwork[];
   readonly servers: readonly homeServer.HomeServer[];
   readonly clients: readonly homeClient.HomeClient[];
@@ -154,7 +187,10 @@
   });
 }
 
-export async function createHomeFleet(count: number): Promise<HomeFleet> {
+export async function createHomeFleet(
+  count: number,
+  programsContinueDuringOutages = false,
+): Promise<HomeFleet> {
   const log = createLog();
   const time = new clock.SystemClock();
   const logger = new logging.PartLogger('homes');
@@ -184,6 +220,7 @@
     logger,
     partitionCount: PARTITION_COUNT,
     producer: `vm-${vm}`,
+    programsContinueDuringOutages,
   });
   const servers = networks.map((_, vm) => new homeServer.HomeServer(createSharedOptions(vm)));
   const clients = servers.map(
@@ -200,6 +237,7 @@
     }
   };
   return {
+    log,
     networks,
     servers,
     clients,
