Program budgets: test the coverage by an uncertain record

Cause: no test failed when ProgramAccount ignored the uncertain record.

Change: a test in ProgramAccount.test.ts. It fails for each of the two mutations that ignore the record or what settled turns free from it.

--- a/packages/program-budgets/src/ProgramAccount.test.ts
+++ b/packages/program-budgets/src/ProgramAccount.test.ts
@@ -35,6 +35,19 @@
     },
   );
 
+  // The log may already hold the uncertain record, from which another home frees more.
+  test('a turn that an uncertain record lists is not counted as covered by it', () => {
+    const account = createAccount();
+    account.createRecord(300);
+    account.noteWritten(300);
+    reserve(account, 'a');
+    account.createRecord(320);
+    account.settle('a', 10, 0);
+    ['b', 'c', 'd', 'e'].forEach((call) => reserve(account, call));
+    // The uncertain record covers 320 - 90 tokens; 310 are used or reserved by other turns.
+    expect(account.allowUncovered('e')).toBe(20);
+  });
+
   // The output would be forgotten when the record of another home replaces the account.
   test('output without a record is charged to the account that replaces a former one', () => {
     const former = createAccount();
