--- a/packages/program-budgets/src/HomePartition.ts
+++ b/packages/program-budgets/src/HomePartition.ts
@@ -4,6 +4,7 @@
 import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
+import * as chooseWatermark from './chooseWatermark.js';
 import * as conditionWaiters from './ConditionWaiters.js';
 import * as programAccount from './ProgramAccount.js';
 import * as watermarkRecord from './watermarkRecord.js';
@@ -12,15 +13,8 @@
 /** The topic that stores the watermarks of programs. */
 const TOPIC = 'programs';
 
-/**
- * Number of further turns that a raised watermark covers. A larger number saves appends, but if the
- * home is lost, all tokens up to the watermark are treated as used, so programs with small budgets
- * would end early.
- */
-const TURNS_AHEAD = 1;
-
-/** Idle time after which a program's watermark is lowered to the tokens it has used. */
-const LOWERING_DELAY_MS = 300;
+/** Interval at which programs whose watermark may be lowered are checked. */
+const LOWERING_INTERVAL_MS = chooseWatermark.SHORT_PLAN.loweringDelayMs;
 
 /** Maximum time that one request waits for a watermark to be written. */
 const WRITE_TIMEOUT_MS = 1_000;
@@ -31,6 +25,12 @@
 /** Pause between two attempts to write or to load. */
 const RETRY_INTERVAL_MS = 100;
 
+/**
+ * How long a released partition tries to record output that was delivered without a record. Exceeds
+ * the outages of the log that have been observed (5 to 7 s).
+ */
+const FINAL_WRITES_MS = 10_000;
+
 /** Idle time after which a program is removed from the log. Exceeds any configured retention. */
 const IDLE_PROGRAM_MS = 600_000;
 
@@ -52,6 +52,11 @@
    * Asks former owners to lower their watermarks to the used tokens and to release the partition.
    */
   readonly requestRelease: () => Promise<void>;
+  /**
+   * Whether programs whose turns are not retained continue while the log is unavailable, as far as
+   * their watermarks allow.
+   */
+  readonly programsContinueDuringOutages?: boolean;
 }
 
 /** A record of an append that is in progress. */
@@ -92,6 +97,13 @@
 
   private isClosed = false;
 
+  private isDisposed = false;
+
+  /** When a released partition stops to write. Undefined until the partition is released. */
+  private finalWritesEnd: clock.Milliseconds | undefined;
+
+  private finalWritesTimer: clock.Timer | undefined;
+
   /** Number of times that the producer name was changed after a conflict. */
   private producerGeneration = 0;
 
@@ -105,8 +117,8 @@
   }
 
   /**
-   * Reserves tokens and, if needed, requests a higher watermark that covers them and
-   * `TURNS_AHEAD` more turns. Faults: `budget-exhausted`, `log-unavailable`, `not-owner`, and
+   * Reserves tokens and, if needed, requests a higher watermark that covers them and further turns
+   * according to the plan of the turn. Faults: `budget-exhausted`, `log-unavailable`, `not-owner`, and
    * `home-unavailable` for a program whose id is too long for the log.
    */
   public async reserve(reservation: Reservation): Promise<trueMyth.Result<Grant, errors.Fault>> {
@@ -115,15 +127,22 @@
     if (!(await this.awaitLoaded())) return trueMyth.Result.err(createUnavailableFault());
     if (this.isClosed) return trueMyth.Result.err(errors.createFault('not-owner'));
     const { budgetTokens, call, mostTokens, previousTurn, program } = reservation;
+    const { programsContinueDuringOutages = false } = this.options;
     const account = this.accountOf(program);
     if (!account.allows(call, mostTokens, budgetTokens, time.now())) {
       return trueMyth.Result.err(this.refuseExhaustedBudget(reservation, account));
     }
     account.reserve(call, mostTokens, time.now());
-    this.raiseWatermark(program, account, mostTokens, budgetTokens);
-    const { isCovered } = account;
+    account.plan = chooseWatermark.choosePlan(reservation, programsContinueDuringOutages);
+    this.raiseWatermark(reservation, account);
+    const { isCovered, plan } = account;
     const writer = previousTurn === undefined ? undefined : account.writerOf(previousTurn);
-    return trueMyth.Result.ok(writer === undefined ? { isCovered } : { isCovered, writer });
+    const allowance = !isCovered && plan.allowsUncovered ? account.allowUncovered(call) : 0;
+    return trueMyth.Result.ok({
+      isCovered,
+      ...(writer === undefined ? {} : { writer }),
+      ...(allowance > 0 ? { uncoveredTokens: allowance } : {}),
+    });
   }
 
   /** Waits up to `WRITE_TIMEOUT_MS` until the watermark in the log covers a reserved turn. */
@@ -185,6 +204,7 @@
   public async release(): Promise<void> {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.finalWritesEnd = this.options.clock.now() + FINAL_WRITES_MS;
     this.loweringTimer?.cancel();
     if (this.endOffset === undefined) return;
     this.accounts.forEach((account, program) => {
@@ -197,7 +217,7 @@
 
   private scheduleLowering(program: string): void {
     this.loweringCandidates.add(program);
-    this.loweringTimer ??= this.options.clock.startTimer(LOWERING_DELAY_MS, () => {
+    this.loweringTimer ??= this.options.clock.startTimer(LOWERING_INTERVAL_MS, () => {
       this.loweringTimer = undefined;
       this.lowerIdleWatermarks();
     });
@@ -208,10 +228,10 @@
    * used.
    */
   private lowerIdleWatermarks(): void {
-    const idleSince = this.options.clock.now() - LOWERING_DELAY_MS;
+    const now = this.options.clock.now();
     [...this.loweringCandidates].forEach((program) => {
       const account = this.accounts.get(program);
-      if (account?.hasSurplus && account.lastUsedAt > idleSince) {
+      if (account?.hasSurplus && account.lastUsedAt > now - account.plan.loweringDelayMs) {
         this.scheduleLowering(program);
         return;
       }
@@ -223,7 +243,9 @@
   /** Stops all writes. The next owner charges the programs according to the records in the log. */
   public dispose(): void {
     this.isClosed = true;
+    this.isDisposed = true;
     this.loweringTimer?.cancel();
+    this.finalWritesTimer?.cancel();
   }
 
   private accountOf(program: string): programAccount.ProgramAccount {
@@ -238,20 +260,13 @@
   }
 
   private raiseWatermark(
-    program: string,
+    { budgetTokens, mostTokens: turnTokens, program }: Reservation,
     account: programAccount.ProgramAccount,
-    turnTokens: number,
-    budgetTokens: number,
   ): void {
-    if (account.committedTokens + turnTokens <= account.grantableTokens) return;
-    const desired = account.committedTokens + TURNS_AHEAD * turnTokens;
-    // Caps the watermark so that one more turn fits into the budget: after a move, the next owner
-    // treats all tokens up to the watermark as used.
-    const watermark = Math.max(
-      account.committedTokens,
-      Math.min(desired, budgetTokens - turnTokens),
-    );
-    if (watermark <= account.grantableTokens) return;
+    const { committedTokens, grantableTokens: coveredTokens, plan } = account;
+    const input = { budgetTokens, committedTokens, coveredTokens, turnTokens };
+    const watermark = chooseWatermark.chooseWatermark(input, plan);
+    if (watermark === undefined) return;
     this.requestWatermark(program, Math.max(watermark, this.requested.get(program) ?? 0));
   }
 
@@ -267,11 +282,29 @@
       await this.writeBatch();
     } catch (error) {
       this.logException(error);
-      if (this.isClosed) this.requested.clear();
+      if (this.isClosed) this.endWrites();
       else await this.options.clock.sleep(RETRY_INTERVAL_MS);
     }
   }
 
+  /**
+   * Drops the requested writes of a released partition, except for programs with output that was
+   * delivered without a record: they are tried again after a pause. No request waits for them.
+   */
+  private endWrites(): void {
+    const { clock: time } = this.options;
+    const uncovered = [...this.requested].filter(
+      ([program]) => (this.accounts.get(program)?.uncoveredTokens ?? 0) > 0,
+    );
+    this.requested.clear();
+    if (this.isDisposed || uncovered.length === 0 || time.now() > (this.finalWritesEnd ?? 0))
+      return;
+    this.finalWritesTimer = time.startTimer(RETRY_INTERVAL_MS, () => {
+      uncovered.forEach(([program, watermark]) => this.requested.set(program, watermark));
+      if (!this.isWriting) this.write();
+    });
+  }
+
   /** Appends records. An append that throws may have taken effect. */
   private async append(
     records: readonly keyedLog.KeyedRecord[],
@@ -317,7 +350,7 @@
       this.uncertainBatch = batch;
     }
     const isRead = isSuperseded(kind) && (await this.reloadAfterConflict());
-    if (this.isClosed) this.requested.clear();
+    if (this.isClosed) this.endWrites();
     else if (!isRead) await this.options.clock.sleep(RETRY_INTERVAL_MS);
   }
 
@@ -419,8 +452,12 @@
       known.noteOwnRecordRead(record.watermark);
       return;
     }
-    this.accounts.set(key, new programAccount.ProgramAccount(record, time.now()));
+    const account = new programAccount.ProgramAccount(record, time.now());
+    this.accounts.set(key, account);
     this.requested.delete(key);
+    if (known === undefined || known.uncoveredTokens === 0) return;
+    account.chargeUncovered(known);
+    this.requested.set(key, account.committedTokens);
   }
 
   private get producer(): string {
--- a/packages/program-budgets/src/Types.ts
+++ b/packages/program-budgets/src/Types.ts
@@ -13,12 +13,19 @@
   readonly mostTokens: number;
   /** The turn whose history the new turn continues. */
   readonly previousTurn?: string | undefined;
+  /** Whether the turn's route retains turns. VMs of earlier releases omit it. */
+  readonly isRetained?: boolean | undefined;
 }
 
 /** The home's response to a granted reservation. */
 export interface Grant {
   /** Whether the watermark in the log covers the turn, so that its tokens may be sent at once. */
   readonly isCovered: boolean;
+  /**
+   * Tokens of a turn that may be sent before the watermark covers it. Omitted if none may, and by
+   * homes of earlier releases.
+   */
+  readonly uncoveredTokens?: number | undefined;
   /** Address of the process that wrote the previous turn, if the home knows it. */
   readonly writer?: string | undefined;
 }
--- a/packages/program-budgets/src/messages.ts
+++ b/packages/program-budgets/src/messages.ts
@@ -7,6 +7,8 @@
   budgetTokens: zod.number(),
   mostTokens: zod.number(),
   previousTurn: zod.string().optional(),
+  /** VMs of earlier releases omit it. Their turns are treated as retained. */
+  isRetained: zod.boolean().optional(),
 });
 
 const RESERVE_REQUEST = RESERVATION.extend({
@@ -14,7 +16,11 @@
   isInsisting: zod.boolean(),
 });
 
-const RESERVE_RESPONSE = zod.object({ isCovered: zod.boolean(), writer: zod.string().optional() });
+const RESERVE_RESPONSE = zod.object({
+  isCovered: zod.boolean(),
+  writer: zod.string().optional(),
+  uncoveredTokens: zod.number().nonnegative().optional(),
+});
 
 const COVER_RESPONSE = zod.object({ isCovered: zod.boolean() });
 
