--- a/packages/targets/src/exchange.ts
+++ b/packages/targets/src/exchange.ts
@@ -4,6 +4,7 @@
 import type { ServiceResponse, TargetResult } from './Types.js';
 import * as failures from './failures.js';
 import * as headers from './headers.js';
+import * as isDelimited from './isDelimited.js';
 import * as connections from './TargetConnection.js';
 import * as targetFailures from './TargetFailures.js';
 
@@ -93,8 +94,7 @@
   response: undici.Dispatcher.ResponseData,
 ): boolean {
   if (request.method === 'HEAD' || BODILESS_STATUSES.has(response.statusCode)) return true;
-  const fields = response.headers;
-  return fields['content-length'] !== undefined || fields['transfer-encoding'] !== undefined;
+  return isDelimited.isDelimited(response.headers);
 }
 
 function closeAndFail(
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -10,3 +10,4 @@
 export * from './MemoryReleaser.js';
 export * from './PoolTargetDirectory.js';
 export * from './RetryBudget.js';
+export * from './isDelimited.js';
