Targets: never pause the response of an event stream

Cause: the HTTP client throws in its socket listeners if a connection ends with a paused response after which it would not have been kept. A response was paused when more than 64 KiB of its events were unread. A reset then caused uncaught exceptions, and the stream stalled until its time limit.

--- a/packages/targets/src/EventStream.ts
+++ b/packages/targets/src/EventStream.ts
@@ -1,4 +1,5 @@
 import * as clock from '@limpettack/clock';
+import * as responseBodies from './ResponseBody.js';
 import * as eventParsers from './ServerSentEventParser.js';
 import * as connections from './TargetConnection.js';
 
@@ -51,7 +52,7 @@
 
   private readonly parsedEvents: eventParsers.ServerSentEvent[] = [];
 
-  private bodyIterator: AsyncIterator<Buffer> | undefined;
+  private body: responseBodies.ResponseBody | undefined;
 
   /** Cancels the current step; undefined while there is none. */
   private cancelStep: (() => void) | undefined;
@@ -129,7 +130,7 @@
 
   private async receiveHead(request: connections.TargetRequest): Promise<ResponseHeadStep> {
     const response = await this.connection.send(request);
-    this.bodyIterator = (response.body as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
+    this.body = new responseBodies.ResponseBody(response.body);
     return { kind: ANSWERED, status: response.statusCode };
   }
 
@@ -137,11 +138,9 @@
     for (;;) {
       const event = this.parsedEvents.shift();
       if (event) return { kind: EVENT, event };
-      const piece = await this.bodyIterator?.next();
-      if (!piece || piece.done) return { kind: ENDED };
-      this.parsedEvents.push(
-        ...this.parser.push(this.decoder.decode(piece.value, { stream: true })),
-      );
+      const piece = await this.body?.next();
+      if (!piece) return { kind: ENDED };
+      this.parsedEvents.push(...this.parser.push(this.decoder.decode(piece, { stream: true })));
       if (this.parser.bufferedLength > MAXIMUM_EVENT_LENGTH) return { kind: BROKEN };
     }
   }
@@ -149,9 +148,9 @@
   private async readErrorText(): Promise<string> {
     let text = '';
     for (;;) {
-      const piece = await this.bodyIterator?.next();
-      if (!piece || piece.done || text.length > ERROR_TEXT_LIMIT) return text;
-      text += this.decoder.decode(piece.value, { stream: true });
+      const piece = await this.body?.next();
+      if (!piece || text.length > ERROR_TEXT_LIMIT) return text;
+      text += this.decoder.decode(piece, { stream: true });
     }
   }
 }
