Read scheduler: bound what is dropped of a closing connection

Cause: a connection on which too many requests arrive closes after its last responses. Until then its input was dropped without turns and without a bound. 40 connections with pipelined requests without end kept the process busy with reads of 64 KB, so that callers without pipelining waited for more than their deadline.

Change: at most 256 KiB of such a connection are dropped; then nothing more is read from it. The rest of a burst of that size is still received, so that its sender gets its responses without a reset.

Tried and not kept: fewer requests of all connections handled at a time (PipelineLimiter).

--- a/packages/wire/src/PacedReader.ts
+++ b/packages/wire/src/PacedReader.ts
@@ -3,6 +3,12 @@
 /** A connection is handed over in pieces of this size at most, in bytes. */
 const PIECE_BYTES = 4 * 1024;
 
+/**
+ * What is dropped of a connection at most, in bytes. It takes no turns, so that connections with endless
+ * input would keep the process from everything else.
+ */
+const MAXIMUM_DISCARDED_BYTES = 256 * 1024;
+
 /** Dependencies and settings of a paced reader. */
 export interface PacedReaderOptions {
   /** What the connection belongs to, for the log. */
@@ -32,6 +38,8 @@
 
   private isDiscarding = false;
 
+  private discardedBytes = 0;
+
   /** The time that this connection has used of its turn, in milliseconds. */
   public usedMs = 0;
 
@@ -93,7 +101,10 @@
     else this.resumeReading();
   }
 
-  /** Drops what arrives from now on. The end of the connection is still handed over. */
+  /**
+   * Drops what arrives from now on, up to a bound after which nothing more is read. The end of the
+   * connection is still handed over.
+   */
   public discard(): void {
     this.isDiscarding = true;
     this.pending = undefined;
@@ -103,12 +114,17 @@
   /** Takes what has arrived. Returns whether more may be read from the connection. */
   private receive(chunk: Buffer | null): boolean {
     if (chunk === null) this.hasEnded = true;
-    else if (!this.isDiscarding)
-      this.pending = this.pending === undefined ? chunk : Buffer.concat([this.pending, chunk]);
+    else if (this.isDiscarding) this.drop(chunk);
+    else this.pending = this.pending === undefined ? chunk : Buffer.concat([this.pending, chunk]);
     if (this.isReady) this.options.requestTurn(this);
     return this.mayRead;
   }
 
+  private drop(chunk: Buffer): void {
+    this.discardedBytes += chunk.length;
+    if (this.discardedBytes >= MAXIMUM_DISCARDED_BYTES) this.hold();
+  }
+
   /** Called when the consumer takes more. */
   private onWanted(): void {
     this.isWanted = true;
--- a/packages/wire/src/ReadScheduler.test.ts
+++ b/packages/wire/src/ReadScheduler.test.ts
@@ -158,6 +158,20 @@
     expect(received()).toBeLessThanOrEqual(PIECE_BYTES);
   });
 
+  // What was dropped took no turns, so that connections with endless input occupied the process.
+  test('stops reading a connection of which much has been dropped', async () => {
+    const scheduler = createScheduler();
+    const { far, near } = await connectPair();
+    scheduler.pace(near, { label: 'test' });
+    near.resume();
+    scheduler.discard(near);
+    far.write(Buffer.alloc(64 * BLOCK_BYTES));
+    await waitUntil(() => near.bytesRead >= BLOCK_BYTES);
+    for (let turn = 0; turn < 50; turn += 1) await new Promise(setImmediate);
+    expect(near.bytesRead).toBeLessThan(2 * BLOCK_BYTES);
+    expect(far.writableLength).toBeGreaterThan(0);
+  });
+
   // A parser that needed long for what arrived at once kept the process from everything else: other
   // connections, timers and readiness checks.
   test('connections whose input takes long to parse do not delay others', async () => {
--- a/packages/wire/src/ReadScheduler.ts
+++ b/packages/wire/src/ReadScheduler.ts
@@ -92,7 +92,7 @@
     this.readers.get(socket)?.release();
   }
 
-  /** Drops what arrives on a connection from now on. */
+  /** Drops what arrives on a connection from now on, up to a bound after which nothing more is read. */
   public discard(socket: net.Socket): void {
     this.readers.get(socket)?.discard();
   }
