Budgets during outages: faults found by the review

A reviewer that did not write the part showed each of these by a run, and that its fix helps: - A turn whose home could not report its coverage was settled with 0 tokens at that home if no other home granted it, although its allowance had been delivered (400 tokens of a budget of 150). - Turns that were settled while a record was written could leave a turn uncovered without a request for another record: its output was held until its deadline. - A home that reaches a minority of the listed VMs gives no allowance: three VMs that each considered themselves the owner delivered 300 tokens beyond the record. - A VM that insists on serving made the owner release its partition during an outage. - A partition opened on insistence did not let programs continue after its VM became the owner. - A release during an outage wrote the raised watermark and not the used tokens. - A turn that is reserved again gets no second allowance.

--- a/packages/program-budgets/src/HomeClient.test.ts
+++ b/packages/program-budgets/src/HomeClient.test.ts
@@ -73,6 +73,44 @@
     expect(granted.unwrapOr(undefined)).toEqual({ isCovered: false });
   });
 
+  // VMs that are cut off from each other would each consider themselves the owner.
+  test('a home that reaches only a minority of the VMs grants no allowance', async () => {
+    const fleet = await createFleet(3, true);
+    const program = fleet.programOwnedBy(0);
+    await fleet.servers[0]!.settle({ program, call: 'none', tokens: 0, isKept: false }, 'here');
+    [1, 2].forEach((member) => fleet.hide({ from: 0, member }));
+    fleet.log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
+    const request = { ...reservation(program, 'a'), isRetained: false };
+    const granted = await fleet.clients[0]!.reserve(request);
+    expect(granted.unwrapOr(undefined)).toEqual({ isCovered: false });
+  });
+
+  // A VM that insists made the owner release a partition that it then could not read itself.
+  test('a home that cannot read a partition does not make its owner release it', async () => {
+    const fleet = await createFleet(2, true);
+    const program = fleet.programOwnedBy(0);
+    const request = { ...reservation(program, 'a'), isRetained: false };
+    await fleet.servers[0]!.reserve(request, false);
+    fleet.log.outage = keyedLog.LOG_FAILURES.UNAVAILABLE;
+    const insisting = await fleet.servers[1]!.reserve({ ...request, call: 'b' }, true);
+    expect(insisting.isErr && insisting.error.kind).toBe('log-unavailable');
+    expect((await fleet.servers[0]!.reserve({ ...request, call: 'c' }, false)).isOk).toBe(true);
+  });
+
+  // The home that had granted the turn freed tokens that were already delivered.
+  test('a turn whose home cannot report its coverage is not settled as unsent', async () => {
+    const time = new clock.ManualClock();
+    const { requestedMethods, client } = homeFixtures.createUnresponsiveClient(time);
+    const covering = client.cover(reservation('program', 'a'));
+    for (let second = 0; second < 12; second += 1) {
+      time.advance(1_000);
+      await homeFixtures.flushEvents();
+    }
+    expect(await covering).toBe(false);
+    expect(requestedMethods).toContain('home.reserve');
+    expect(requestedMethods).not.toContain('home.settle');
+  });
+
   test('tries no further home after the timeout of the request', async () => {
     const time = new clock.ManualClock();
     const { requestedMethods, client } = homeFixtures.createUnresponsiveClient(time);
--- a/packages/program-budgets/src/HomeClient.ts
+++ b/packages/program-budgets/src/HomeClient.ts
@@ -99,36 +99,10 @@
     reservation: Reservation,
     timeoutMs: clock.Milliseconds = Number.POSITIVE_INFINITY,
   ): Promise<trueMyth.Result<Grant, errors.Fault>> {
-    const { clock: time } = this.options;
-    const deadline = time.now() + timeoutMs;
-    const owners = this.ownersOf(reservation.program);
     const attempts: chooseHome.HomeAttempt[] = [];
-    while (attempts.length < MAXIMUM_ATTEMPTS && time.now() < deadline) {
-      const next = chooseHome.chooseHome(owners, attempts);
-      if (next === undefined) break;
-      const { address, isInsisting } = next;
-      const result = await this.reserveAt(address, reservation, isInsisting);
-      if (result.isOk) {
-        this.grantedBy.set(reservation.call, address);
-        return trueMyth.Result.ok(result.value);
-      }
-      const { fault, message } = result.error;
-      const isUnresponsive = fault === undefined;
-      if (!isUnresponsive && !TRY_ANOTHER_HOME.has(fault.kind)) {
-        this.settleUnsent(reservation, attempts);
-        return trueMyth.Result.err(fault);
-      }
-      const owner = fault?.details?.[homeServer.OWNER_ADDRESS_KEY];
-      attempts.push({
-        address,
-        isUnresponsive,
-        namedOwner: typeof owner === 'string' ? owner : undefined,
-      });
-      this.logNotServed(reservation, address, message);
-    }
-    this.settleUnsent(reservation, attempts);
-    const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs: RETRY_AFTER_MS };
-    return trueMyth.Result.err(errors.createFault('home-unavailable', undefined, overrides));
+    const granted = await this.requestGrant(reservation, timeoutMs, attempts);
+    if (granted.isErr) this.settleUnsent(reservation, attempts);
+    return granted;
   }
 
   /** @inheritdoc */
@@ -136,8 +110,9 @@
     const address = this.grantedBy.get(reservation.call);
     const isCovered = address === undefined ? undefined : await this.coverAt(address, reservation);
     if (isCovered !== undefined) return isCovered;
-    // The partition has moved to another home since the tokens were reserved.
-    const renewed = await this.reserve(reservation);
+    // The partition has moved to another home since the tokens were reserved. If none grants them now,
+    // the first home still charges the turn, whose output may have been delivered in part.
+    const renewed = await this.requestGrant(reservation, Number.POSITIVE_INFINITY, []);
     return renewed.isOk && renewed.value.isCovered;
   }
 
@@ -156,6 +131,39 @@
     return (await clock.withTimeout(this.options.clock, timeoutMs, delivery)) === true;
   }
 
+  /** Asks the homes of a program in turn. Adds each home that does not grant to `attempts`. */
+  private async requestGrant(
+    reservation: Reservation,
+    timeoutMs: clock.Milliseconds,
+    attempts: chooseHome.HomeAttempt[],
+  ): Promise<trueMyth.Result<Grant, errors.Fault>> {
+    const { clock: time } = this.options;
+    const deadline = time.now() + timeoutMs;
+    const owners = this.ownersOf(reservation.program);
+    while (attempts.length < MAXIMUM_ATTEMPTS && time.now() < deadline) {
+      const next = chooseHome.chooseHome(owners, attempts);
+      if (next === undefined) break;
+      const { address, isInsisting } = next;
+      const result = await this.reserveAt(address, reservation, isInsisting);
+      if (result.isOk) {
+        this.grantedBy.set(reservation.call, address);
+        return trueMyth.Result.ok(result.value);
+      }
+      const { fault, message } = result.error;
+      const isUnresponsive = fault === undefined;
+      if (!isUnresponsive && !TRY_ANOTHER_HOME.has(fault.kind)) return trueMyth.Result.err(fault);
+      const owner = fault?.details?.[homeServer.OWNER_ADDRESS_KEY];
+      attempts.push({
+        address,
+        isUnresponsive,
+        namedOwner: typeof owner === 'string' ? owner : undefined,
+      });
+      this.logNotServed(reservation, address, message);
+    }
+    const overrides = { run: errors.RUN_STATES.NOT_RUN, retryAfterMs: RETRY_AFTER_MS };
+    return trueMyth.Result.err(errors.createFault('home-unavailable', undefined, overrides));
+  }
+
   /**
    * Releases the tokens of a turn that will not be sent, if an unresponsive home may have reserved
    * them.
--- a/packages/program-budgets/src/HomePartition.outages.test.ts
+++ b/packages/program-budgets/src/HomePartition.outages.test.ts
@@ -15,6 +15,7 @@
 const OUTAGE = { start: 4_000, end: 9_000 };
 const PROGRAM_INTERVAL_MS = 130;
 const STEP_MS = 10;
+const CONTINUING = { producer: 'home', programsContinueDuringOutages: true };
 
 /** What a program of the replay has received. */
 interface Replayed {
@@ -68,10 +69,50 @@
     const budgetTokens = 2 * MOST_TOKENS - 1;
     const granted = await next.reserve({ ...requestOf('p', 'b'), budgetTokens });
     expect(granted.isErr && granted.error.kind).toBe('budget-exhausted');
+    // The raised watermark was written instead, which charged turns that never ran.
+    const precise = { ...requestOf('p', 'b'), budgetTokens: 2 * MOST_TOKENS };
+    expect((await next.reserve(precise)).isOk).toBe(true);
     home.dispose();
     next.dispose();
   });
 
+  // Turns that were settled during the append reduced what it covered, and nothing wrote again, so the
+  // output of the last turns of a budget was held until their deadline.
+  test('output is covered after an outage in which earlier turns have ended', async () => {
+    const time = new clock.ManualClock();
+    const log = homeFixtures.createLog();
+    const home = homeFixtures.createPartition({ ...CONTINUING, log, time });
+    await home.settle({ program: 'other', call: 'other', tokens: 0, isKept: false }, 'here');
+    log.outage = keyedLog.LOG_FAILURES.LOST;
+    const turn = (call: string): Reservation => ({
+      ...requestOf('p', call),
+      budgetTokens: 300,
+      mostTokens: 100,
+    });
+    for (const call of ['a', 'b']) {
+      await home.reserve(turn(call));
+      home.settle({ program: 'p', call, tokens: 40, isKept: false }, 'here');
+    }
+    await home.reserve(turn('c'));
+    log.outage = undefined;
+    const covered = home.cover(turn('c'));
+    await advance(time, 1_500);
+    expect(await covered).toBe(true);
+    home.dispose();
+  });
+
+  // Each repetition would be allowed to deliver as much again.
+  test('a turn that is reserved again during an outage gets no second allowance', async () => {
+    const log = homeFixtures.createLog();
+    const home = homeFixtures.createPartition({ ...CONTINUING, log });
+    await home.settle({ program: 'other', call: 'other', tokens: 0, isKept: false }, 'here');
+    log.outage = keyedLog.LOG_FAILURES.LOST;
+    await home.reserve(requestOf('p', 'a'));
+    const repeated = await home.reserve(requestOf('p', 'a'));
+    expect(repeated.unwrapOr(undefined)).toEqual({ isCovered: false });
+    home.dispose();
+  });
+
   // A watermark that is raised or lowered too often would load the store in calm operation.
   test('the higher watermark needs fewer records in calm operation', async () => {
     const former = await replay({ isContinuing: false, hasOutage: false });
--- a/packages/program-budgets/src/HomePartition.ts
+++ b/packages/program-budgets/src/HomePartition.ts
@@ -53,10 +53,10 @@
    */
   readonly requestRelease: () => Promise<void>;
   /**
-   * Whether programs whose turns are not retained continue while the log is unavailable, as far as
-   * their watermarks allow.
+   * Whether programs whose turns are not retained may continue now while the log is unavailable, as
+   * far as their watermarks and allowances permit. Undefined if they never do.
    */
-  readonly programsContinueDuringOutages?: boolean;
+  readonly mayContinueDuringOutages?: () => boolean;
 }
 
 /** A record of an append that is in progress. */
@@ -127,17 +127,20 @@
     if (!(await this.awaitLoaded())) return trueMyth.Result.err(createUnavailableFault());
     if (this.isClosed) return trueMyth.Result.err(errors.createFault('not-owner'));
     const { budgetTokens, call, mostTokens, previousTurn, program } = reservation;
-    const { programsContinueDuringOutages = false } = this.options;
+    const mayContinue = this.options.mayContinueDuringOutages?.() ?? false;
     const account = this.accountOf(program);
     if (!account.allows(call, mostTokens, budgetTokens, time.now())) {
       return trueMyth.Result.err(this.refuseExhaustedBudget(reservation, account));
     }
+    // A turn that is reserved again may already have delivered what it was allowed to.
+    const isRepeated = account.hasReserved(call);
     account.reserve(call, mostTokens, time.now());
-    account.plan = chooseWatermark.choosePlan(reservation, programsContinueDuringOutages);
+    account.plan = chooseWatermark.choosePlan(reservation, mayContinue);
     this.raiseWatermark(reservation, account);
     const { isCovered, plan } = account;
     const writer = previousTurn === undefined ? undefined : account.writerOf(previousTurn);
-    const allowance = !isCovered && plan.allowsUncovered ? account.allowUncovered(call) : 0;
+    const mayDeliver = plan.allowsUncovered && !isCovered && !isRepeated;
+    const allowance = mayDeliver ? account.allowUncovered(call) : 0;
     return trueMyth.Result.ok({
       isCovered,
       ...(writer === undefined ? {} : { writer }),
@@ -208,7 +211,9 @@
     this.loweringTimer?.cancel();
     if (this.endOffset === undefined) return;
     this.accounts.forEach((account, program) => {
-      if (account.isRecordImprecise) this.requested.set(program, account.committedTokens);
+      const isRaised = (this.requested.get(program) ?? REMOVAL) !== REMOVAL;
+      if (isRaised || account.isRecordImprecise)
+        this.requested.set(program, account.committedTokens);
     });
     if (this.requested.size === 0) return;
     if (!this.isWriting) await this.write();
@@ -373,7 +378,13 @@
     if (this.requested.get(program) === requested) this.requested.delete(program);
     const account = this.accounts.get(program);
     account?.noteWritten(watermark, this.requested.get(program));
-    if (value !== undefined || account === undefined) return;
+    if (account === undefined) return;
+    if (value !== undefined) {
+      // Turns that were settled while the record was written may have reduced what it covers.
+      if (!account.isCovered && !this.requested.has(program))
+        this.requestWatermark(program, account.committedTokens);
+      return;
+    }
     if (account.isIdleSince(this.idleCutoff)) this.accounts.delete(program);
     else
       this.requestWatermark(
@@ -420,6 +431,9 @@
   }
 
   private async loadFirst(): Promise<boolean> {
+    // While the log is unavailable, a former owner that has read the partition serves it better.
+    if (this.options.mayContinueDuringOutages !== undefined && !(await this.isReadable()))
+      return false;
     await this.options.requestRelease();
     const loaded = await this.load();
     const { logger, partition } = this.options;
@@ -431,6 +445,10 @@
     return loaded;
   }
 
+  private async isReadable(): Promise<boolean> {
+    return (await this.options.log.newest(this.partitionName)).isOk;
+  }
+
   private async load(): Promise<boolean> {
     const state = await keyedLog.readAllNewestRecords(this.options.log, this.partitionName);
     if (state.isErr) return false;
--- a/packages/program-budgets/src/HomeServer.ts
+++ b/packages/program-budgets/src/HomeServer.ts
@@ -155,6 +155,16 @@
     return owner?.name === network.self.name ? undefined : owner;
   }
 
+  /**
+   * Whether no other VM is likely to consider itself the owner of a partition. Homes that let the same
+   * program continue without a record would each deliver output that the log does not cover.
+   */
+  private isUndisputedOwner(index: number): boolean {
+    const { membership: members } = this.options;
+    const listed = members.members().filter((member) => member.listed);
+    return this.otherOwner(index) === undefined && 2 * members.available().length > listed.length;
+  }
+
   private indexOf(program: string): number {
     return keyedLog.partitionOf(program, this.options.partitionCount);
   }
@@ -171,10 +181,9 @@
       logger,
       producer: `${producer}.${index}.${this.openedCount}`,
       requestRelease: () => this.requestRelease(index),
-      // While another member owns the partition, it may let programs continue. Two homes that do so
-      // for one program would both deliver output that the log does not cover.
-      programsContinueDuringOutages:
-        programsContinueDuringOutages === true && this.otherOwner(index) === undefined,
+      ...(programsContinueDuringOutages === true
+        ? { mayContinueDuringOutages: () => this.isUndisputedOwner(index) }
+        : {}),
     });
     this.partitions.set(index, created);
     return created;
--- a/packages/program-budgets/src/testing/homeFixtures.ts
+++ b/packages/program-budgets/src/testing/homeFixtures.ts
@@ -72,7 +72,9 @@
     logger: new logging.PartLogger('homes'),
     producer: options.producer,
     requestRelease: async () => undefined,
-    programsContinueDuringOutages: options.programsContinueDuringOutages ?? false,
+    ...(options.programsContinueDuringOutages === true
+      ? { mayContinueDuringOutages: () => true }
+      : {}),
   });
 }
 
@@ -213,7 +215,7 @@
     network: networks[vm]!,
     membership: {
       available: () => membersSeenBy(vm),
-      members: () => membersSeenBy(vm),
+      members: () => allMembers,
       onChange: changes.event,
     },
     clock: time,
