Target turns: do not use a turn long after its time

Cause: turns are reserved ahead, and a call used its turn after the sleep without looking at the time. A VM that was paused for seconds sent all its waiting requests to a cold target at once.

Change: a call that wakes up more than 100 ms after its turn chooses again, so that it takes a new turn or waits again. Deadlines are checked as for every choice.

--- a/packages/gateway/src/ColdTargetLimiter.test.ts
+++ b/packages/gateway/src/ColdTargetLimiter.test.ts
@@ -62,4 +62,19 @@
     await play(2, 4);
     expect(new Set(sends.map(({ target }) => target))).toEqual(new Set(['2']));
   });
+
+  // Guards against a burst of all turns that were reserved before the process was paused.
+  test('VMs that were paused while calls waited keep the rate afterwards', async () => {
+    const options = { vmCount: 4, targetCount: 1, ratePerSecond: 40 };
+    const { listAll, mostPerSecond, play, refusals, sends, time } =
+      coldFleet.createColdFleet(options);
+    listAll(20_000);
+    await play(0.2, 15);
+    time.advance(800);
+    await play(2, 0);
+    expect(mostPerSecond()).toBeLessThanOrEqual(40);
+    expect(sends.some(({ at }) => at > 1_000)).toBe(true);
+    expect(sends.every(({ at }) => at <= 1_400)).toBe(true);
+    expect(sends.length + refusals.length).toBe(60);
+  });
 });
--- a/packages/gateway/src/TargetTurns.ts
+++ b/packages/gateway/src/TargetTurns.ts
@@ -7,6 +7,12 @@
 /** Number of exhausted targets that a call asks for a later turn. */
 const MAXIMUM_LATER_TURNS = 3;
 
+/**
+ * A turn is not used if the call wakes up later than this after its time. A process that was paused
+ * would otherwise send all requests with turns that have passed at once.
+ */
+const MAXIMUM_DELAY_MS = 100;
+
 /** Dependencies of `TargetTurns`. */
 export interface TargetTurnsOptions {
   readonly selector: targetSelector.TargetSelector;
@@ -87,12 +93,15 @@
     this.isTaking = true;
     let shortestWaitMs = Number.POSITIVE_INFINITY;
     let chosen: Target | undefined;
+    let isMissed = false;
     for (const target of exhausted) {
       const maximumWaitMs = Math.max(0, latest - time.now());
       const { isGranted, waitMs } = await limits.takeTurn(target, maximumWaitMs);
       shortestWaitMs = Math.min(shortestWaitMs, waitMs);
       if (isGranted) {
+        const turnAt = time.now() + waitMs;
         if (waitMs > 0) await time.sleep(waitMs, this.context.call.signal);
+        isMissed = time.now() - turnAt > MAXIMUM_DELAY_MS;
         chosen = target;
         break;
       }
@@ -101,6 +110,7 @@
     this.isTaking = false;
     if (!this.handler.isWaiting()) return;
     if (chosen === undefined) this.handler.onNoTurn(shortestWaitMs);
+    else if (isMissed) this.choose();
     else this.use(chosen);
   }
 
--- a/packages/gateway/src/testing/ColdFleet.ts
+++ b/packages/gateway/src/testing/ColdFleet.ts
@@ -61,8 +61,8 @@
       random: () => ((vm * 37 + sends.length * 11) % 101) / 101,
     });
     const context = { pool: 'pool', call: { signal: undefined } } as never;
-    const call = (): void => {
-      const latest = time.now() + CALL_WAIT_MS;
+    const call = (maximumWaitMs = CALL_WAIT_MS): void => {
+      const latest = time.now() + maximumWaitMs;
       const turns = new targetTurns.TargetTurns({ ...options, limits, selector }, context, false, {
         isWaiting: () => true,
         onTarget: (target) => sends.push({ target: target.id, vm, at: time.now() }),
@@ -77,7 +77,7 @@
   const play = async (seconds: number, callsOfBurst: number): Promise<void> => {
     for (let elapsed = 0; elapsed < seconds * SECOND_MS; elapsed += STEP_MS) {
       if (elapsed % (SECOND_MS / 2) === 0)
-        vms.forEach(({ call }) => Array.from({ length: callsOfBurst }).forEach(call));
+        vms.forEach(({ call }) => Array.from({ length: callsOfBurst }).forEach(() => call()));
       await new Promise(setImmediate);
       time.advance(STEP_MS);
     }
@@ -91,5 +91,5 @@
   };
   const listAll = (coldLeftMs: number): void =>
     vms.forEach(({ cold }) => cold.reset(targets.map((target) => list(target, coldLeftMs))));
-  return { targets, sends, refusals, vms, play, mostPerSecond, listAll };
+  return { time, targets, sends, refusals, vms, play, mostPerSecond, listAll };
 }
