Cold targets: wait at most until the end of the cold period

Cause: a turn could lie after the end of the cold period, while exhaustedUntil named that end. A target that was cold for 1 s with its next send in 4 s was taken over one with a send in 2 s. Targets without a share were sorted by the same end, so that three of them could hide one with a share.

Change: the earliest send is at the latest the end of the cold period, and exhaustedUntil is computed from it; it is infinite without a share, so these targets come last. A turn at the end of the cold period reserves nothing. The call chooses again then, because the period may have been extended. A refusal still names the end of the cold period for targets without a share.

Without the change, the first row of the test on the earliest turn and the test on hidden targets failed. Without the second choice, the test on a period that moves failed.

--- a/packages/gateway/src/ColdTargetLimiter.test.ts
+++ b/packages/gateway/src/ColdTargetLimiter.test.ts
@@ -77,4 +77,57 @@
     expect(sends.every(({ at }) => at <= 1_400)).toBe(true);
     expect(sends.length + refusals.length).toBe(60);
   });
+
+  // A call waited 4 s for a target that was warm after 1 s, or for a later turn than another had.
+  test.each([
+    { coldLeftMs: 1_000, sentTo: '0', at: 1_000 },
+    { coldLeftMs: 3_000, sentTo: '1', at: 2_000 },
+  ])('calls wait for the earliest turn or the end of a cold period (%j)', async (expected) => {
+    const { listAll, play, sends, targets, time, vms } = coldFleet.createColdFleet({
+      vmCount: 1,
+      targetCount: 2,
+      ratePerSecond: 0.25,
+    });
+    const [{ call, cold, limits }] = vms as [(typeof vms)[number]];
+    listAll(20_000);
+    await limits.takeTurn(targets[1]!, 0);
+    time.advance(2_000);
+    await limits.takeTurn(targets[0]!, 0);
+    cold.update(coldFleet.list(targets[0]!, expected.coldLeftMs));
+    call(6_000);
+    await play(6, 0);
+    expect(sends).toEqual([{ target: expected.sentTo, vm: 0, at: 2_000 + expected.at }]);
+  });
+
+  // Guards against a burst of waiting calls if a target remains cold for longer than it stated.
+  test('calls that wait for the end of a cold period are paced if it moves', async () => {
+    const options = { vmCount: 1, targetCount: 1, ratePerSecond: 1 };
+    const { listAll, mostPerSecond, play, sends } = coldFleet.createColdFleet(options);
+    listAll(900);
+    await play(0.1, 5);
+    listAll(20_000);
+    await play(2, 0);
+    expect(sends.length).toBeGreaterThan(1);
+    expect(mostPerSecond()).toBe(1);
+  });
+
+  // Calls were refused because the targets that were asked for a turn were those without a share.
+  test('targets without a share do not hide one with a share', async () => {
+    const options = { vmCount: 12, targetCount: 5, ratePerSecond: 1 };
+    const { listAll, play, refusals, sends, targets, vms } = coldFleet.createColdFleet(options);
+    listAll(900);
+    const vm = vms.findIndex(({ limits }) => sharesOf(limits).length === 1);
+    const { call, cold, limits } = vms[vm]!;
+    const [shared] = sharesOf(limits);
+    cold.update(coldFleet.list(shared!, 20_000));
+    call();
+    call();
+    await play(2, 0);
+    expect(refusals).toEqual([]);
+    expect(sends).toEqual([0, 1_000].map((at) => ({ target: shared!.id, vm, at })));
+
+    function sharesOf(limiter: typeof limits): typeof targets {
+      return targets.filter((target) => limiter.exhaustedUntil(target) <= 0);
+    }
+  });
 });
--- a/packages/gateway/src/ColdTargetLimiter.ts
+++ b/packages/gateway/src/ColdTargetLimiter.ts
@@ -55,17 +55,16 @@
     return this.options.coldTargets.isCold(target) || this.options.limits.isLimited(target);
   }
 
-  /** @inheritdoc */
+  /** The time until which a target has no turn; infinite if it is cold and this VM has no share. */
   public exhaustedUntil(target: Target): clock.Milliseconds {
-    const limitedUntil = this.options.limits.exhaustedUntil(target);
-    if (!this.options.coldTargets.isCold(target)) return limitedUntil;
-    const coldUntil = this.options.coldTargets.coldUntil(target);
-    const { nextSendAt, share } = this.paceOf(target);
-    const pacedUntil = share.intervalMs === undefined ? coldUntil : nextSendAt;
-    return Math.max(limitedUntil, Math.min(pacedUntil, coldUntil));
+    return this.earliestSend(target, this.options.limits.exhaustedUntil(target));
   }
 
-  /** Takes a turn of the target's own limit, if it has one, and then of its cold rate. */
+  /**
+   * Takes a turn of the target's own limit, if it has one, and then of its cold rate. A turn at the
+   * end of the cold period is provisional: the period may be extended until then, and the turns of
+   * several calls have the same time.
+   */
   public async takeTurn(
     target: Target,
     maximumWaitMs: clock.Milliseconds,
@@ -73,13 +72,16 @@
     const { clock: time, limits } = this.options;
     const latest = time.now() + maximumWaitMs;
     // A turn of the limit would be lost if the cold rate has no turn in time.
-    if (this.earliestSend(target, time.now()) > latest) return this.refuse(target);
+    const earliest = this.earliestSend(target, time.now());
+    if (earliest > latest) return this.refuse(target);
+    if (this.isPacedBeyond(target, earliest)) return provisionalTurn(earliest - time.now());
     const turn = await limits.takeTurn(target, maximumWaitMs);
     if (!turn.isGranted || !this.options.coldTargets.isCold(target)) return turn;
     const now = time.now();
     const readyAt = now + turn.waitMs;
     const sendAt = this.earliestSend(target, readyAt);
     if (sendAt > Math.max(latest, readyAt)) return this.refuse(target);
+    if (this.isPacedBeyond(target, sendAt)) return provisionalTurn(sendAt - now);
     const pace = this.paceOf(target);
     pace.nextSendAt = sendAt + (pace.share.intervalMs ?? 0);
     return { isGranted: true, waitMs: sendAt - now };
@@ -90,18 +92,29 @@
     this.warmSubscription.dispose();
   }
 
-  /** The first time, from `readyAt` on, at which this VM may send; infinite if it has no share. */
+  /**
+   * The first time, from `readyAt` on, at which this VM may send, at the latest when the target is
+   * warm; infinite if the target is cold and this VM has no share.
+   */
   private earliestSend(target: Target, readyAt: clock.Milliseconds): clock.Milliseconds {
-    if (!this.options.coldTargets.isCold(target)) return readyAt;
+    const { coldTargets } = this.options;
+    if (!coldTargets.isCold(target)) return readyAt;
     const { nextSendAt, share } = this.paceOf(target);
     return share.intervalMs === undefined
       ? Number.POSITIVE_INFINITY
-      : Math.max(readyAt, nextSendAt);
+      : Math.max(readyAt, Math.min(nextSendAt, coldTargets.coldUntil(target)));
+  }
+
+  /** Whether a target may be sent to at `sendAt` only because it should be warm by then. */
+  private isPacedBeyond(target: Target, sendAt: clock.Milliseconds): boolean {
+    return this.options.coldTargets.isCold(target) && this.paceOf(target).nextSendAt > sendAt;
   }
 
   private refuse(target: Target): requestPacer.Turn {
-    const waitMs = Math.max(0, this.exhaustedUntil(target) - this.options.clock.now());
-    return { isGranted: false, waitMs };
+    const { clock: time, coldTargets, limits } = this.options;
+    const pacedUntil = Math.min(this.exhaustedUntil(target), coldTargets.coldUntil(target));
+    const until = Math.max(limits.exhaustedUntil(target), pacedUntil);
+    return { isGranted: false, waitMs: Math.max(0, until - time.now()) };
   }
 
   private paceOf(target: Target): Pace {
@@ -155,6 +168,10 @@
   }
 }
 
+function provisionalTurn(waitMs: clock.Milliseconds): requestPacer.Turn {
+  return { isGranted: true, waitMs, isProvisional: true };
+}
+
 function isGone(state: membership.MemberState): boolean {
   return state === membership.MEMBER_STATES.GONE;
 }
--- a/packages/gateway/src/RequestPacer.ts
+++ b/packages/gateway/src/RequestPacer.ts
@@ -10,6 +10,8 @@
   readonly isGranted: boolean;
   /** Time until the granted turn, or, if none is granted, until the next free one. */
   readonly waitMs: clock.Milliseconds;
+  /** Whether no send is reserved, so that another turn has to be taken after the wait. */
+  readonly isProvisional?: boolean;
 }
 
 /** Spreads requests evenly at a rate. Those that may wait get a turn in the order of asking. */
--- a/packages/gateway/src/TargetTurns.ts
+++ b/packages/gateway/src/TargetTurns.ts
@@ -93,15 +93,15 @@
     this.isTaking = true;
     let shortestWaitMs = Number.POSITIVE_INFINITY;
     let chosen: Target | undefined;
-    let isMissed = false;
+    let mustChooseAgain = false;
     for (const target of exhausted) {
       const maximumWaitMs = Math.max(0, latest - time.now());
-      const { isGranted, waitMs } = await limits.takeTurn(target, maximumWaitMs);
+      const { isGranted, isProvisional, waitMs } = await limits.takeTurn(target, maximumWaitMs);
       shortestWaitMs = Math.min(shortestWaitMs, waitMs);
       if (isGranted) {
         const turnAt = time.now() + waitMs;
         if (waitMs > 0) await time.sleep(waitMs, this.context.call.signal);
-        isMissed = time.now() - turnAt > MAXIMUM_DELAY_MS;
+        mustChooseAgain = isProvisional === true || time.now() - turnAt > MAXIMUM_DELAY_MS;
         chosen = target;
         break;
       }
@@ -110,7 +110,7 @@
     this.isTaking = false;
     if (!this.handler.isWaiting()) return;
     if (chosen === undefined) this.handler.onNoTurn(shortestWaitMs);
-    else if (isMissed) this.choose();
+    else if (mustChooseAgain) this.choose();
     else this.use(chosen);
   }
 
--- a/packages/gateway/src/testing/ColdFleet.ts
+++ b/packages/gateway/src/testing/ColdFleet.ts
@@ -32,7 +32,7 @@
 ) {
   const time = new clock.ManualClock();
   const numbers = Array.from({ length: vmCount! }, (_, index) => index);
-  const targets = numbers.slice(0, targetCount).map((id) => fixtures.createTarget(`${id}`));
+  const targets = Array.from({ length: targetCount! }, (_, id) => fixtures.createTarget(`${id}`));
   const tables = createTables({ durationMs: 20_000, ratePerSecond: ratePerSecond! });
   const options = { tables, clock: time, logger: new logging.PartLogger('test') };
   const registry = { usable: () => targets, isUsable: () => true };
@@ -71,7 +71,7 @@
       });
       turns.choose();
     };
-    return { cold, call };
+    return { cold, call, limits };
   });
   /** Starts a burst of calls at each VM every half second. */
   const play = async (seconds: number, callsOfBurst: number): Promise<void> => {
