Target loads: keep the view of a collector until it expires

Cause: after one missed response a VM reports to the next collector, which has no data. Its empty view replaced one that was still valid, so that placements moved to slow targets and back.

Change: what is known of a target is kept with the collector that reported it and the time of receipt. A view replaces all that came from the same collector; the rest is kept until its own expiry, 5 s after it was received. This also holds for the second view of the next collector, which still has little data.

--- a/packages/gateway/src/TargetLoads.test.ts
+++ b/packages/gateway/src/TargetLoads.test.ts
@@ -117,6 +117,50 @@
   }
 }
 
+function load(target: string, pace: number, inFlight = 0, incarnation = '1') {
+  return { target, incarnation, pace, inFlight };
+}
+
+/**
+ * One VM that is never a collector. The collectors respond with the given views in turn; without a
+ * view, a collector does not respond.
+ */
+function createReporter() {
+  const time = new clock.ManualClock();
+  const names = ['vm-0', 'vm-1', 'vm-2', 'vm-3'];
+  const members = names.map((name) => ({ name, address: name }) as never);
+  const { name } = loadCollectors.loadCollectors('vm-0', members).ranked.at(-1)!;
+  const views: (messages.TargetLoadView['targets'] | undefined)[] = [];
+  const reports: messages.TargetLoadReport[] = [];
+  const network = {
+    self: { name },
+    serve: () => ({ dispose: ignore }),
+    request: async (_address: string, _method: unknown, request: messages.TargetLoadReport) => {
+      reports.push(request);
+      const targets = views.shift();
+      return targets === undefined
+        ? trueMyth.Result.err({ kind: 'timeout', message: 'scripted' })
+        : trueMyth.Result.ok({ targets });
+    },
+  } as unknown as wire.PeerNetwork;
+  const base = fixtures.createDependencies({ send: () => EXCHANGE }, TARGETS, { clock: time });
+  const membership = { available: () => members };
+  const options = { ...base, network, membership, metrics: { gauge: ignore } };
+  const loads = new targetLoads.TargetLoads(options);
+  const wait = async (): Promise<void> => {
+    time.advance(1_000);
+    await new Promise(setImmediate);
+  };
+  /** Reports while a request is in flight. */
+  const report = async (): Promise<void> => {
+    base.scores.recordSent('target-0');
+    loads.begin(fixtures.createContext(base).toRequest(0));
+    await wait();
+    base.scores.recordDone('target-0');
+  };
+  return { loads, reports, views, report, wait };
+}
+
 /** Plays a load and evaluates how its turns are spread over the engines. */
 async function playLoad(sharesLoads: boolean): Promise<readonly [number, number, number]> {
   const fleet = createFleet(61, sharesLoads);
@@ -168,6 +212,31 @@
     loads.forEach((vmLoads) => expect(vmLoads.current().size).toBe(0));
   });
 
+  // One missed response replaced the view by that of a collector without data, so that placements
+  // moved to slow targets for a second and back.
+  test('a view is kept until it expires when another collector responds, and replaced by the same one', async () => {
+    const { loads, report, views } = createReporter();
+    const keys = (): readonly string[] => [...loads.current().keys()];
+    const reportAll = async (...responses: typeof views): Promise<void> => {
+      views.push(...responses);
+      while (views.length > 0) await report();
+    };
+    await reportAll([load('target-0', 2), load('target-1', 2)]);
+    expect(keys()).toEqual(['target-0', 'target-1']);
+    await reportAll([load('target-1', 2)]);
+    expect(keys()).toEqual(['target-1']);
+    await reportAll(undefined, [load('target-2', 2)]);
+    expect(keys()).toEqual(['target-1', 'target-2']);
+    await reportAll(undefined, []);
+    expect(keys()).toEqual(['target-1']);
+    await reportAll([load('target-3', 2)]);
+    expect(keys()).toEqual(['target-3']);
+    await reportAll(undefined, [], undefined, [], undefined);
+    expect(keys()).toEqual(['target-3']);
+    await reportAll([]);
+    expect(keys()).toEqual([]);
+  });
+
   // Each of these would distort the medians or grow the state of a collector.
   const sample = { target: 'one', incarnation: '1', value: 20, kind: 'stream' };
   test.each([
--- a/packages/gateway/src/TargetLoads.ts
+++ b/packages/gateway/src/TargetLoads.ts
@@ -24,14 +24,12 @@
 const REPORT_TIMEOUT_MS = 300;
 const SKIP_MS = 2_000;
 
-/** The time for which a view is used; several reports in a row may fail. */
+/** The time for which a view of a target is used; several reports in a row may fail. */
 const VIEW_LIFETIME_MS = 5_000;
 
 /** Minimum age at which the collector computes its view again, however many VMs report. */
 const VIEW_INTERVAL_MS = 200;
 
-const NO_WEIGHTS: ReadonlyMap<string, number> = new Map();
-
 /** Dependencies of `TargetLoads`. */
 export interface TargetLoadsOptions {
   readonly network: wire.PeerNetwork;
@@ -43,10 +41,10 @@
   readonly logger: logging.Logger;
 }
 
-/** The collector's view, as far as it is about known targets. */
-interface View {
-  readonly weights: Map<string, number>;
-  readonly slow: Set<string>;
+/** What a collector has reported of a known target. */
+interface KnownLoad {
+  readonly collector: string;
+  readonly isSlow: boolean;
   readonly receivedAt: clock.Milliseconds;
 }
 
@@ -75,7 +73,10 @@
 
   private samples: messages.TargetLoadReport['samples'] = [];
 
-  private view: View | undefined;
+  /** The current view, with the targets of `weights`. */
+  private readonly loads = new Map<string, KnownLoad>();
+
+  private readonly weights = new Map<string, number>();
 
   /** The view that this VM computed last as a collector. */
   private computed: ComputedView | undefined;
@@ -93,10 +94,8 @@
     );
     this.store.add(registry.onRemoved((target) => this.discard(target)));
     this.store.addCallback(() => this.timer?.cancel());
-    gauges.gauge(
-      'limpettack_slow_targets',
-      'Targets that are slow in the current view.',
-      () => this.currentView()?.slow.size ?? 0,
+    gauges.gauge('limpettack_slow_targets', 'Targets that are slow in the current view.', () =>
+      this.slowCount(),
     );
     gauges.gauge(
       'limpettack_moved_placements_total',
@@ -131,7 +130,8 @@
 
   /** @inheritdoc */
   public current(): ReadonlyMap<string, number> {
-    return this.currentView()?.weights ?? NO_WEIGHTS;
+    this.discardOld();
+    return this.weights;
   }
 
   /** @inheritdoc */
@@ -139,10 +139,21 @@
     this.movedPlacements += 1;
   }
 
-  private currentView(): View | undefined {
-    if (this.view === undefined) return undefined;
-    if (this.options.clock.now() - this.view.receivedAt > VIEW_LIFETIME_MS) this.view = undefined;
-    return this.view;
+  private slowCount(): number {
+    this.discardOld();
+    return [...this.loads.values()].filter(({ isSlow }) => isSlow).length;
+  }
+
+  private discardOld(): void {
+    const now = this.options.clock.now();
+    this.loads.forEach(({ receivedAt }, target) => {
+      if (now - receivedAt > VIEW_LIFETIME_MS) this.discardLoad(target);
+    });
+  }
+
+  private discardLoad(target: string): void {
+    this.loads.delete(target);
+    this.weights.delete(target);
   }
 
   private startTimer(): void {
@@ -170,7 +181,7 @@
     const collector = ranked.find(({ name }) => !this.skippedUntil.has(name));
     if (collector === undefined) return;
     if (collector.name === network.self.name) {
-      this.accept(this.collect(collector.name, report), groupCount);
+      this.accept(collector.name, this.collect(collector.name, report), groupCount);
       return;
     }
     const options = { timeoutMs: REPORT_TIMEOUT_MS };
@@ -181,7 +192,7 @@
       options,
     );
     if (response.isOk) {
-      this.accept(response.value, groupCount);
+      this.accept(collector.name, response.value, groupCount);
       return;
     }
     this.skippedUntil.set(collector.name, time.now() + SKIP_MS);
@@ -203,17 +214,27 @@
     return { samples, inFlight };
   }
 
-  private accept({ targets }: messages.TargetLoadView, groupCount: number): void {
+  /**
+   * Applies a view. It replaces what the same collector has reported before. What others have
+   * reported is kept until it expires, because a collector that has just taken over has no data.
+   */
+  private accept(
+    collector: string,
+    { targets }: messages.TargetLoadView,
+    groupCount: number,
+  ): void {
     const { clock: time, registry } = this.options;
-    const weights = new Map<string, number>();
-    const slow = new Set<string>();
+    const receivedAt = time.now();
+    this.loads.forEach((load, target) => {
+      if (load.collector === collector) this.discardLoad(target);
+    });
     targets.forEach(({ incarnation, inFlight, pace, target }) => {
       const known = registry.find(target);
       if (known?.incarnation !== incarnation) return;
-      weights.set(target, targetWeight.targetWeight({ pace, inFlight }, known.slots, groupCount));
-      if (pace > 1) slow.add(target);
+      this.loads.set(target, { collector, isSlow: pace > 1, receivedAt });
+      const weight = targetWeight.targetWeight({ pace, inFlight }, known.slots, groupCount);
+      this.weights.set(target, weight);
     });
-    this.view = { weights, slow, receivedAt: time.now() };
   }
 
   /** Records a report and returns the view of this collector. */
@@ -244,8 +265,7 @@
 
   private discard({ id }: Target): void {
     this.samples = this.samples.filter(({ target }) => target !== id);
-    this.view?.weights.delete(id);
-    this.view?.slow.delete(id);
+    this.discardLoad(id);
     this.estimates.discard(id);
   }
 }
