Target loads: report the end of requests without a sample

Cause: a VM sent nothing once its requests had ended without a sample, so the collector counted them for 2.5 s and reported their targets as busy.

Change: after a report with requests in flight, one more report is sent even if it is empty, then nothing.

Run: jest TargetLoads: 10 passed. Without the change the new test failed: the second report was missing.

--- a/packages/gateway/src/TargetLoads.test.ts
+++ b/packages/gateway/src/TargetLoads.test.ts
@@ -237,6 +237,18 @@
     expect(keys()).toEqual([]);
   });
 
+  // Guards against targets that stay busy at the collector after requests that gave no sample.
+  test('after the end of the last request one empty report is sent, then none', async () => {
+    const { report, reports, wait } = createReporter();
+    await report();
+    for (let waits = 0; waits < 4; waits += 1) await wait();
+    const inFlight = [{ target: 'target-0', count: 1 }];
+    expect(reports).toEqual([
+      { samples: [], inFlight },
+      { samples: [], inFlight: [] },
+    ]);
+  });
+
   // Each of these would distort the medians or grow the state of a collector.
   const sample = { target: 'one', incarnation: '1', value: 20, kind: 'stream' };
   test.each([
--- a/packages/gateway/src/TargetLoads.ts
+++ b/packages/gateway/src/TargetLoads.ts
@@ -73,6 +73,9 @@
 
   private samples: messages.TargetLoadReport['samples'] = [];
 
+  /** Whether the last report had requests in flight, so that one more report has to end them. */
+  private hasReportedInFlight = false;
+
   /** The current view, with the targets of `weights`. */
   private readonly loads = new Map<string, KnownLoad>();
 
@@ -209,7 +212,9 @@
       .filter(({ target }) => isReportable(target))
       .sort((left, right) => right.count - left.count)
       .slice(0, messages.MAXIMUM_REPORT_ITEMS);
-    if (samples.length === 0 && inFlight.length === 0) return undefined;
+    if (samples.length === 0 && inFlight.length === 0 && !this.hasReportedInFlight)
+      return undefined;
+    this.hasReportedInFlight = inFlight.length > 0;
     this.samples = [];
     return { samples, inFlight };
   }
