--- a/packages/gateway/src/testing/ColdFleet.ts
+++ b/packages/gateway/src/testing/ColdFleet.ts
@@ -32,7 +32,7 @@
 ) {
   const time = new clock.ManualClock();
   const numbers = Array.from({ length: vmCount! }, (_, index) => index);
-  const targets = numbers.slice(0, targetCount).map((id) => fixtures.createTarget(`${id}`));
+  const targets = Array.from({ length: targetCount! }, (_, id) => fixtures.createTarget(`${id}`));
   const tables = createTables({ durationMs: 20_000, ratePerSecond: ratePerSecond! });
   const options = { tables, clock: time, logger: new logging.PartLogger('test') };
   const registry = { usable: () => targets, isUsable: () => true };
@@ -61,8 +61,8 @@
       random: () => ((vm * 37 + sends.length * 11) % 101) / 101,
     });
     const context = { pool: 'pool', call: { signal: undefined } } as never;
-    const call = (): void => {
-      const latest = time.now() + CALL_WAIT_MS;
+    const call = (maximumWaitMs = CALL_WAIT_MS): void => {
+      const latest = time.now() + maximumWaitMs;
       const turns = new targetTurns.TargetTurns({ ...options, limits, selector }, context, false, {
         isWaiting: () => true,
         onTarget: (target) => sends.push({ target: target.id, vm, at: time.now() }),
@@ -71,13 +71,13 @@
       });
       turns.choose();
     };
-    return { cold, call };
+    return { cold, call, limits };
   });
   /** Starts a burst of calls at each VM every half second. */
   const play = async (seconds: number, callsOfBurst: number): Promise<void> => {
     for (let elapsed = 0; elapsed < seconds * SECOND_MS; elapsed += STEP_MS) {
       if (elapsed % (SECOND_MS / 2) === 0)
-        vms.forEach(({ call }) => Array.from({ length: callsOfBurst }).forEach(call));
+        vms.forEach(({ call }) => Array.from({ length: callsOfBurst }).forEach(() => call()));
       await new Promise(setImmediate);
       time.advance(STEP_MS);
     }
@@ -91,5 +91,5 @@
   };
   const listAll = (coldLeftMs: number): void =>
     vms.forEach(({ cold }) => cold.reset(targets.map((target) => list(target, coldLeftMs))));
-  return { targets, sends, refusals, vms, play, mostPerSecond, listAll };
+  return { time, targets, sends, refusals, vms, play, mostPerSecond, listAll };
 }
