Keep requests out of evacuated failure domains and foreign regions

Cause: retries, hedged sends and resumed streams returned to a failure domain that operators gave up, and a request could run in any region.

--- a/packages/gateway/src/CallContext.ts
+++ b/packages/gateway/src/CallContext.ts
@@ -1,5 +1,6 @@
 import type * as clock from '@limpettack/clock';
 import * as choosePool from './choosePool.js';
+import * as combineHomeRegions from './combineHomeRegions.js';
 import * as routeKinds from './RouteKinds.js';
 import type { Call, Route, TargetRequest, Workspace } from './Types.js';
 
@@ -16,6 +17,9 @@
   /** Requests with the same affinity prefer the same target. */
   public readonly affinity: string | undefined;
 
+  /** The regions in which the request may run; undefined if it may run in all. */
+  public readonly homeRegions: ReadonlySet<string> | undefined;
+
   public constructor(
     public readonly call: Call,
     public readonly route: Route,
@@ -26,6 +30,7 @@
     const subject = call.programContext?.program ?? call.affinity;
     this.pool = choosePool.choosePool(route, subject ?? call.id) ?? '';
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
+    this.homeRegions = combineHomeRegions.combineHomeRegions(route, workspace);
     this.affinity = isStream ? (subject ?? call.id) : this.stickyAffinity();
   }
 
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -9,6 +9,7 @@
 import * as trueMyth from 'true-myth';
 import * as admitCaller from './admitCaller.js';
 import * as callContext from './CallContext.js';
+import * as excludedPoolFault from './excludedPoolFault.js';
 import * as observedReply from './ObservedReply.js';
 import * as processEnd from './ProcessEnd.js';
 import * as recordMemory from './recordMemory.js';
@@ -137,6 +138,11 @@
       refuse(call, reply, waitBounds.deadlinePassedFault());
       return;
     }
+    // Checked before the request takes part of its workspace's limit and its program's budget.
+    if (this.dependencies.selector.excludesPool(context.pool, context.homeRegions)) {
+      refuse(call, reply, excludedPoolFault.excludedPoolFault());
+      return;
+    }
     const isStream = route.kind === routeKinds.ROUTE_KINDS.STREAM;
     const unstorable = isStream && route.retainsTurns ? this.checkRecord(call) : undefined;
     if (unstorable !== undefined) {
--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -7,6 +7,7 @@
 import * as compactChunks from './CompactChunks.js';
 import type * as crashWatch from './CrashWatch.js';
 import * as eventSplitter from './EventSplitter.js';
+import * as excludedPoolFault from './excludedPoolFault.js';
 import * as processEnd from './ProcessEnd.js';
 import * as sendFailures from './SendFailures.js';
 import type * as targetSender from './TargetSender.js';
@@ -436,6 +437,10 @@
   }
 
   private retryFullTargets(): void {
+    if (this.turns.isExcluded) {
+      this.failWithoutTarget(excludedPoolFault.EXCLUDED_RETRY_AFTER_MS);
+      return;
+    }
     const { clock: time } = this.dependencies;
     const { call, deadline } = this.context;
     const latest = call.receivedAt + RETRY_SHARE * (deadline - call.receivedAt);
--- a/packages/gateway/src/TargetRegistry.ts
+++ b/packages/gateway/src/TargetRegistry.ts
@@ -116,6 +116,11 @@
       .map(({ target }) => target);
   }
 
+  /** All known targets of a pool, including those that accept no new work. */
+  public listed(pool: string): readonly Target[] {
+    return this.entriesOf(pool).map(({ target }) => target);
+  }
+
   /** Returns a known target by its id. */
   public find(id: string): Target | undefined {
     return this.entries.get(id)?.target;
--- a/packages/gateway/src/TargetSelector.ts
+++ b/packages/gateway/src/TargetSelector.ts
@@ -1,5 +1,6 @@
 import type * as clock from '@limpettack/clock';
 import * as chooseTarget from './chooseTarget.js';
+import type * as placementRules from './PlacementRules.js';
 import type * as targetLimits from './TargetLimits.js';
 import type * as targetRegistry from './TargetRegistry.js';
 import type * as targetScores from './TargetScores.js';
@@ -7,34 +8,44 @@
 
 /** Dependencies of the selector. */
 export interface TargetSelectorOptions {
-  readonly registry: Pick<targetRegistry.TargetRegistry, 'isUsable' | 'usable'>;
+  readonly registry: Pick<targetRegistry.TargetRegistry, 'isUsable' | 'listed' | 'usable'>;
   readonly scores: targetScores.TargetScores;
   readonly limits: targetLimits.TargetLimiter;
+  readonly rules: placementRules.PlacementRules;
   readonly clock: clock.Clock;
   readonly ownFailureDomain: string;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
 }
 
+/** What a target is selected for. */
+export interface TargetSelection {
+  readonly pool: string;
+  /** Calls with the same affinity prefer the same target; undefined if there is no preference. */
+  readonly affinity: string | undefined;
+  /** Ids of targets that are not selected. */
+  readonly excluded: ReadonlySet<string>;
+  /** Whether the call may be sent to another target if this one fails. */
+  readonly isRepeatable: boolean;
+  /** The regions in which the call may run; undefined if it may run in all. */
+  readonly homeRegions: ReadonlySet<string> | undefined;
+}
+
 /** Selects a target for a call from those that accept new work. */
 export class TargetSelector {
   public constructor(private readonly options: TargetSelectorOptions) {}
 
   /**
-   * Returns undefined if the pool has no usable target except the excluded ones and those that have
-   * no turn now.
+   * Returns undefined if the pool has no usable target except the excluded ones, those that the
+   * rules do not allow and those that have no turn now.
    */
-  public select(
-    pool: string,
-    affinity: string | undefined,
-    excluded: ReadonlySet<string>,
-    isRepeatable: boolean,
-  ): Target | undefined {
-    const { clock: time, limits, ownFailureDomain, random, registry, scores } = this.options;
+  public select(selection: TargetSelection): Target | undefined {
+    const { affinity, excluded, homeRegions, isRepeatable, pool } = selection;
+    const { clock: time, limits, ownFailureDomain, random, scores } = this.options;
     const now = time.now();
-    const candidates = registry
-      .usable(pool)
-      .filter((target) => !excluded.has(target.id) && limits.exhaustedUntil(target) <= now);
+    const candidates = this.allowed(pool, homeRegions).filter(
+      (target) => !excluded.has(target.id) && limits.exhaustedUntil(target) <= now,
+    );
     return chooseTarget.chooseTarget({
       candidates,
       scores: scores.compare(candidates.map(({ id }) => id)),
@@ -46,19 +57,32 @@
   }
 
   /** The usable targets that have no turn now, the one with the earliest turn first. */
-  public exhausted(pool: string): readonly Target[] {
-    const { clock: time, limits, registry } = this.options;
+  public exhausted(pool: string, homeRegions: ReadonlySet<string> | undefined): readonly Target[] {
+    const { clock: time, limits } = this.options;
     const now = time.now();
-    return registry
-      .usable(pool)
+    return this.allowed(pool, homeRegions)
       .map((target) => ({ target, until: limits.exhaustedUntil(target) }))
       .filter(({ until }) => until > now)
       .sort((left, right) => left.until - right.until)
       .map(({ target }) => target);
   }
 
-  /** Whether a target still accepts new work. */
-  public isUsable(target: Target): boolean {
-    return this.options.registry.isUsable(target);
+  /** Whether a target still accepts new work and the rules still allow it. */
+  public isUsable(target: Target, homeRegions: ReadonlySet<string> | undefined): boolean {
+    const { registry, rules } = this.options;
+    return registry.isUsable(target) && rules.allows(target, homeRegions);
+  }
+
+  /** Whether the rules exclude the targets of a pool, so that a call need not wait for one. */
+  public excludesPool(pool: string, homeRegions: ReadonlySet<string> | undefined): boolean {
+    const { registry, rules } = this.options;
+    if (homeRegions === undefined && !rules.hasEvacuations) return false;
+    const usable = registry.usable(pool);
+    return rules.excludesPool({ listed: registry.listed(pool), usable, homeRegions });
+  }
+
+  private allowed(pool: string, homeRegions: ReadonlySet<string> | undefined): readonly Target[] {
+    const { registry, rules } = this.options;
+    return registry.usable(pool).filter((target) => rules.allows(target, homeRegions));
   }
 }
--- a/packages/gateway/src/TargetTurns.ts
+++ b/packages/gateway/src/TargetTurns.ts
@@ -53,12 +53,23 @@
     return this.isTaking;
   }
 
+  /** Whether the rules exclude all targets, so that the call need not wait for one. */
+  public get isExcluded(): boolean {
+    return this.options.selector.excludesPool(this.context.pool, this.context.homeRegions);
+  }
+
   /** Chooses the next target, unless that is in progress. */
   public choose(): void {
     if (this.isTaking) return;
-    const { affinity, pool } = this.context;
+    const { affinity, homeRegions, pool } = this.context;
     const { limits, selector } = this.options;
-    const target = selector.select(pool, affinity, this.tried, this.isRepeatable);
+    const target = selector.select({
+      pool,
+      affinity,
+      excluded: this.tried,
+      isRepeatable: this.isRepeatable,
+      homeRegions,
+    });
     if (target === undefined) this.handler.onNone();
     else if (limits.isLimited(target)) this.takeTurn(target);
     else this.handler.onTarget(target);
@@ -70,7 +81,8 @@
    */
   public waitForTurn(latest: clock.Milliseconds): boolean {
     if (this.tried.size > 0) return false;
-    const exhausted = this.options.selector.exhausted(this.context.pool);
+    const { homeRegions, pool } = this.context;
+    const exhausted = this.options.selector.exhausted(pool, homeRegions);
     if (exhausted.length === 0) return false;
     this.takeLaterTurn(exhausted.slice(0, MAXIMUM_LATER_TURNS), latest);
     return true;
@@ -110,9 +122,10 @@
     else this.use(chosen);
   }
 
-  /** Uses a turn that was granted. Its target may have left in the meantime. */
+  /** Uses a turn that was granted. Its target may have left or been evacuated in the meantime. */
   private use(target: Target): void {
-    if (this.options.selector.isUsable(target)) this.handler.onTarget(target);
+    const { homeRegions } = this.context;
+    if (this.options.selector.isUsable(target, homeRegions)) this.handler.onTarget(target);
     else this.choose();
   }
 }
--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -41,6 +41,8 @@
   readonly retainsTurns: boolean;
   readonly retentionMs: clock.Milliseconds;
   readonly pools: readonly WeightedPool[];
+  /** Requests may run only in these regions; in all if there are none. */
+  readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** Configuration of a pool. */
@@ -60,6 +62,8 @@
   /** 0 if there is no limit. */
   readonly ratePerSecond: number;
   readonly burst: number;
+  /** Requests may run only in these regions; in all if there are none. */
+  readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** Limits for requests of callers. */
--- a/packages/gateway/src/UnaryCall.ts
+++ b/packages/gateway/src/UnaryCall.ts
@@ -2,6 +2,7 @@
 import * as errors from '@limpettack/errors';
 import type * as lifetime from '@limpettack/lifetime';
 import * as compactChunks from './CompactChunks.js';
+import * as excludedPoolFault from './excludedPoolFault.js';
 import * as processEnd from './ProcessEnd.js';
 import * as routeKinds from './RouteKinds.js';
 import * as sendFailures from './SendFailures.js';
@@ -283,6 +284,10 @@
    * then.
    */
   private retryFullTargets(): void {
+    if (this.turns.isExcluded) {
+      this.failWithoutTarget(excludedPoolFault.EXCLUDED_RETRY_AFTER_MS);
+      return;
+    }
     const { clock: time } = this.dependencies;
     const { call, deadline } = this.context;
     const latest = call.receivedAt + RETRY_SHARE * (deadline - call.receivedAt);
--- a/packages/gateway/src/testing/LimitedFleet.ts
+++ b/packages/gateway/src/testing/LimitedFleet.ts
@@ -142,6 +142,7 @@
       registry,
       scores,
       limits,
+      rules: fixtures.NO_RULES,
       clock: time,
       ownFailureDomain: 'a',
       random,
--- a/packages/gateway/src/testing/gatewayFixtures.ts
+++ b/packages/gateway/src/testing/gatewayFixtures.ts
@@ -2,6 +2,7 @@
 import * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
 import * as callContext from '../CallContext.js';
+import * as placementRules from '../PlacementRules.js';
 import * as processEnd from '../ProcessEnd.js';
 import * as routeKinds from '../RouteKinds.js';
 import * as targetRegistry from '../TargetRegistry.js';
@@ -32,6 +33,12 @@
   takeTurn: async () => ({ isGranted: true, waitMs: 0 }),
 };
 
+/** No failure domain is evacuated. */
+export const NO_RULES = new placementRules.PlacementRules({
+  evacuated: { count: 0, has: () => false },
+  regions: new Map(),
+});
+
 export function createTarget(id: string, changes: Partial<Target> = {}): Target {
   return {
     id,
@@ -128,8 +135,10 @@
   transport: TargetTransport,
   targets: readonly Target[],
   changes: Partial<TestDependencies> = {},
+  rules = NO_RULES,
 ): TestDependencies {
-  const time = new clock.SystemClock();
+  const limits = changes.limits ?? NO_LIMITS;
+  const time = changes.clock ?? new clock.SystemClock();
   const logger = new logging.PartLogger('test');
   const registry = new targetRegistry.TargetRegistry({
     clock: time,
@@ -151,12 +160,13 @@
     selector: new targetSelector.TargetSelector({
       registry,
       scores,
-      limits: NO_LIMITS,
+      limits,
+      rules,
       clock: time,
       ownFailureDomain: 'a',
       random: () => 0,
     }),
-    limits: NO_LIMITS,
+    limits,
     sender: new targetSender.TargetSender({ transport, scores, clock: time, logger }),
     crashes: {
       recordCrash: (_context, target) => {
