--- a/packages/gateway/src/StreamCall.ts
+++ b/packages/gateway/src/StreamCall.ts
@@ -8,6 +8,7 @@
 import type * as crashWatch from './CrashWatch.js';
 import * as eventSplitter from './EventSplitter.js';
 import * as heldOutput from './HeldOutput.js';
+import * as excludedPoolFault from './excludedPoolFault.js';
 import * as processEnd from './ProcessEnd.js';
 import * as sendFailures from './SendFailures.js';
 import type * as targetSender from './TargetSender.js';
@@ -434,6 +435,10 @@
   }
 
   private retryFullTargets(): void {
+    if (this.turns.isExcluded) {
+      this.failWithoutTarget(excludedPoolFault.EXCLUDED_RETRY_AFTER_MS);
+      return;
+    }
     const { clock: time } = this.dependencies;
     const { call, deadline } = this.context;
     const latest = call.receivedAt + RETRY_SHARE * (deadline - call.receivedAt);
--- a/packages/gateway/src/TargetLoads.test.ts
+++ b/packages/gateway/src/TargetLoads.test.ts
@@ -84,10 +84,20 @@
     loads.push(vmLoads);
     registries.push(base.registry);
     const shared = sharesLoads ? vmLoads : undefined;
-    const selector = new targetSelector.TargetSelector({ ...options, weights: shared });
+    const selector = new targetSelector.TargetSelector({
+      ...options,
+      rules: fixtures.NO_RULES,
+      weights: shared,
+    });
     const sender = new targetSender.TargetSender({ ...options, recorder: shared });
     return (turn) => {
-      const target = selector.select('pool', turn, new Set(), true)!;
+      const target = selector.select({
+        pool: 'pool',
+        affinity: turn,
+        excluded: new Set(),
+        isRepeatable: true,
+        homeRegions: undefined,
+      })!;
       sent.push({ target, second: Math.floor(time.now() / 1_000) });
       const request = fixtures.createContext(base, { kind: 'stream' }).toRequest(0);
       sender.send(target, request, HANDLER);
--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -46,6 +46,8 @@
   readonly retainsTurns: boolean;
   readonly retentionMs: clock.Milliseconds;
   readonly pools: readonly WeightedPool[];
+  /** Requests may run only in these regions; in all if there are none. */
+  readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** How targets of a pool are treated that have just started. */
@@ -75,6 +77,8 @@
   /** 0 if there is no limit. */
   readonly ratePerSecond: number;
   readonly burst: number;
+  /** Requests may run only in these regions; in all if there are none. */
+  readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** Limits for requests of callers. */
--- a/packages/gateway/src/testing/ColdFleet.ts
+++ b/packages/gateway/src/testing/ColdFleet.ts
@@ -35,7 +35,7 @@
   const targets = Array.from({ length: targetCount! }, (_, id) => fixtures.createTarget(`${id}`));
   const tables = createTables({ durationMs: 20_000, ratePerSecond: ratePerSecond! });
   const options = { tables, clock: time, logger: new logging.PartLogger('test') };
-  const registry = { usable: () => targets, isUsable: () => true };
+  const registry = { usable: () => targets, listed: () => targets, isUsable: () => true };
   const sends: { target: string; vm: number; at: clock.Milliseconds }[] = [];
   const refusals: clock.Milliseconds[] = [];
   const vms = numbers.map((vm) => {
@@ -57,6 +57,7 @@
       scores: new targetScores.TargetScores(time),
       limits,
       isCold: (target) => cold.isCold(target),
+      rules: fixtures.NO_RULES,
       ownFailureDomain: 'a',
       random: () => ((vm * 37 + sends.length * 11) % 101) / 101,
     });
--- a/packages/keyed-log/src/RelayedLog.ts
+++ b/packages/keyed-log/src/RelayedLog.ts
@@ -43,12 +43,20 @@
   readonly partition: PartitionName;
   readonly race: Pick<pathRace.PathRace<unknown>, 'sendDirect' | 'sendRelayed'>;
 }
+/** Keeps some calls away from some peers. */
+export interface RelayConfinement {
+  /** Whether a call may be relayed only through the allowed peers. */
+  readonly appliesTo: (request: Pick<messages.RelayedLogRequest, 'call' | 'partition'>) => boolean;
+  readonly allows: (peer: Pick<wire.PeerIdentity, 'failureDomain'>) => boolean;
+}
 
 /** Dependencies of a relayed log. */
 export interface RelayedLogOptions {
   readonly direct: KeyedLog;
   readonly network: wire.PeerNetwork;
   readonly membership: Pick<membership.Membership, 'available'>;
+  /** Undefined if all calls may be relayed through all peers. */
+  readonly confinement?: RelayConfinement | undefined;
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
   /** Returns a number from 0 up to 1. */
@@ -64,6 +72,12 @@
 export class RelayedLog implements KeyedLog, lifetime.Disposable {
   private readonly paths: partitionPaths.PartitionPaths;
 
+  /**
+   * The paths of confined calls. Relays that fail for these calls do not keep the other calls from
+   * relays that the confinement does not allow.
+   */
+  private readonly confinedPaths: partitionPaths.PartitionPaths;
+
   /** The calls in progress. */
   private readonly running = new Set<RunningCall>();
 
@@ -72,7 +86,9 @@
   private readonly registration: lifetime.Disposable;
 
   public constructor(private readonly options: RelayedLogOptions) {
-    this.paths = new partitionPaths.PartitionPaths(options.isolatesPartitions ?? false);
+    const isolatesPartitions = options.isolatesPartitions ?? false;
+    this.paths = new partitionPaths.PartitionPaths(isolatesPartitions);
+    this.confinedPaths = new partitionPaths.PartitionPaths(isolatesPartitions);
     this.registration = options.network.serve(messages.RELAYED_LOG_CALL, (request) =>
       this.serve(request),
     );
@@ -129,7 +145,7 @@
     waitMs: clock.Milliseconds,
   ): Promise<LogResult<Value>> {
     const { partition } = request;
-    const choice = this.paths.choose(partition, this.options.clock.now());
+    const choice = this.pathsOf(request).choose(partition, this.options.clock.now());
     if (!choice.isDirect && !choice.isRelayed) return trueMyth.Result.err(LOG_UNREACHABLE);
     const running: RunningCall & { readonly race: pathRace.PathRace<Value> } = {
       partition,
@@ -159,9 +175,11 @@
     const now = time.now();
     if (result.isErr && pathRace.isTransient(result.error)) {
       const isStall = waitMs > 0 && now - startedAt >= waitMs;
+      this.confinedPaths.noteDirectFailure(partition, startedAt, now, isStall);
       const affected = this.paths.noteDirectFailure(partition, startedAt, now, isStall);
       this.moveToRelays(this.affectedCalls(call, affected), result.error.message);
     } else {
+      this.confinedPaths.noteDirectSuccess(partition, now);
       this.moveToDirect(this.affectedCalls(call, this.paths.noteDirectSuccess(partition, now)));
     }
     return result;
@@ -195,34 +213,41 @@
     calls.forEach(({ race }) => race.sendRelayed());
   }
 
+  private pathsOf(request: messages.RelayedLogRequest): partitionPaths.PartitionPaths {
+    const isConfined = this.options.confinement?.appliesTo(request) ?? false;
+    return isConfined ? this.confinedPaths : this.paths;
+  }
+
   private async callRelays<Value>(
     request: messages.RelayedLogRequest,
     waitMs: clock.Milliseconds,
   ): Promise<LogResult<Value>> {
     const { clock: time } = this.options;
     const startedAt = time.now();
-    if (!this.paths.mayRelay(request.partition, startedAt))
-      return trueMyth.Result.err(LOG_UNREACHABLE);
+    const paths = this.pathsOf(request);
+    if (!paths.mayRelay(request.partition, startedAt)) return trueMyth.Result.err(LOG_UNREACHABLE);
     let lost: LogResult<Value> | undefined;
-    for (const address of this.chooseRelays()) {
+    for (const address of this.chooseRelays(request)) {
       const result = await this.requestRelay<Value>(address, request, waitMs);
       if (result.isOk || !pathRace.isTransient(result.error)) {
         this.lastRelay = address;
-        this.paths.noteRelaySuccess(request.partition, time.now());
+        paths.noteRelaySuccess(request.partition, time.now());
         return result;
       }
       if (result.error.kind === logFailures.LOG_FAILURES.LOST) lost = result;
     }
     this.lastRelay = undefined;
-    this.paths.noteRelayFailure(request.partition, startedAt, time.now());
+    paths.noteRelayFailure(request.partition, startedAt, time.now());
     return lost ?? trueMyth.Result.err(LOG_UNREACHABLE);
   }
 
   /** Returns the last relay that worked, then other peers in random order. */
-  private chooseRelays(): readonly string[] {
-    const { membership: members, network, random } = this.options;
+  private chooseRelays(request: messages.RelayedLogRequest): readonly string[] {
+    const { confinement, membership: members, network, random } = this.options;
+    const isConfined = confinement?.appliesTo(request) ?? false;
     const addresses = members
       .available()
+      .filter((member) => !isConfined || confinement!.allows(member))
       .map(({ address }) => address)
       .filter((address) => address !== network.self.address);
     const isLastAvailable = this.lastRelay !== undefined && addresses.includes(this.lastRelay);
