Limits: overdraft for running programs and varied retry delays

Cause: a rejected retry ends a whole program of about 25 requests, while the tolerance of the limit is unused. Retry delays are multiplied by 0.75 to 1.25.

--- a/packages/gateway/src/testing/gatewayStandIns.ts
+++ b/packages/gateway/src/testing/gatewayStandIns.ts
@@ -17,6 +17,7 @@
   observeProgram: () => undefined,
   countRefusal: () => undefined,
   countAdmission: () => undefined,
+  countOverdrawnRequests: () => undefined,
   observeLogCall: () => undefined,
   gauge: () => undefined,
   text: async () => '',
--- a/packages/metrics/src/Types.ts
+++ b/packages/metrics/src/Types.ts
@@ -20,6 +20,8 @@
   observeProgram(route: string, durationMs: number): void;
   countRefusal(kind: string): void;
   countAdmission(workspace: string, answer: 'admitted' | 'refused'): void;
+  /** Counts requests that were admitted although the bucket of their workspace was empty. */
+  countOverdrawnRequests(count: number): void;
   /** Records a call to the platform's log, by kind of call, topic and outcome. */
   observeLogCall(call: LogCallMeasurement): void;
   /** Registers a gauge. `read` returns its value and is called when the metrics are collected. */
--- a/packages/unreplicated-limits/src/AllowanceClient.ts
+++ b/packages/unreplicated-limits/src/AllowanceClient.ts
@@ -18,6 +18,8 @@
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
   readonly limitOf: LimitLookup;
+  /** If given, retry delays are varied with these numbers from 0 to 1. */
+  readonly random?: (() => number) | undefined;
 }
 
 /** Admits requests with the tokens that the owners of the limits grant to this process. */
@@ -50,6 +52,7 @@
       clock: this.options.clock,
       requestFromOwner: (request) => this.requestTokens({ workspace, ...request }),
       memberCount: () => this.options.membership.available().length,
+      random: this.options.random,
     });
     this.allowances.set(workspace, created);
     return created;
--- a/packages/unreplicated-limits/src/WorkspaceAllowance.ts
+++ b/packages/unreplicated-limits/src/WorkspaceAllowance.ts
@@ -4,6 +4,7 @@
 import * as recentPrograms from './RecentPrograms.js';
 import * as shares from './shares.js';
 import type { AdmissionResult, WorkspaceLimit } from './Types.js';
+import * as waitPolicy from './waitPolicy.js';
 
 /** Interval over which requests are counted to estimate the demand of the next interval. */
 const DEMAND_INTERVAL_MS = 500;
@@ -17,10 +18,6 @@
 /** Maximum number of prefetched tokens, so that one VM cannot empty the bucket for the others. */
 const MAXIMUM_PREFETCHED_TOKENS = 16;
 
-/** Minimum and maximum retry delay for refused callers. */
-const MINIMUM_RETRY_MS = 50;
-const MAXIMUM_RETRY_MS = 2_000;
-
 /** Requests tokens from the owner. Returns undefined if the owner does not respond. */
 export type RequestFromOwner = (
   request: Omit<messages.AllowanceRequest, 'workspace'>,
@@ -31,6 +28,8 @@
   readonly clock: clock.Clock;
   readonly requestFromOwner: RequestFromOwner;
   readonly memberCount: () => number;
+  /** If given, retry delays are varied with these numbers from 0 to 1. */
+  readonly random?: (() => number) | undefined;
 }
 
 interface Waiter {
@@ -91,7 +90,7 @@
       const waiter: Waiter = { resolve };
       waiter.timer = this.options.clock.startTimer(maximumWaitMs, () => {
         queue.waiting = queue.waiting.filter((other) => other !== waiter);
-        resolve(refusal(MINIMUM_RETRY_MS));
+        resolve(this.refusal(0));
       });
       queue.waiting.push(waiter);
       if (!queue.isRequesting) this.requestTokens(queue, limit);
@@ -109,12 +108,21 @@
         isBegin,
       });
       if (response === undefined) this.useFallback(queue, limit);
-      else if (response.granted === 0) refuseFirst(queue, needed, response.retryAfterMs);
+      else if (response.granted === 0) this.refuseFirst(queue, needed, response.retryAfterMs);
       else this.admitWaiting(queue, response.granted);
     }
     queue.isRequesting = false;
   }
 
+  private refuseFirst(queue: Queue, count: number, waitMs: clock.Milliseconds): void {
+    queue.waiting.splice(0, count).forEach((waiter) => settle(waiter, this.refusal(waitMs)));
+  }
+
+  private refusal(waitMs: clock.Milliseconds): AdmissionResult {
+    const retryAfterMs = waitPolicy.retryDelayMs(waitMs, this.options.random);
+    return { isAdmitted: false, retryAfterMs };
+  }
+
   private admitWaiting(queue: Queue, granted: number): void {
     const admitted = queue.waiting.splice(0, granted);
     admitted.forEach((waiter) => settle(waiter, { isAdmitted: true }));
@@ -141,7 +149,7 @@
     this.fallbackBucket.refill(now, 0);
     this.fallbackBucket.setLimit(atLeastOne);
     if (this.fallbackBucket.level < 1)
-      return refusal(this.fallbackBucket.timeToAccrue(1 - this.fallbackBucket.level));
+      return this.refusal(this.fallbackBucket.timeToAccrue(1 - this.fallbackBucket.level));
     this.fallbackBucket.take(1);
     return { isAdmitted: true };
   }
@@ -167,16 +175,7 @@
   }
 }
 
-function refuseFirst(queue: Queue, count: number, waitMs: clock.Milliseconds): void {
-  queue.waiting.splice(0, count).forEach((waiter) => settle(waiter, refusal(waitMs)));
-}
-
 function settle(waiter: Waiter, admission: AdmissionResult): void {
   waiter.timer?.cancel();
   waiter.resolve(admission);
 }
-
-function refusal(waitMs: clock.Milliseconds): AdmissionResult {
-  const retryAfterMs = Math.min(MAXIMUM_RETRY_MS, Math.max(MINIMUM_RETRY_MS, waitMs));
-  return { isAdmitted: false, retryAfterMs };
-}
--- a/packages/unreplicated-limits/src/waitPolicy.ts
+++ b/packages/unreplicated-limits/src/waitPolicy.ts
@@ -27,6 +27,17 @@
  */
 const PREFETCH_BURST_SHARE = 0.25;
 
+/** Minimum and maximum retry delay for refused callers. */
+const MINIMUM_RETRY_MS = 50;
+const MAXIMUM_RETRY_MS = 2_000;
+
+/**
+ * Range of the random factor of retry delays, so that callers that are refused together do not
+ * return together.
+ */
+const MINIMUM_RETRY_FACTOR = 0.75;
+const MAXIMUM_RETRY_FACTOR = 1.25;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** State of a workspace's limit when a request for tokens is decided. */
@@ -38,6 +49,34 @@
   readonly ahead: number;
   /** Number of VMs that use the limit. */
   readonly memberCount: number;
+  /** Number of tokens that the request may take from an empty bucket. */
+  readonly overdraft: number;
+}
+
+/** State of a workspace's limit that determines whether its bucket may be overdrawn. */
+export interface OverdraftState {
+  /** Number of tokens that running programs may overdraw while nothing rules it out. */
+  readonly tokens: number;
+  /** Time since this process became the owner or the limit was lowered. */
+  readonly unchangedMs: clock.Milliseconds;
+  /** Time for which the tokens that were granted before still count. */
+  readonly windowMs: clock.Milliseconds;
+}
+
+/**
+ * Number of tokens that a request may take from an empty bucket, for workspaces that send 4 to 5
+ * times their usual load for some seconds. First calls get none, so that new programs are refused
+ * instead of running ones. Nobody gets any while a window includes grants of an earlier owner or
+ * of a higher limit.
+ */
+export function allowedOverdraft(state: OverdraftState | undefined, isBegin: boolean): number {
+  if (state === undefined || isBegin || state.unchangedMs < state.windowMs) return 0;
+  return state.tokens;
+}
+
+/** Number of the granted requests that the tokens in the bucket did not cover. */
+export function countOverdrawn(level: number, granted: number): number {
+  return Math.max(0, granted - Math.max(0, Math.floor(level)));
 }
 
 /**
@@ -52,7 +91,7 @@
 ): number {
   if (state.ahead > 0) return 0;
   const reserved = isBegin ? Math.min(RESERVED_BURST_SHARE * state.burst, state.burst - 1) : 0;
-  const available = Math.floor(state.level - reserved);
+  const available = Math.floor(state.level + state.overdraft - reserved);
   const granted = Math.max(0, Math.min(needed, available));
   const mayPrefetch = state.level - needed > PREFETCH_LEVEL_SHARE * state.burst;
   if (!mayPrefetch) return granted;
@@ -64,7 +103,7 @@
 
 /** Estimated time until a request is served. */
 export function expectedWaitMs(state: LimitState): clock.Milliseconds {
-  const missing = Math.max(0, state.ahead + 1 - state.level);
+  const missing = Math.max(0, state.ahead + 1 - state.level - state.overdraft);
   return (missing / state.ratePerSecond) * MILLISECONDS_PER_SECOND;
 }
 
@@ -72,3 +111,21 @@
 export function maximumWaitMs(isBegin: boolean): clock.Milliseconds {
   return isBegin ? MAXIMUM_FIRST_CALL_WAIT_MS : MAXIMUM_WAIT_MS;
 }
+
+/**
+ * Time after which a refused caller should retry. `random` returns numbers from 0 to 1; without it
+ * the delay is not varied.
+ */
+export function retryDelayMs(
+  waitMs: clock.Milliseconds,
+  random: (() => number) | undefined,
+): clock.Milliseconds {
+  const delayMs = clampRetry(waitMs);
+  if (random === undefined) return delayMs;
+  const range = MAXIMUM_RETRY_FACTOR - MINIMUM_RETRY_FACTOR;
+  return clampRetry(delayMs * (MINIMUM_RETRY_FACTOR + range * random()));
+}
+
+function clampRetry(delayMs: clock.Milliseconds): clock.Milliseconds {
+  return Math.min(MAXIMUM_RETRY_MS, Math.max(MINIMUM_RETRY_MS, delayMs));
+}
