--- a/packages/gateway/src/testing/gatewayStandIns.ts
+++ b/packages/gateway/src/testing/gatewayStandIns.ts
@@ -18,6 +18,7 @@
   countRefusal: () => undefined,
   countHeldTurn: () => undefined,
   countAdmission: () => undefined,
+  countOverdrawnRequests: () => undefined,
   observeLogCall: () => undefined,
   gauge: () => undefined,
   text: async () => '',
