Limits: remove the overdraft, keep the recognition of programs

Varied retry delays are rounded up to whole milliseconds. Owners ignore programs whose last call is 20 s old or older. VMs keep counting a program as running until it is removed, because that rule is also in effect without the switch.

--- a/packages/gateway/src/testing/gatewayStandIns.ts
+++ b/packages/gateway/src/testing/gatewayStandIns.ts
@@ -18,7 +18,6 @@
   countRefusal: () => undefined,
   countHeldTurn: () => undefined,
   countAdmission: () => undefined,
-  countOverdrawnRequests: () => undefined,
   observeLogCall: () => undefined,
   gauge: () => undefined,
   text: async () => '',
--- a/packages/limits/src/TokenBucket.ts
+++ b/packages/limits/src/TokenBucket.ts
@@ -14,8 +14,6 @@
     private tokens: number,
     private refilledAt: clock.Milliseconds,
     limit: WorkspaceLimit | undefined,
-    /** A refill raises the level to at least this value. It is negative if debt may be carried. */
-    private readonly lowestLevel = 0,
   ) {
     this.limit = limit ?? FROZEN_LIMIT;
   }
@@ -38,7 +36,7 @@
     const elapsed = Math.max(0, now - this.refilledAt);
     const refilled = this.tokens + (elapsed / MILLISECONDS_PER_SECOND) * this.limit.ratePerSecond;
     this.refilledAt = now;
-    this.tokens = Math.max(this.lowestLevel, Math.min(refilled, this.limit.burst - reserved));
+    this.tokens = Math.max(0, Math.min(refilled, this.limit.burst - reserved));
   }
 
   /** Changes the limit. Refill first, so that elapsed time accrues at the old rate. */
--- a/packages/metrics/src/Types.ts
+++ b/packages/metrics/src/Types.ts
@@ -22,8 +22,6 @@
   /** Counts a turn whose output was held back until its budget was recorded. */
   countHeldTurn(): void;
   countAdmission(workspace: string, answer: 'admitted' | 'refused'): void;
-  /** Counts requests that were admitted although the bucket of their workspace was empty. */
-  countOverdrawnRequests(count: number): void;
   /** Records a call to the platform's log, by kind of call, topic and outcome. */
   observeLogCall(call: LogCallMeasurement): void;
   /** Registers a gauge. `read` returns its value and is called when the metrics are collected. */
--- a/packages/metrics/src/VmMetrics.ts
+++ b/packages/metrics/src/VmMetrics.ts
@@ -77,12 +77,6 @@
     ['workspace', 'answer'],
   );
 
-  private readonly overdrawnRequestsTotal = this.counter(
-    'limpettack_overdrawn_requests_total',
-    'Requests of running programs admitted beyond the tokens of their limit.',
-    [],
-  );
-
   private readonly logCallSeconds = this.histogram(
     'limpettack_log_call_seconds',
     "Time of a call of the platform's log.",
@@ -147,11 +141,6 @@
     this.admissionsTotal.inc({ workspace: this.workspaceLabel(workspace), answer });
   }
 
-  /** @inheritdoc */
-  public countOverdrawnRequests(count: number): void {
-    this.overdrawnRequestsTotal.inc(count);
-  }
-
   /** @inheritdoc */
   public observeLogCall({ bytes, call, outcome, spanMs, topic }: LogCallMeasurement): void {
     this.logCallSeconds.observe({ call, topic, outcome }, spanMs / MILLISECONDS_PER_SECOND);
--- a/packages/unreplicated-limits/src/AllowanceOwner.ts
+++ b/packages/unreplicated-limits/src/AllowanceOwner.ts
@@ -7,7 +7,7 @@
 import * as trueMyth from 'true-myth';
 import * as messages from './messages.js';
 import * as ownedLimit from './OwnedLimit.js';
-import type { LimitLookup, Tolerance } from './Types.js';
+import type { LimitLookup } from './Types.js';
 
 /** Tokens granted at once to a workspace without a limit. */
 const UNLIMITED_GRANT = 1_000_000;
@@ -19,10 +19,6 @@
   readonly clock: clock.Clock;
   readonly logger: logging.Logger;
   readonly limitOf: LimitLookup;
-  /** If given, running programs may overdraw a limit by a share of this tolerance. */
-  readonly tolerance?: Tolerance | undefined;
-  /** Called with the number of requests that were granted although a bucket was empty. */
-  readonly onOverdrawn?: ((count: number) => void) | undefined;
 }
 
 /** The workspace limits that this process owns. Each is a token bucket for the whole fleet. */
@@ -43,7 +39,6 @@
   /** Grants tokens of a workspace, one for each request. */
   public async take(request: messages.AllowanceRequest): Promise<messages.AllowanceResponse> {
     const { clock: time, limitOf, logger, membership: members } = this.options;
-    const { onOverdrawn, tolerance } = this.options;
     const memberCount = (): number => members.available().length;
     const { workspace } = request;
     const limit = limitOf(workspace);
@@ -56,8 +51,6 @@
       clock: time,
       logger,
       memberCount,
-      tolerance,
-      onOverdrawn,
     });
     this.owned.set(workspace, created);
     return created.take(request, limit);
--- a/packages/unreplicated-limits/src/OwnedLimit.ts
+++ b/packages/unreplicated-limits/src/OwnedLimit.ts
@@ -4,7 +4,7 @@
 import type * as messages from './messages.js';
 import * as recentPrograms from './RecentPrograms.js';
 import * as shares from './shares.js';
-import type { Tolerance, WorkspaceLimit } from './Types.js';
+import type { WorkspaceLimit } from './Types.js';
 import * as waitPolicy from './waitPolicy.js';
 
 /** Minimum interval between log lines about an exceeded limit. */
@@ -27,10 +27,6 @@
   readonly logger: logging.Logger;
   /** Number of VMs that use the limit. */
   readonly memberCount: () => number;
-  /** If given, running programs may overdraw the bucket by a share of this tolerance. */
-  readonly tolerance?: Tolerance | undefined;
-  /** Called with the number of requests that were granted although the bucket was empty. */
-  readonly onOverdrawn?: ((count: number) => void) | undefined;
 }
 
 /** The limit of one workspace at its owner: a token bucket and the queues of waiting requests. */
@@ -54,21 +50,11 @@
 
   private loggedAt = 0;
 
-  /** When this process became the owner or, if that is later, when the limit was last lowered. */
-  private unchangedSince: clock.Milliseconds;
-
   public constructor(private readonly options: OwnedLimitOptions) {
-    const { clock: time, limit, tolerance } = options;
+    const { clock: time, limit } = options;
     this.limit = limit;
-    this.unchangedSince = time.now();
     const ownerLimit = shares.ownerLimit(limit);
-    this.bucket = new limits.TokenBucket(
-      shares.initialTokens(ownerLimit),
-      time.now(),
-      ownerLimit,
-      // A lowered burst lowers the overdraft, but must not reduce the debt.
-      tolerance === undefined ? 0 : Number.NEGATIVE_INFINITY,
-    );
+    this.bucket = new limits.TokenBucket(shares.initialTokens(ownerLimit), time.now(), ownerLimit);
   }
 
   /** Grants tokens, at once or after a short wait; none if the wait would be too long. */
@@ -110,7 +96,6 @@
       ratePerSecond: this.bucket.ratePerSecond,
       ahead: waiting.reduce((sum, { request }) => sum + request.needed, 0),
       memberCount: this.options.memberCount(),
-      overdraft: this.overdraftFor(isBegin),
     };
   }
 
@@ -122,25 +107,13 @@
     const { program, running = [] } = request;
     const now = this.options.clock.now();
     running.forEach((name) => this.programs.add(name, now));
-    const isRunning = program !== undefined && this.programs.has(program);
+    const isRunning = program !== undefined && this.programs.isRetained(program, now);
     return isRunning ? { ...request, isBegin: false } : request;
   }
 
-  private overdraftFor(isBegin: boolean): number {
-    const { clock: time, tolerance } = this.options;
-    const state = tolerance && {
-      tokens: shares.overdraftTokens(tolerance, shares.ownerLimit(this.limit)),
-      unchangedMs: time.now() - this.unchangedSince,
-      windowMs: tolerance.windowMs,
-    };
-    return waitPolicy.allowedOverdraft(state, isBegin);
-  }
-
   private grant(request: messages.AllowanceRequest, state: waitPolicy.LimitState): number {
     const { expected, isBegin, needed, program } = request;
     const granted = waitPolicy.computeGrant(state, needed, expected, isBegin);
-    const overdrawn = waitPolicy.countOverdrawn(state.level, granted);
-    if (overdrawn > 0) this.options.onOverdrawn?.(overdrawn);
     this.bucket.take(granted);
     if (granted > 0 && program !== undefined) this.programs.add(program, this.options.clock.now());
     return granted;
@@ -150,9 +123,6 @@
     this.bucket.refill(this.options.clock.now(), 0);
     if (limit.burst === this.limit.burst && limit.ratePerSecond === this.limit.ratePerSecond)
       return;
-    const isLowered =
-      limit.burst < this.limit.burst || limit.ratePerSecond < this.limit.ratePerSecond;
-    if (isLowered) this.unchangedSince = this.options.clock.now();
     this.bucket.setLimit(shares.ownerLimit(limit));
     this.bucket.refill(this.options.clock.now(), 0);
     this.limit = limit;
@@ -161,8 +131,7 @@
   private schedule(): void {
     if (this.timer !== undefined || this.runningProgramCalls.length + this.firstCalls.length === 0)
       return;
-    const overdraft = this.overdraftFor(this.runningProgramCalls.length === 0);
-    const missing = Math.max(0, 1 - this.bucket.level - overdraft);
+    const missing = Math.max(0, 1 - this.bucket.level);
     const delay = Math.max(MINIMUM_TIMER_MS, this.bucket.timeToAccrue(missing));
     this.timer = this.options.clock.startTimer(delay, () => {
       this.timer = undefined;
--- a/packages/unreplicated-limits/src/RecentPrograms.ts
+++ b/packages/unreplicated-limits/src/RecentPrograms.ts
@@ -12,10 +12,17 @@
 
   private sweptAt = 0;
 
+  /** Whether the program is known. An expired one is known until a later call removes it. */
   public has(program: string): boolean {
     return this.seenAt.has(program);
   }
 
+  /** Whether a call of the program was admitted within the retention period. */
+  public isRetained(program: string, now: clock.Milliseconds): boolean {
+    const seenAt = this.seenAt.get(program);
+    return seenAt !== undefined && now - seenAt < RETENTION_MS;
+  }
+
   public add(program: string, now: clock.Milliseconds): void {
     this.seenAt.set(program, now);
     if (now - this.sweptAt < SWEEP_MS) return;
--- a/packages/unreplicated-limits/src/Types.ts
+++ b/packages/unreplicated-limits/src/Types.ts
@@ -6,13 +6,6 @@
   readonly burst: number;
 }
 
-/** How far all VMs together may exceed a limit, and over which time that is measured. */
-export interface Tolerance {
-  /** Number of requests above the limit that are tolerated in any window. */
-  readonly requests: number;
-  readonly windowMs: clock.Milliseconds;
-}
-
 /** Returns the limit of a workspace, or undefined if it has none. */
 export type LimitLookup = (workspace: string) => WorkspaceLimit | undefined;
 
--- a/packages/unreplicated-limits/src/WorkspaceAllowance.test.ts
+++ b/packages/unreplicated-limits/src/WorkspaceAllowance.test.ts
@@ -49,6 +49,8 @@
     [undefined, 400, 400],
     [0, 400, 300],
     [1, 400, 500],
+    // A fraction would be in the body of the refusal.
+    [0.3, 401, 361],
     [0, 0, 50],
     [1, 9_000, 2_000],
     [0, 9_000, 1_500],
--- a/packages/unreplicated-limits/src/testing/LimitedFleet.ts
+++ b/packages/unreplicated-limits/src/testing/LimitedFleet.ts
@@ -7,7 +7,7 @@
 import * as allowanceClient from '../AllowanceClient.js';
 import * as allowanceOwner from '../AllowanceOwner.js';
 import * as messages from '../messages.js';
-import type { Tolerance, WorkspaceLimit } from '../Types.js';
+import type { WorkspaceLimit } from '../Types.js';
 
 const WORKSPACE = 'w';
 const STEP_MS = 5;
@@ -24,7 +24,6 @@
 /** Settings of a simulated fleet. */
 export interface LimitedFleetOptions {
   readonly vmCount: number;
-  readonly tolerance?: Tolerance | undefined;
   readonly random?: (() => number) | undefined;
   readonly namesPrograms?: boolean;
 }
@@ -47,8 +46,6 @@
   /** Tokens that programs used before they failed. */
   public wastedTokens = 0;
 
-  public overdrawnCalls = 0;
-
   /** Names of the VMs that cannot exchange messages with others. */
   public isolated: readonly string[] = [];
 
@@ -151,14 +148,7 @@
         request: this.createRequest(self),
       },
     };
-    const onOverdrawn = (count: number): void => {
-      this.overdrawnCalls += count;
-    };
-    const owner = new allowanceOwner.AllowanceOwner({
-      ...common,
-      tolerance: this.options.tolerance,
-      onOverdrawn,
-    });
+    const owner = new allowanceOwner.AllowanceOwner(common);
     const { namesPrograms = false, random } = this.options;
     const client = new allowanceClient.AllowanceClient({ ...common, random, namesPrograms, owner });
     return { self, owner, client };
--- a/packages/unreplicated-limits/src/waitPolicy.ts
+++ b/packages/unreplicated-limits/src/waitPolicy.ts
@@ -49,34 +49,6 @@
   readonly ahead: number;
   /** Number of VMs that use the limit. */
   readonly memberCount: number;
-  /** Number of tokens that the request may take from an empty bucket. */
-  readonly overdraft: number;
-}
-
-/** State of a workspace's limit that determines whether its bucket may be overdrawn. */
-export interface OverdraftState {
-  /** Number of tokens that running programs may overdraw while nothing rules it out. */
-  readonly tokens: number;
-  /** Time since this process became the owner or the limit was lowered. */
-  readonly unchangedMs: clock.Milliseconds;
-  /** Time for which the tokens that were granted before still count. */
-  readonly windowMs: clock.Milliseconds;
-}
-
-/**
- * Number of tokens that a request may take from an empty bucket, for workspaces that send 4 to 5
- * times their usual load for some seconds. First calls get none, so that new programs are refused
- * instead of running ones. Nobody gets any while a window includes grants of an earlier owner or
- * of a higher limit.
- */
-export function allowedOverdraft(state: OverdraftState | undefined, isBegin: boolean): number {
-  if (state === undefined || isBegin || state.unchangedMs < state.windowMs) return 0;
-  return state.tokens;
-}
-
-/** Number of the granted requests that the tokens in the bucket did not cover. */
-export function countOverdrawn(level: number, granted: number): number {
-  return Math.max(0, granted - Math.max(0, Math.floor(level)));
 }
 
 /**
@@ -91,7 +63,7 @@
 ): number {
   if (state.ahead > 0) return 0;
   const reserved = isBegin ? Math.min(RESERVED_BURST_SHARE * state.burst, state.burst - 1) : 0;
-  const available = Math.floor(state.level + state.overdraft - reserved);
+  const available = Math.floor(state.level - reserved);
   const granted = Math.max(0, Math.min(needed, available));
   const mayPrefetch = state.level - needed > PREFETCH_LEVEL_SHARE * state.burst;
   if (!mayPrefetch) return granted;
@@ -103,7 +75,7 @@
 
 /** Estimated time until a request is served. */
 export function expectedWaitMs(state: LimitState): clock.Milliseconds {
-  const missing = Math.max(0, state.ahead + 1 - state.level - state.overdraft);
+  const missing = Math.max(0, state.ahead + 1 - state.level);
   return (missing / state.ratePerSecond) * MILLISECONDS_PER_SECOND;
 }
 
@@ -114,7 +86,7 @@
 
 /**
  * Time after which a refused caller should retry. `random` returns numbers from 0 to 1; without it
- * the delay is not varied.
+ * the delay is not varied. A varied delay is in whole milliseconds, because it is sent to the caller.
  */
 export function retryDelayMs(
   waitMs: clock.Milliseconds,
@@ -123,7 +95,7 @@
   const delayMs = clampRetry(waitMs);
   if (random === undefined) return delayMs;
   const range = MAXIMUM_RETRY_FACTOR - MINIMUM_RETRY_FACTOR;
-  return clampRetry(delayMs * (MINIMUM_RETRY_FACTOR + range * random()));
+  return clampRetry(Math.ceil(delayMs * (MINIMUM_RETRY_FACTOR + range * random())));
 }
 
 function clampRetry(delayMs: clock.Milliseconds): clock.Milliseconds {
