--- a/packages/keyed-log/src/PartitionPaths.ts
+++ b/packages/keyed-log/src/PartitionPaths.ts
@@ -57,7 +57,7 @@
   /** When relays last reached each partition. */
   private readonly relayedAt = new Map<string, clock.Milliseconds>();
 
-  /** Until when relays are not tried for a partition that they alone do not reach. */
+  /** Until when relays, which reach other partitions, are not tried for a partition. */
   private readonly relaysPausedUntil = new Map<string, clock.Milliseconds>();
 
   /**
