--- a/review/lib-2/Fleet.mjs
+++ b/review/lib-2/Fleet.mjs
@@ -12,13 +12,13 @@
 import * as path from 'node:path';
 
 const ROOT = path.join(import.meta.dirname, '..', '..');
-const START_TIMEOUT_MS = 15_000;
+const START_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
 const FIRST_PORT = 12_000;
 const LAST_PORT = 30_000;
 
 /** The bounds of the sheet of the site that `claim.txt` names. */
-const BOUNDS = {
+export const BOUNDS = {
   SeedLagS: 3,
   ReuseAfterS: 2,
   StableWindowMs: 3000,
@@ -42,7 +42,7 @@
   SettleMs: 1000,
 };
 
-const CONTRACTS = [
+export const CONTRACTS = [
   'base',
   'drain',
   'config',
@@ -58,8 +58,9 @@
 
 /** VMs that run the program as the deploy file says, each with a door of the store. */
 export class Fleet {
-  constructor({ store, record }) {
-    Object.assign(this, { store, record });
+  /** @param contracts The parts of the rules that are in force at the site. */
+  constructor({ store, record, contracts = CONTRACTS, bounds = BOUNDS, parts = 8 }) {
+    Object.assign(this, { store, record, contracts, bounds, parts });
     this.directory = fs.mkdtempSync(path.join(os.tmpdir(), 'limpettack-review-'));
     this.vms = [];
     process.on('exit', () => this.dispose());
@@ -111,15 +112,15 @@
       Discovery: 'platform',
       Entry: 'vip',
       HeartbeatMs: 1200,
-      Contracts: CONTRACTS,
+      Contracts: this.contracts,
       FaultTolerance: { Machines: 1, Zones: 0, Regions: 0 },
-      Bounds: BOUNDS,
+      Bounds: this.bounds,
       Platform: {
         Address: door.address,
         form: 'log',
         WritesPerS: 800,
         ReadsPerS: 2000,
-        parts: 8,
+        parts: this.parts,
         AppendMs: 4,
         PartitionMbS: 20,
         ReadMbS: 80,
@@ -161,7 +162,7 @@
   async restart(vm) {
     this.record(`${vm.name}: SIGTERM`);
     vm.child.kill('SIGTERM');
-    const kill = timers.setTimeout(() => vm.child.kill('SIGKILL'), BOUNDS.GraceS * 1000);
+    const kill = timers.setTimeout(() => vm.child.kill('SIGKILL'), this.bounds.GraceS * 1000);
     await vm.ended;
     timers.clearTimeout(kill);
     this.launch(vm);
@@ -169,6 +170,20 @@
     this.record(`${vm.name}: started again and ready`);
   }
 
+  /** Kills all processes at the same moment, and starts them again. */
+  async killAll(downMs) {
+    this.record('all machines: SIGKILL');
+    this.vms.forEach(({ child }) => child.kill('SIGKILL'));
+    await Promise.all(this.vms.map(({ ended }) => ended));
+    await sleep(downMs);
+    this.vms.forEach((vm) => this.launch(vm));
+  }
+
+  /** Waits until all machines are ready. */
+  async awaitReady() {
+    await Promise.all(this.vms.map((vm) => waitUntilReady(vm)));
+  }
+
   /** What the process of a VM has written. */
   logOf(vm) {
     return fs.readFileSync(path.join(this.directory, `${vm.name}.log`), 'utf8');
