--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -21,15 +21,19 @@
 const OVERSHOOT = 0.1;
 const TOLERANCE = 20;
 
-/** 7.2 times the usual, of which the limit is 1.6 times. */
-const SENT_PER_SECOND = 18;
-const CALM_MS = 8_000;
+/** The usual rate of the workspace, of which its limit is 1.6 times (`quota_x` of the site). */
+const USUAL_PER_SECOND = 2.5;
+/** For this long it sends 7.2 times its usual (`hot_tenant`). */
+const HOT_PER_SECOND = 18;
+const HOT_FROM_MS = 6_500;
+const HOT_TO_MS = 13_000;
+const KILL_AT_MS = 8_000;
 const DOWN_MS = 3_500;
 const TOTAL_MS = 20_000;
 
 /** The machine that owns the limit of this workspace, by the names of both. */
-const WORKSPACE = 'yard-1';
-const OWNER = 'edge-19';
+const WORKSPACE = 'shop-1';
+const OWNER = 'edge-29';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const record = fleetModule.createRecord(path.join(import.meta.dirname, 'record.txt'));
@@ -39,7 +43,7 @@
   store,
   record,
   parts: 16,
-  contracts: [...fleetModule.CONTRACTS, 'health', 'pool'],
+  contracts: [...fleetModule.CONTRACTS, 'health', 'pool', 'pressure'],
   bounds: {
     ...fleetModule.BOUNDS,
     StableWindowMs: STABLE_WINDOW_MS,
@@ -61,7 +65,7 @@
     (id) =>
       new runnerModule.Runner({
         id,
-        service: 'pedidos',
+        service: 'lm-bench',
         zone: ZONES[0],
         store,
         record: () => undefined,
@@ -74,7 +78,7 @@
   await fleetModule.sleep(2 * STABLE_WINDOW_MS);
   const startedAt = Date.now();
   const sending = sendAll(startedAt);
-  await fleetModule.sleep(CALM_MS);
+  await fleetModule.sleep(KILL_AT_MS);
   if (hasTrouble) {
     const owner = fleet.vms.find(({ name }) => name === OWNER);
     record(`${OWNER}: SIGKILL`);
@@ -101,16 +105,11 @@
   }
 }
 
-async function answer({ attempt, response, runner }) {
-  runs.push({ sent: sentAt.get(attempt), arrived: Date.now() });
-  await fleetModule.sleep(20);
-  const body = `done ${attempt}`;
-  response.writeHead(200, {
-    'Attempt-Id': attempt,
-    'Server-Seal': `seal.${runner.id}`,
-    'Content-Length': body.length,
-  });
-  response.end(body);
+const stream = runnerModule.createStreamHandler(3, 10);
+
+async function answer(call) {
+  runs.push({ sent: sentAt.get(call.attempt), arrived: Date.now() });
+  await stream(call);
 }
 
 /** Sends the requests of the workspace to the machines in rotation, one after the other. */
@@ -123,20 +122,23 @@
     const id = `call-${index}`;
     sentAt.set(id, Date.now());
     pending.push(sendCall(vms[index % vms.length], id));
-    await fleetModule.sleep(startedAt + (1000 * (index + 1)) / SENT_PER_SECOND - Date.now());
+    const ageMs = Date.now() - startedAt;
+    const isHot = ageMs >= HOT_FROM_MS && ageMs < HOT_TO_MS;
+    await fleetModule.sleep(1000 / (isHot ? HOT_PER_SECOND : USUAL_PER_SECOND));
   }
   await Promise.all(pending);
 }
 
 function sendCall(vm, id) {
   return fleetModule.send(vm, {
-    path: '/order/part',
-    body: `order ${id}`,
+    path: '/fix/turn',
+    body: `question ${id}`,
     record: () => undefined,
     headers: {
       'Attempt-Id': id,
-      'Deadline-Ms': '3036',
-      Authorization: 'Bearer key-of-yard-1',
+      'Deadline-Ms': '3054',
+      'Token-Usage': '100,60',
+      Authorization: 'Bearer key-of-shop-1',
     },
   });
 }
@@ -146,26 +148,26 @@
     Version: 1,
     Routes: [
       {
-        Name: 'order-place',
+        Name: 'guided-fix',
         Hostname: 'desk.example',
-        PathPrefix: '/order/',
-        RouteKind: 'non_idempotent',
-        Service: 'pedidos',
+        PathPrefix: '/fix/',
+        RouteKind: 'streaming',
+        Service: 'lm-bench',
         Priority: 2,
-        SloMs: 407,
-        TimeoutMs: 3000,
+        SloMs: 509,
+        TimeoutMs: 3054,
         MaxAttempts: 2,
       },
     ],
-    Services: [{ Name: 'pedidos', HealthPath: '/healthz', MaxConns: 380 }],
+    Services: [{ Name: 'lm-bench', HealthPath: '/healthz', MaxConns: 540 }],
     Limits: {
       MaxHeaderBytes: 16384,
       MaxBodyBytes: 4194304,
       HeaderTimeoutMs: 5000,
-      IdleTimeoutMs: 30000,
+      IdleTimeoutMs: 30540,
     },
     Tenants: [
-      { Name: WORKSPACE, ApiKeys: ['key-of-yard-1'], RatePerS: RATE_PER_SECOND, Burst: BURST },
+      { Name: WORKSPACE, ApiKeys: ['key-of-shop-1'], RatePerS: RATE_PER_SECOND, Burst: BURST },
     ],
   };
 }
