Limits of targets: shares of VMs that cannot reach the owner come due one after the other

Targets saw: after the owner of a target's limit has been unreachable for the interval of a share (12 s at 61 VMs and 5 requests a second), all VMs send at once. Cause: all VMs lose the owner at the same moment, and the first turn of each share came one interval later. Change: the rank of the VM spreads the first turns over the next interval. Nothing is granted earlier than before.

--- a/packages/gateway/src/LimitedTarget.ts
+++ b/packages/gateway/src/LimitedTarget.ts
@@ -12,6 +12,14 @@
 /** Minimum time for which a target without a turn is not asked for one again. */
 const MINIMUM_PAUSE_MS = 5;
 
+/** The place of this VM among those that use a limit. */
+export interface VmRank {
+  /** From 0 on, different for each VM. */
+  readonly rank: number;
+  /** The number of VMs, at least 1. */
+  readonly count: number;
+}
+
 /** What this VM knows about a target with a limit. */
 export class LimitedTarget {
   /** Time until which the owner grants no turn. */
@@ -89,13 +97,18 @@
     return false;
   }
 
-  /** Records that the owner did not respond. Returns whether it had responded before. */
-  public recordUnreachableOwner(now: clock.Milliseconds, memberCount: number): boolean {
+  /**
+   * Records that the owner did not respond. Returns whether it had responded before.
+   *
+   * Many VMs lose the owner at the same moment. Their ranks spread their first turns, which would
+   * otherwise come due together, once in each interval of a share.
+   */
+  public recordUnreachableOwner(now: clock.Milliseconds, { count, rank }: VmRank): boolean {
     const wasReachable = this.ownShare === undefined;
     this.isAsking = false;
     this.askAgainAt = now + ASK_AGAIN_MS;
-    const share = this.rate / Math.max(1, memberCount);
-    this.ownShare ??= new requestPacer.RequestPacer(share, now + MILLISECONDS_PER_SECOND / share);
+    const firstTurn = now + ((count + rank) * MILLISECONDS_PER_SECOND) / this.rate;
+    this.ownShare ??= new requestPacer.RequestPacer(this.rate / count, firstTurn);
     return wasReachable;
   }
 
--- a/packages/gateway/src/TargetLimits.test.ts
+++ b/packages/gateway/src/TargetLimits.test.ts
@@ -74,6 +74,17 @@
     expect(fleet.served).toBe(11 * 60);
   });
 
+  // Guards against the shares of many VMs that come due at the same moment.
+  test('the limit holds while its owner is unreachable for longer than the interval of a share', async () => {
+    const fleet = limitedFleet.createLimitedFleet(61);
+    fleet.limits = ALL_LIMITED;
+    await fleet.play({ seconds: 3, callsPerSecond: 120 });
+    fleet.isOwnerUnreachable = true;
+    await fleet.play({ seconds: 30, callsPerSecond: 120 });
+    expect(fleet.mostInFourSeconds('one', 3_000)).toBeLessThanOrEqual(ALLOWED);
+    expect(fleet.mostInFourSeconds('one', 27_000)).toBeGreaterThanOrEqual(2 * RATE);
+  });
+
   // Guards against calls that wait for a turn in vain, and against a retry delay that is too short.
   test('calls for which no target has a turn in time are refused at once', async () => {
     const fleet = limitedFleet.createLimitedFleet(20);
--- a/packages/gateway/src/TargetLimits.ts
+++ b/packages/gateway/src/TargetLimits.ts
@@ -123,7 +123,9 @@
       timeoutMs: TURN_TIMEOUT_MS,
     });
     if (response.isOk) return response.value;
-    if (limited.recordUnreachableOwner(time.now(), available.length))
+    const rank = available.findIndex(({ name }) => name === network.self.name);
+    const place = { rank: Math.max(0, rank), count: Math.max(1, available.length) };
+    if (limited.recordUnreachableOwner(time.now(), place))
       logger.warn('The owner of the limit of a target did not respond.', {
         target: id,
         peer: member.name,
