Requests that crash targets: a VM that missed the announcement of a quarantine learns of it

Callers saw: after a request had crashed three targets, one VM was restarted. Cause: a quarantine was announced once and held in memory only. A VM that started later had none, and the VMs that count the crashes ignored its reports.

--- a/packages/gateway/src/Types.ts
+++ b/packages/gateway/src/Types.ts
@@ -1,5 +1,6 @@
 import type * as clock from '@limpettack/clock';
 import type * as errors from '@limpettack/errors';
+import type * as lifetime from '@limpettack/lifetime';
 import type * as trueMyth from 'true-myth';
 import type * as routeKinds from './RouteKinds.js';
 import type * as sampleKinds from './SampleKinds.js';
@@ -252,3 +253,20 @@
 export interface TargetTransport {
   send(target: Target, request: TargetRequest, handler: ResponseHandler): Exchange;
 }
+
+/** A record of a quarantine in the log. */
+export interface QuarantineRecord {
+  readonly fingerprint: string;
+  /** Length of the quarantine; undefined if the record was removed. */
+  readonly lengthMs: clock.Milliseconds | undefined;
+}
+
+/** The quarantines in the log, which outlive all processes. */
+export interface QuarantineRecords {
+  /** Fires for each record that is read, also for those that this process wrote. */
+  readonly onRead: lifetime.Event<QuarantineRecord>;
+  /** Writes a record in the background. */
+  store(fingerprint: string, lengthMs: clock.Milliseconds): void;
+  /** Removes a record in the background. */
+  remove(fingerprint: string): void;
+}
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -17,8 +17,15 @@
 
 const QUARANTINE = zod.object({
   fingerprint: zod.string(),
-  /** Length of the quarantine from the receipt of the message, in milliseconds. */
+  /** Length of the quarantine, in milliseconds. */
   lengthMs: zod.number().nonnegative(),
+  /** Time until it ends, from the receipt of the message. Default: its whole length. */
+  remainingMs: zod.number().nonnegative().optional(),
+});
+
+const CRASH_RESPONSE = zod.object({
+  /** Set if the request is quarantined, which the sender may not know. */
+  quarantine: QUARANTINE.optional(),
 });
 
 const TURN_REQUEST = zod.object({
@@ -124,6 +131,12 @@
 /** The response of the owner of a target's limit. */
 export type TargetTurnResponse = zod.infer<typeof TURN_RESPONSE>;
 
+/** A report of a target that crashed while it ran a request. */
+export type CrashReport = zod.infer<typeof CRASH>;
+
+/** A quarantine, as one VM tells it to another. */
+export type QuarantineNotice = zod.infer<typeof QUARANTINE>;
+
 /** A limit that a target names no longer. */
 export type EndedTargetLimit = zod.infer<typeof ENDED_LIMIT>;
 
@@ -171,10 +184,13 @@
 };
 
 /** Reports a crash of a target to a peer that counts the crashes of its request. */
-export const TARGET_CRASH: wire.PeerMethod<zod.infer<typeof CRASH>, zod.infer<typeof EMPTY>> = {
+export const TARGET_CRASH: wire.PeerMethod<
+  zod.infer<typeof CRASH>,
+  zod.infer<typeof CRASH_RESPONSE>
+> = {
   name: 'gateway.death',
   request: CRASH,
-  response: EMPTY,
+  response: CRASH_RESPONSE,
 };
 
 /** Reports a failure of a target to a peer that collects them. */
--- a/packages/targets/src/CrashFingerprints.ts
+++ b/packages/targets/src/CrashFingerprints.ts
@@ -38,6 +38,14 @@
   readonly lastCrashAt: clock.Milliseconds;
 }
 
+/** A request that is quarantined, or was until its quarantine ended and no target has completed it. */
+export interface QuarantinedRequest {
+  readonly fingerprint: string;
+  readonly lengthMs: clock.Milliseconds;
+  /** Time until the quarantine ends; negative if it has ended. */
+  readonly remainingMs: clock.Milliseconds;
+}
+
 /** Detects requests that crash the targets that run them. */
 export class CrashFingerprints implements lifetime.Disposable {
   private readonly suspicions = new Map<string, Suspicion>();
@@ -148,13 +156,31 @@
     return this.quarantines.delete(fingerprint) || wasSuspect;
   }
 
-  /** Adds a quarantined fingerprint, such as one that was read from a peer or the journal. */
-  public addQuarantined(fingerprint: string, lengthMs = this.quarantineMs): void {
+  /** All quarantined requests, oldest first. */
+  public listQuarantined(): readonly QuarantinedRequest[] {
+    const now = this.time.now();
+    return [...this.quarantines].map(([fingerprint, { endsAt, lengthMs }]) => ({
+      fingerprint,
+      lengthMs,
+      remainingMs: endsAt - now,
+    }));
+  }
+
+  /**
+   * Adds a quarantined fingerprint, such as one that was read from a peer or the journal.
+   * @param remainingMs Time until the quarantine ends, if a part of it has passed.
+   */
+  public addQuarantined(
+    fingerprint: string,
+    lengthMs = this.quarantineMs,
+    remainingMs = lengthMs,
+  ): void {
     this.suspicions.delete(fingerprint);
     const previous = this.quarantines.get(fingerprint);
     const maximumMs = Math.max(MAXIMUM_QUARANTINE_MS, this.quarantineMs);
     const nextMs = Math.min(maximumMs, Math.max(lengthMs, previous?.lengthMs ?? 0));
-    const endsAt = Math.max(previous?.endsAt ?? 0, this.time.now() + nextMs);
+    const leftMs = Math.min(nextMs, Math.max(0, remainingMs));
+    const endsAt = Math.max(previous?.endsAt ?? 0, this.time.now() + leftMs);
     this.quarantines.delete(fingerprint);
     this.quarantines.set(fingerprint, { lengthMs: nextMs, endsAt, refusedUntil: endsAt });
     deleteOldest(this.quarantines, MAXIMUM_QUARANTINED);
