Turns, quarantines: bounds and disposal after a reading of the changes

- A VM that becomes available makes the others look for the quarantines that they count among the latest 200 only; with 10,000 of them and 300 VMs each would have computed 3 million ranks.
- Searches of contents that wait when the process stops fail in place of never ending (test added).
- An exception during a listing of turns no longer ends all later listings.

--- a/packages/gateway/src/CrashWatch.ts
+++ b/packages/gateway/src/CrashWatch.ts
@@ -31,7 +31,10 @@
 const ANNOUNCEMENTS = 4;
 const ANNOUNCEMENT_INTERVAL_MS = 1_000;
 
-/** The maximum number of quarantines that a VM is told of when it is available again; the latest ones. */
+/**
+ * The maximum number of quarantines, the latest ones, of which a VM may be told when it is available
+ * again. Bounds the time that it takes to find those whose crashes are counted here.
+ */
 const MAXIMUM_NOTICES = 200;
 
 /** A quarantine that ended this long ago, without a trial since, is forgotten. */
@@ -214,8 +217,8 @@
     if (!this.fingerprints.hasQuarantined) return;
     const notices = this.fingerprints
       .listQuarantined()
-      .filter(({ fingerprint }) => this.isCountedHere(fingerprint))
-      .slice(-MAXIMUM_NOTICES);
+      .slice(-MAXIMUM_NOTICES)
+      .filter(({ fingerprint }) => this.isCountedHere(fingerprint));
     if (notices.length === 0) return;
     logger.info('A VM that is available is told of quarantines.', {
       peer: member.name,
--- a/packages/turns/src/ContentSearches.test.ts
+++ b/packages/turns/src/ContentSearches.test.ts
@@ -55,6 +55,15 @@
     expect(log.listings).toBeLessThanOrEqual(3 * PAGES);
   });
 
+  test('searches that wait fail when the process stops', async () => {
+    const { searches } = createSearches();
+    const waiting = [1, 999].map((number) => searches.find(PARTITION, keyOf(number)));
+    searches.dispose();
+    const late = searches.find(PARTITION, keyOf(2));
+    const found = await Promise.all([...waiting, late]);
+    expect(found.every(({ isErr }) => isErr)).toBe(true);
+  });
+
   test('a failed listing fails one search, and the others are tried', async () => {
     const { log, searches } = createSearches();
     log.failures = 1;
--- a/packages/turns/src/ContentSearches.ts
+++ b/packages/turns/src/ContentSearches.ts
@@ -1,5 +1,5 @@
 import type * as clock from '@limpettack/clock';
-import type * as keyedLog from '@limpettack/keyed-log';
+import * as keyedLog from '@limpettack/keyed-log';
 import type * as lifetime from '@limpettack/lifetime';
 import type * as logging from '@limpettack/logging';
 import * as trueMyth from 'true-myth';
@@ -8,6 +8,12 @@
 /** The record that was found; undefined if the log has none, or a failure if it could not be read. */
 export type FoundRecord = keyedLog.LogResult<keyedLog.StoredRecord | undefined>;
 
+/** The result of searches that were waiting at the disposal. */
+const DISPOSED: FoundRecord = trueMyth.Result.err({
+  kind: keyedLog.LOG_FAILURES.UNAVAILABLE,
+  message: 'The process stops.',
+});
+
 interface Search {
   readonly partition: keyedLog.PartitionName;
   readonly key: string;
@@ -44,6 +50,7 @@
 
   /** Finds the newest record of a key. */
   public find(partition: keyedLog.PartitionName, key: string): Promise<FoundRecord> {
+    if (this.isDisposed) return Promise.resolve(DISPOSED);
     return new Promise((resolve) => {
       this.waiting.push({ partition, key, resolve });
       if (!this.isRunning) this.run();
@@ -53,6 +60,7 @@
   /** @inheritdoc */
   public dispose(): void {
     this.isDisposed = true;
+    this.waiting.splice(0).forEach(({ resolve }) => resolve(DISPOSED));
   }
 
   private async run(): Promise<void> {
--- a/packages/turns/src/LeftoverRemoval.ts
+++ b/packages/turns/src/LeftoverRemoval.ts
@@ -168,20 +168,35 @@
     const { clock: time } = this.options;
     this.isListing = true;
     const confirmations = this.unconfirmed.splice(0);
+    try {
+      await this.review(confirmations, processes);
+    } finally {
+      // Has no effect on those that were resolved before.
+      confirmations.forEach(({ resolve }) => resolve([]));
+      this.confirmedAt = time.now();
+      if (this.listedAt !== undefined) this.listedAt = this.confirmedAt;
+      this.isListing = false;
+      this.scheduleConfirmation();
+    }
+  }
+
+  /** Lists the turns, resolves the confirmations and removes the turns of ended processes. */
+  private async review(
+    confirmations: readonly Confirmation[],
+    processes: ReadonlySet<string>,
+  ): Promise<void> {
     const expired = new Set(confirmations.flatMap(({ turns }) => turns));
     const isOwner = this.isOwner();
-    const startedAt = time.now();
+    const startedAt = this.options.clock.now();
+    // A VM that was asked although another one removes leftovers only confirms.
     const found = await this.list(expired, (process) => !isOwner || processes.has(process));
-    const confirmed = found?.confirmed ?? new Set();
-    confirmations.forEach(({ resolve, turns }) => resolve(turns.filter((id) => confirmed.has(id))));
-    if (isOwner && found !== undefined && !found.isTooLarge) {
-      await this.remove(found, startedAt);
-      this.knownProcesses = processes;
-    }
-    this.confirmedAt = time.now();
-    if (this.listedAt !== undefined) this.listedAt = this.confirmedAt;
-    this.isListing = false;
-    this.scheduleConfirmation();
+    if (found === undefined) return;
+    confirmations.forEach(({ resolve, turns }) =>
+      resolve(turns.filter((id) => found.confirmed.has(id))),
+    );
+    if (!isOwner || found.isTooLarge) return;
+    await this.remove(found, startedAt);
+    this.knownProcesses = processes;
   }
 
   /** Lists all turns. Returns undefined if they could not be listed. */
