Budgets during outages: a pending claim does not replace the one of another home

Two homes that read a partition at the same time both claimed the right to let programs exceed their records: the one whose append met a conflict read the claim of the other one, and then wrote its own over it. A pending return of the right would have removed it in the same way. What was requested is now dropped when the claim of another home is read. The new test of HomePartition.outages.test failed before and passes.

--- a/packages/program-budgets/src/HomePartition.outages.test.ts
+++ b/packages/program-budgets/src/HomePartition.outages.test.ts
@@ -159,6 +159,28 @@
     }
   });
 
+  test('of two homes that read a partition at the same time, one gets the right to grant allowances', async () => {
+    const time = new clock.ManualClock();
+    const log = homeFixtures.createLog();
+    const homes = ['first', 'second'].map((producer) =>
+      homeFixtures.createPartition({ ...CONTINUING, producer, log, time }),
+    );
+    const other = { program: 'other', call: 'other', tokens: 0, isKept: false };
+    await Promise.all(homes.map((home) => home.settle(other, 'here')));
+    await advance(time, 1_000);
+    log.outage = keyedLog.LOG_FAILURES.LOST;
+    const grants = await Promise.all(homes.map((home) => home.reserve(requestOf('p', 'a'))));
+    const allowances = grants.map((granted) => granted.unwrapOr(undefined)?.uncoveredTokens ?? 0);
+    expect(allowances.sort((left, right) => left - right)).toEqual([0, MOST_TOKENS]);
+    // The one without the right does not take it from the other one when it releases the partition.
+    log.outage = undefined;
+    await advance(time, 1_000);
+    const released = homes.map((home) => home.release());
+    await advance(time, 1_000);
+    await Promise.all(released);
+    homes.forEach((home) => home.dispose());
+  });
+
   test('a home grants allowances again once the programs of a lost home are forgotten', async () => {
     const time = new clock.ManualClock();
     const log = homeFixtures.createLog();
--- a/packages/program-budgets/src/HomePartition.ts
+++ b/packages/program-budgets/src/HomePartition.ts
@@ -499,6 +499,8 @@
     const { allowanceRight: right } = this;
     const before = right.formerHolder;
     right.read(value);
+    // A claim or a return that has not been written yet would replace the claim of the other home.
+    if (right.formerHolder !== undefined) this.requested.delete(allowanceRight.ALLOWANCE_KEY);
     if (right.formerHolder === before || right.formerHolder === undefined) return;
     logger.warn(
       'Programs of a partition get no allowances, since a former home may have granted some.',
