Turns, budgets: exceptions of the log end no later listings; one constant for idle programs

That held for confirmations only: the check for turns of ended processes was not scheduled again. Now it is; the new test failed before. - The time for which a home is barred from allowances is that after which idle programs are forgotten; it was written down twice.

--- a/packages/program-budgets/src/AllowanceRight.ts
+++ b/packages/program-budgets/src/AllowanceRight.ts
@@ -8,12 +8,6 @@
  */
 export const ALLOWANCE_KEY = ' allowances';
 
-/**
- * How long a home without the right grants no allowances after it has read that another one had it.
- * The programs of that one are forgotten by then.
- */
-const BARRED_MS = 600_000;
-
 const RECORD = zod.object({ holder: zod.string() });
 
 /**
@@ -29,10 +23,15 @@
 
   private barredUntil = Number.NEGATIVE_INFINITY;
 
-  /** @param home Names this home, uniquely for each period of ownership. */
+  /**
+   * @param home Names this home, uniquely for each period of ownership.
+   * @param barredMs How long a home grants no allowances after it has read that another one had the
+   * right: until the programs of that one are forgotten.
+   */
   public constructor(
     private readonly home: string,
     private readonly time: clock.Clock,
+    private readonly barredMs: clock.Milliseconds,
   ) {}
 
   /** Whether this home may grant allowances: its record is in the log. */
@@ -61,7 +60,7 @@
     this.held = holder === this.home;
     const other = this.held ? undefined : holder;
     if (other === undefined) this.barredUntil = Number.NEGATIVE_INFINITY;
-    else if (other !== this.otherHolder) this.barredUntil = this.time.now() + BARRED_MS;
+    else if (other !== this.otherHolder) this.barredUntil = this.time.now() + this.barredMs;
     this.otherHolder = other;
   }
 
--- a/packages/program-budgets/src/HomePartition.ts
+++ b/packages/program-budgets/src/HomePartition.ts
@@ -119,7 +119,11 @@
   private readonly allowanceRight: allowanceRight.AllowanceRight;
 
   public constructor(private readonly options: HomePartitionOptions) {
-    this.allowanceRight = new allowanceRight.AllowanceRight(options.producer, options.clock);
+    this.allowanceRight = new allowanceRight.AllowanceRight(
+      options.producer,
+      options.clock,
+      IDLE_PROGRAM_MS,
+    );
     this.waiters = new conditionWaiters.ConditionWaiters(options.clock);
   }
 
--- a/packages/turns/src/ContentSearches.test.ts
+++ b/packages/turns/src/ContentSearches.test.ts
@@ -64,6 +64,20 @@
     expect(found.every(({ isErr }) => isErr)).toBe(true);
   });
 
+  test('an exception of the log fails one search, and the others are tried', async () => {
+    const { log, searches } = createSearches();
+    const { newest } = log;
+    log.newest = () => {
+      log.newest = newest;
+      throw new Error('unexpected');
+    };
+    const numbers = [5, 300];
+    const found = await Promise.all(
+      numbers.map((number) => searches.find(PARTITION, keyOf(number))),
+    );
+    expect(found.map(({ isOk }) => isOk)).toEqual([false, true]);
+  });
+
   test('a failed listing fails one search, and the others are tried', async () => {
     const { log, searches } = createSearches();
     log.failures = 1;
--- a/packages/turns/src/ContentSearches.ts
+++ b/packages/turns/src/ContentSearches.ts
@@ -90,9 +90,9 @@
 
   /** Lists the records from the key of a search on, and resolves the searches that they answer. */
   private async list(first: Search): Promise<void> {
-    const { clock: time, log, logger, onListed } = this.options;
+    const { clock: time, logger, onListed } = this.options;
     const startedAt = time.now();
-    const page = await log.newest(first.partition, turnRecords.keyBefore(first.key));
+    const page = await this.readFrom(first);
     const spanMs = Math.round(time.now() - startedAt);
     if (page.isErr) {
       const reason = page.error.message;
@@ -125,6 +125,19 @@
     onListed(records);
     answered.forEach(({ key, resolve }) => resolve(trueMyth.Result.ok(found.get(key))));
   }
+
+  /** An exception must not end the searches that wait, and all later ones. */
+  private async readFrom({
+    key,
+    partition,
+  }: Search): Promise<keyedLog.LogResult<keyedLog.NewestPage>> {
+    try {
+      return await this.options.log.newest(partition, turnRecords.keyBefore(key));
+    } catch (error) {
+      const kind = keyedLog.LOG_FAILURES.LOST;
+      return trueMyth.Result.err({ kind, message: String(error) });
+    }
+  }
 }
 
 function lowest(searches: readonly Search[]): Search | undefined {
--- a/packages/turns/src/LeftoverRemoval.test.ts
+++ b/packages/turns/src/LeftoverRemoval.test.ts
@@ -117,6 +117,21 @@
     removal.dispose();
   });
 
+  test('an exception during a listing does not end all later listings', async () => {
+    const fleet = createFleet();
+    const [a] = [fleet.start('a'), fleet.start('b'), fleet.start('c')];
+    await fleet.runTurn(a, 't1');
+    fleet.stop('a', a);
+    const { newest } = fleet.log;
+    fleet.log.newest = () => {
+      throw new Error('unexpected');
+    };
+    await fleet.advance(60_000);
+    fleet.log.newest = newest;
+    await fleet.advance(REMOVED_WITHIN_MS);
+    expect(await fleet.recordCount()).toBe(0);
+  });
+
   test('no turns are listed while all processes run', async () => {
     const fleet = createFleet();
     const [a] = [fleet.start('a'), fleet.start('b')];
--- a/packages/turns/src/LeftoverRemoval.ts
+++ b/packages/turns/src/LeftoverRemoval.ts
@@ -170,14 +170,16 @@
     const confirmations = this.unconfirmed.splice(0);
     try {
       await this.review(confirmations, processes);
-    } finally {
-      // Has no effect on those that were resolved before.
-      confirmations.forEach(({ resolve }) => resolve([]));
-      this.confirmedAt = time.now();
-      if (this.listedAt !== undefined) this.listedAt = this.confirmedAt;
-      this.isListing = false;
-      this.scheduleConfirmation();
+    } catch (error) {
+      const reason = String(error);
+      this.options.logger.error('A listing of the stored turns failed unexpectedly.', { reason });
     }
+    // Has no effect on those that were resolved before.
+    confirmations.forEach(({ resolve }) => resolve([]));
+    this.confirmedAt = time.now();
+    if (this.listedAt !== undefined) this.listedAt = this.confirmedAt;
+    this.isListing = false;
+    this.scheduleConfirmation();
   }
 
   /** Lists the turns, resolves the confirmations and removes the turns of ended processes. */
